--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,132 @@
+//! The configuration document that operators write: groups, databases, pools and timing.
+//!
+//! A document is checked whole and is in force whole. Its text is JSON with comments.
+
+use crate::clock::Span;
+use crate::types::{CallerId, DatabaseId, Domain, GroupId, PoolId, Term, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// One whole configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// The target groups by name.
+    pub groups: BTreeMap<GroupId, Group>,
+    /// The connection pools by name.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// The timing of failure detection, acknowledgement and waiting.
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+/// A document and the version under which it was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accepted {
+    /// Counted up by one with each accepted document.
+    pub version: Version,
+    /// What is in force.
+    pub document: Document,
+}
+
+/// Databases that replicate one log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// The databases by name; a majority of them decides on terms.
+    pub databases: BTreeMap<DatabaseId, Database>,
+}
+
+/// One database and what it can bear.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Database {
+    /// Where it listens, by IP number.
+    pub address: SocketAddr,
+    /// The failure domain it runs in.
+    pub domain: Domain,
+    /// How many statements it runs at once.
+    pub slots: u32,
+    /// How many connections it accepts.
+    pub connections: u32,
+    /// Set by the operator before it is taken away: it gets no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The rules under which some callers use some groups.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// The groups it reaches.
+    pub groups: Vec<GroupId>,
+    /// The callers it serves; the one pool of a group without this list serves the rest.
+    #[serde(default)]
+    pub callers: Vec<CallerId>,
+    /// When a write counts as done.
+    #[serde(default)]
+    pub durability: Durability,
+    /// How old a read may be, where the caller does not say. Absent: as new as the session's writes.
+    #[serde(default)]
+    pub max_age: Option<Span>,
+    /// How long a request may take in all before its caller has no more use for it.
+    #[serde(default = "default_patience")]
+    pub patience: Span,
+    /// Whether its work runs long, such as a reconciliation at night.
+    #[serde(default)]
+    pub long: bool,
+}
+
+/// When a write is acknowledged.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Durability {
+    /// Once a majority of the group's databases has it in its log.
+    #[default]
+    Majority,
+    /// Once the primary has it. A failover may lose it, and then says so.
+    Primary,
+}
+
+/// Timing of the protocol between proxies and databases.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Between two probes of a database.
+    pub probe: Span,
+    /// The acknowledgement window W: how long a confirmation of a term counts, from its probe's start.
+    pub window: Span,
+    /// How long a primary or a steward is silent before it is suspected.
+    pub suspicion: Span,
+    /// The least time between two promotions of a group.
+    pub damping: Span,
+    /// How long a replica that lags behind a read's floor is waited for.
+    pub catch_up: Span,
+    /// How long one statement may be silent on a connection before the connection is given up.
+    pub answer: Span,
+    /// How long a transaction may sit idle before it is rolled back.
+    pub idle_transaction: Span,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            probe: Span::from_millis(250),
+            window: Span::from_millis(1_000),
+            suspicion: Span::from_millis(1_000),
+            damping: Span::from_secs(10),
+            catch_up: Span::from_millis(50),
+            answer: Span::from_secs(5),
+            idle_transaction: Span::from_secs(30),
+        }
+    }
+}
+
+fn default_patience() -> Span {
+    Span::from_secs(5)
+}
+
+/// The first term of a group that was never promoted.
+pub const FIRST_TERM: Term = Term(1);
--- /dev/null
+++ b/src/core/lineage.rs
@@ -0,0 +1,95 @@
+//! The terms that a log went through, and what that says about a position.
+
+use crate::types::{Offset, Position, Term};
+use serde::{Deserialize, Serialize};
+
+/// Each term that a log went through, with the position that it started from, lowest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Lineage {
+    starts: Vec<Start>,
+}
+
+/// The start of a term: the last position of the log that it continues.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Start {
+    /// The term that was opened.
+    pub term: Term,
+    /// The end of the log at that moment.
+    pub base: Position,
+}
+
+/// How a position relates to a log of a lineage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It is part of the log's history, if the log is long enough.
+    Kept,
+    /// A later term started before it: it is not part of the history and never will be.
+    Lost,
+    /// It is of a term that the lineage has not reached yet.
+    Ahead,
+}
+
+impl Lineage {
+    /// A log that has gone through these terms.
+    pub fn new(starts: Vec<Start>) -> Self {
+        debug_assert!(starts.windows(2).all(|pair| pair[0].term < pair[1].term));
+        Self { starts }
+    }
+
+    /// Records that `term` was opened on a log that ended at `base`.
+    pub fn open(&mut self, term: Term, base: Position) {
+        debug_assert!(self.last().is_none_or(|last| last < term));
+        self.starts.push(Start { term, base });
+    }
+
+    /// The highest term opened.
+    pub fn last(&self) -> Option<Term> {
+        self.starts.last().map(|start| start.term)
+    }
+
+    /// The starts, lowest term first.
+    pub fn starts(&self) -> &[Start] {
+        &self.starts
+    }
+
+    /// Where `position` stands.
+    ///
+    /// A term that was opened but is missing from the lineage was skipped by a later one, so
+    /// all that it wrote past its start is lost. Terms below the first start kept were trimmed;
+    /// their positions count by offset alone.
+    pub fn standing(&self, position: Position) -> Standing {
+        if position.offset == Offset(0) {
+            return Standing::Kept;
+        }
+        if self.last().is_none_or(|last| last < position.term) {
+            return Standing::Ahead;
+        }
+        let index = self
+            .starts
+            .partition_point(|start| start.term <= position.term);
+        let skipped = index > 0 && self.starts[index - 1].term != position.term;
+        let cut = self
+            .starts
+            .get(index)
+            .is_some_and(|next| position.offset > next.base.offset);
+        if skipped || cut {
+            Standing::Lost
+        } else {
+            Standing::Kept
+        }
+    }
+
+    /// Whether a log of this lineage that ends at `end` holds `position`.
+    pub fn holds(&self, end: Position, position: Position) -> bool {
+        self.standing(position) == Standing::Kept && end.offset >= position.offset
+    }
+
+    /// Forgets all but the last `keep` starts: a position older than those is held by every
+    /// log that reached them, and a session that old has long been served from them.
+    pub fn trim(&mut self, keep: usize) {
+        let surplus = self.starts.len().saturating_sub(keep);
+        self.starts.drain(..surplus);
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,17 @@
+//! The proxy's decisions, without sockets, files or timers.
+//!
+//! Everything here is driven by typed inputs with the time handed in, and answers with
+//! typed outputs, so that scenarios and the model checker run the code that serves callers.
+
+pub mod database;
+pub mod detect;
+pub mod gate;
+pub mod lineage;
+pub mod member;
+pub mod message;
+pub mod node;
+pub mod pool;
+pub mod request;
+pub mod retry;
+pub mod route;
+pub mod term;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! lentilspoke: a database proxy with session consistency for groups of lagging replicas.
+//!
+//! `core` decides without I/O; `net` connects it to sockets and timers; `standin` plays the
+//! outside systems for tests and the demo; `cmd` holds a module for each subcommand.
+
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod types;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line's entry: dispatch to a subcommand and nothing else.
+
+fn main() {}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,211 @@
+//! Identifiers, log positions and sizes that every part of the proxy shares.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Why a text is not a valid value of a checked type.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum Invalid {
+    /// The text is empty or too long for an identifier.
+    #[error("`{0}` is not a name: use 1 to 63 letters, digits, `-`, `_` or `.`")]
+    Name(Box<str>),
+    /// The text is not a whole number.
+    #[error("`{0}` is not a whole number")]
+    Number(Box<str>),
+    /// The text is not a log position.
+    #[error("`{0}` is not a log position: write it as TERM/OFFSET, such as 3/128")]
+    Position(Box<str>),
+    /// The text is not a span of time.
+    #[error("`{0}` is not a span of time: write a number and a unit, such as 250ms or 5s")]
+    Span(Box<str>),
+}
+
+const NAME_LIMIT: usize = 63;
+
+fn check_name(text: &str) -> Result<Box<str>, Invalid> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if text.is_empty() || text.len() > NAME_LIMIT || !text.chars().all(plain) {
+        return Err(Invalid::Name(text.chars().take(NAME_LIMIT).collect()));
+    }
+    Ok(text.into())
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Invalid;
+
+            fn from_str(text: &str) -> Result<Self, Invalid> {
+                check_name(text).map(Self)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Invalid;
+
+            fn try_from(text: String) -> Result<Self, Invalid> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.into()
+            }
+        }
+    };
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The value that follows this one.
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Invalid;
+
+            fn from_str(text: &str) -> Result<Self, Invalid> {
+                text.parse().map(Self).map_err(|_| Invalid::Number(text.into()))
+            }
+        }
+    };
+}
+
+name!(
+    /// A VM that runs one proxy, as the platform's list names it.
+    VmId
+);
+name!(
+    /// A failure domain.
+    Domain
+);
+name!(
+    /// A group of databases that replicate one log; callers name it as their database.
+    GroupId
+);
+name!(
+    /// One database of a group.
+    DatabaseId
+);
+name!(
+    /// A connection pool: the rules under which some callers use some groups.
+    PoolId
+);
+name!(
+    /// A caller, known by the user name of its connection.
+    CallerId
+);
+name!(
+    /// A session that may roam between proxies and be alive on several.
+    SessionId
+);
+name!(
+    /// A key that a caller gives a write so that it can ask for its outcome later.
+    RequestKey
+);
+
+number!(
+    /// A group's ballot: it only rises, and belongs to the one steward that raised it.
+    Term
+);
+number!(
+    /// A place in a group's log, counted in entries. Comparable within one lineage only.
+    Offset
+);
+number!(
+    /// The version of the configuration; 0 before the first one.
+    Version
+);
+number!(
+    /// One caller's connection to this proxy.
+    Link
+);
+number!(
+    /// One request between two proxies, unique for the sender's life.
+    RequestId
+);
+number!(
+    /// One connection from this proxy to a database.
+    ConnId
+);
+number!(
+    /// One life of a VM's process, drawn at random when it starts, so that a restarted
+    /// process is not taken for its predecessor.
+    Life
+);
+
+/// A log position: the term that wrote the entry, and its offset.
+///
+/// The derived order is the order of promotion (term first). Whether a replica holds a
+/// position is answered by its lineage, never by this order alone.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// The term in which the entry was written.
+    pub term: Term,
+    /// How many entries the log holds up to and with this one.
+    pub offset: Offset,
+}
+
+impl Position {
+    /// The position of entry `offset` written in `term`.
+    pub fn new(term: Term, offset: Offset) -> Self {
+        Self { term, offset }
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.term, self.offset)
+    }
+}
+
+impl FromStr for Position {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let invalid = || Invalid::Position(text.into());
+        let (term, offset) = text.split_once('/').ok_or_else(invalid)?;
+        Ok(Self::new(
+            term.parse().map_err(|_| invalid())?,
+            offset.parse().map_err(|_| invalid())?,
+        ))
+    }
+}
