--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,3 @@
+//! What connects the core to sockets: callers, databases, other proxies.
+
+pub mod dialect;
