Classify SQL text by its tokens, refusing what would stay on a connection

Unknown functions, locking clauses and text that does not parse count as writes; session state is refused with the remedy, and so is the proxy's own dialect in a caller's mouth.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod config;
 pub mod core;
 pub mod net;
+pub mod sql;
 pub mod types;
--- /dev/null
+++ b/src/sql/query.rs
@@ -0,0 +1,365 @@
+//! Queries: which of them only read.
+
+use super::{Refused, Statement, word, words};
+use sqlparser::ast;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+use sqlparser::tokenizer::Token;
+
+/// Functions that neither write nor depend on the session's state. Sorted.
+///
+/// Functions that differ between databases, such as `pg_is_in_recovery`, are here as well: an
+/// answer from any database is a true one.
+const PURE: &[&str] = &[
+    "abs",
+    "age",
+    "any",
+    "array",
+    "array_agg",
+    "array_length",
+    "array_position",
+    "array_to_string",
+    "avg",
+    "bool_and",
+    "bool_or",
+    "btrim",
+    "cardinality",
+    "cast",
+    "ceil",
+    "ceiling",
+    "char_length",
+    "coalesce",
+    "col_description",
+    "concat",
+    "concat_ws",
+    "count",
+    "cube",
+    "current_database",
+    "current_schema",
+    "current_schemas",
+    "current_setting",
+    "date",
+    "date_bin",
+    "date_part",
+    "date_trunc",
+    "decode",
+    "dense_rank",
+    "encode",
+    "every",
+    "exists",
+    "extract",
+    "first_value",
+    "floor",
+    "format",
+    "format_type",
+    "generate_series",
+    "greatest",
+    "has_database_privilege",
+    "has_schema_privilege",
+    "has_table_privilege",
+    "initcap",
+    "interval",
+    "json_agg",
+    "json_array_length",
+    "json_build_array",
+    "json_build_object",
+    "json_extract_path",
+    "json_object_agg",
+    "jsonb_agg",
+    "jsonb_array_elements",
+    "jsonb_array_length",
+    "jsonb_build_array",
+    "jsonb_build_object",
+    "jsonb_each",
+    "jsonb_extract_path",
+    "jsonb_object_agg",
+    "jsonb_typeof",
+    "lag",
+    "last_value",
+    "lead",
+    "least",
+    "left",
+    "length",
+    "lower",
+    "lpad",
+    "ltrim",
+    "make_date",
+    "max",
+    "md5",
+    "min",
+    "mod",
+    "now",
+    "ntile",
+    "nullif",
+    "obj_description",
+    "octet_length",
+    "overlay",
+    "percentile_cont",
+    "percentile_disc",
+    "pg_backend_pid",
+    "pg_database_size",
+    "pg_encoding_to_char",
+    "pg_function_is_visible",
+    "pg_get_constraintdef",
+    "pg_get_expr",
+    "pg_get_function_arguments",
+    "pg_get_function_result",
+    "pg_get_functiondef",
+    "pg_get_indexdef",
+    "pg_get_partkeydef",
+    "pg_get_statisticsobjdef_columns",
+    "pg_get_triggerdef",
+    "pg_get_userbyid",
+    "pg_get_viewdef",
+    "pg_is_in_recovery",
+    "pg_relation_is_publishable",
+    "pg_relation_size",
+    "pg_size_pretty",
+    "pg_sleep",
+    "pg_table_is_visible",
+    "pg_table_size",
+    "pg_total_relation_size",
+    "pg_type_is_visible",
+    "position",
+    "power",
+    "quote_ident",
+    "quote_literal",
+    "rank",
+    "regexp_match",
+    "regexp_matches",
+    "regexp_replace",
+    "regexp_split_to_array",
+    "repeat",
+    "replace",
+    "reverse",
+    "right",
+    "rollup",
+    "round",
+    "row",
+    "row_number",
+    "row_to_json",
+    "rpad",
+    "rtrim",
+    "shobj_description",
+    "sign",
+    "some",
+    "split_part",
+    "sqrt",
+    "starts_with",
+    "stddev",
+    "string_agg",
+    "string_to_array",
+    "strpos",
+    "substr",
+    "substring",
+    "sum",
+    "to_char",
+    "to_date",
+    "to_json",
+    "to_jsonb",
+    "to_number",
+    "to_timestamp",
+    "translate",
+    "trim",
+    "trunc",
+    "unnest",
+    "upper",
+    "variance",
+    "version",
+];
+
+/// Keywords and type names after which a parenthesis is no call. Sorted.
+const GRAMMAR: &[&str] = &[
+    "ALL",
+    "AND",
+    "AS",
+    "BIT",
+    "BY",
+    "CASE",
+    "CHAR",
+    "CHARACTER",
+    "CROSS",
+    "DECIMAL",
+    "DISTINCT",
+    "ELSE",
+    "EXCEPT",
+    "FETCH",
+    "FILTER",
+    "FIRST",
+    "FROM",
+    "GROUPING",
+    "GROUP",
+    "HAVING",
+    "ILIKE",
+    "IN",
+    "INNER",
+    "INTERSECT",
+    "IS",
+    "JOIN",
+    "LATERAL",
+    "LIKE",
+    "LIMIT",
+    "MATERIALIZED",
+    "NOT",
+    "NUMERIC",
+    "OFFSET",
+    "ON",
+    "OR",
+    "OVER",
+    "SELECT",
+    "SETS",
+    "THEN",
+    "TIME",
+    "TIMESTAMP",
+    "TIMESTAMPTZ",
+    "UNION",
+    "USING",
+    "VALUES",
+    "VARCHAR",
+    "VARYING",
+    "WHEN",
+    "WHERE",
+    "WITHIN",
+];
+
+/// Functions whose effect lasts as long as the session's.
+const SESSION_LOCKS: &[&str] = &[
+    "pg_advisory_lock",
+    "pg_advisory_lock_shared",
+    "pg_advisory_unlock",
+    "pg_advisory_unlock_all",
+    "pg_advisory_unlock_shared",
+    "pg_try_advisory_lock",
+    "pg_try_advisory_lock_shared",
+];
+
+/// Classifies a statement that starts like a query.
+pub(super) fn classify(tokens: &[Token]) -> Statement {
+    if let Some(refused) = session_state(tokens) {
+        return Statement::Refused(refused);
+    }
+    if changes(tokens) || !parses(tokens) {
+        return Statement::Write;
+    }
+    Statement::Read
+}
+
+/// Classifies `EXPLAIN`, which runs the statement only under `ANALYZE`.
+pub(super) fn explain(tokens: &[Token]) -> Statement {
+    if let Some(refused) = session_state(tokens) {
+        return Statement::Refused(refused);
+    }
+    let runs = words(tokens).any(|word| word == "ANALYZE" || word == "ANALYSE");
+    if runs && changes(tokens) {
+        return Statement::Write;
+    }
+    Statement::Read
+}
+
+/// What the statement would leave behind on its connection, if anything.
+pub(super) fn session_state(tokens: &[Token]) -> Option<Refused> {
+    calls(tokens).find_map(|call| {
+        let name = call.name.to_ascii_lowercase();
+        if SESSION_LOCKS.contains(&name.as_str()) {
+            return Some(Refused::Lock);
+        }
+        (name == "set_config" && !ends_in_true(&tokens[call.index..])).then_some(Refused::Set)
+    })
+}
+
+/// Whether the parenthesis that opens in `tokens` closes after the word `true`: the argument
+/// `is_local` of `set_config`.
+fn ends_in_true(tokens: &[Token]) -> bool {
+    let mut depth = 0_usize;
+    for (index, token) in tokens.iter().enumerate() {
+        match token {
+            Token::LParen => depth += 1,
+            Token::RParen if depth <= 1 => {
+                return index > 0 && word(tokens.get(index - 1)) == "TRUE";
+            }
+            Token::RParen => depth -= 1,
+            _ => {}
+        }
+    }
+    false
+}
+
+/// Whether anything in the statement may write or lock.
+fn changes(tokens: &[Token]) -> bool {
+    let writes = words(tokens).any(|word| {
+        matches!(
+            word.as_str(),
+            "INSERT" | "UPDATE" | "DELETE" | "MERGE" | "INTO" | "SHARE"
+        )
+    });
+    writes || calls(tokens).any(|call| !call.pure)
+}
+
+/// A word in front of a parenthesis that is not the grammar's own.
+struct Call<'a> {
+    name: &'a str,
+    /// Where the word stands.
+    index: usize,
+    pure: bool,
+}
+
+fn calls(tokens: &[Token]) -> impl Iterator<Item = Call<'_>> {
+    tokens
+        .windows(2)
+        .enumerate()
+        .filter_map(move |(index, pair)| {
+            let (Token::Word(name), Token::LParen) = (&pair[0], &pair[1]) else {
+                return None;
+            };
+            let quoted = name.quote_style.is_some();
+            let qualifier = qualifier(tokens, index);
+            let upper = name.value.to_ascii_uppercase();
+            let grammar = !quoted && qualifier.is_none() && GRAMMAR.contains(&upper.as_str());
+            if grammar || names_columns(tokens, index) {
+                return None;
+            }
+            let ours = qualifier.is_none_or(|schema| schema.eq_ignore_ascii_case("pg_catalog"));
+            let lower = name.value.to_ascii_lowercase();
+            let known = PURE.binary_search(&lower.as_str()).is_ok();
+            Some(Call {
+                name: &name.value,
+                index,
+                pure: ours && known,
+            })
+        })
+}
+
+/// The schema in front of the word at `index`.
+fn qualifier(tokens: &[Token], index: usize) -> Option<&str> {
+    let dot = tokens.get(index.checked_sub(1)?)?;
+    let schema = tokens.get(index.checked_sub(2)?)?;
+    match (schema, dot) {
+        (Token::Word(schema), Token::Period) => Some(&schema.value),
+        _ => None,
+    }
+}
+
+/// Whether the parenthesis after the word at `index` lists the columns of an alias, as in
+/// `WITH lots (id, body) AS` or `FROM (...) AS lots (id)`.
+fn names_columns(tokens: &[Token], index: usize) -> bool {
+    let before = index.checked_sub(1).map(|index| word(tokens.get(index)));
+    if before.as_deref() == Some("AS") {
+        return true;
+    }
+    let close = tokens[index..]
+        .iter()
+        .position(|token| *token == Token::RParen);
+    let after = close.and_then(|close| tokens.get(index + close + 1));
+    let opens_with = matches!(before.as_deref(), Some("WITH" | "RECURSIVE"));
+    opens_with && word(after) == "AS"
+}
+
+/// Whether the library takes the tokens for one query.
+fn parses(tokens: &[Token]) -> bool {
+    let dialect = PostgreSqlDialect {};
+    let mut parser = Parser::new(&dialect).with_tokens(tokens.to_vec());
+    let Ok(ast::Statement::Query(_)) = parser.parse_statement() else {
+        return false;
+    };
+    parser.peek_token().token == Token::EOF
+}
--- /dev/null
+++ b/src/sql/setting.rs
@@ -0,0 +1,124 @@
+//! `SET`, `RESET` and `SHOW`.
+
+use super::{Refused, Statement, has_words, word};
+use sqlparser::tokenizer::Token;
+use std::fmt;
+use std::str::FromStr;
+
+/// A setting of the proxy that a caller can change, at start by `options=-c NAME=VALUE` or by
+/// `SET`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Setting {
+    /// The session whose writes the caller's reads must see.
+    Session,
+    /// The age that the caller accepts for its reads.
+    MaxAge,
+    /// The request key of the caller's writes.
+    Request,
+    /// A session token that the caller was shown.
+    Token,
+}
+
+const PREFIX: &str = "lentilspoke";
+
+impl Setting {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Session => "session",
+            Self::MaxAge => "max_age",
+            Self::Request => "request",
+            Self::Token => "token",
+        }
+    }
+}
+
+impl fmt::Display for Setting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{PREFIX}.{}", self.name())
+    }
+}
+
+impl FromStr for Setting {
+    type Err = Refused;
+
+    fn from_str(text: &str) -> Result<Self, Refused> {
+        let all = [Self::Session, Self::MaxAge, Self::Request, Self::Token];
+        all.into_iter()
+            .find(|setting| setting.to_string().eq_ignore_ascii_case(text))
+            .ok_or(Refused::Setting)
+    }
+}
+
+/// Classifies a statement that starts with `SET`, `RESET` or `SHOW`.
+pub(super) fn classify(tokens: &[Token]) -> Statement {
+    let verb = word(tokens.first());
+    let local = word(tokens.get(1)) == "LOCAL";
+    let scoped = local || word(tokens.get(1)) == "SESSION";
+    let rest = &tokens[if scoped { 2 } else { 1 }..];
+    if let Some(setting) = own(rest) {
+        return setting.map_or_else(Statement::Refused, |setting| {
+            assign(&verb, local, setting, rest)
+        });
+    }
+    match verb.as_str() {
+        "SHOW" => Statement::Read,
+        "SET" if local => Statement::Inside,
+        "SET" if word(rest.first()) == "TRANSACTION" && !scoped => Statement::Inside,
+        "SET" if word(rest.first()) == "CONSTRAINTS" => Statement::Inside,
+        "SET" if has_anyway(rest) => Statement::Accepted,
+        _ => Statement::Refused(Refused::Set),
+    }
+}
+
+/// The proxy's setting that `tokens` start with, if they start with one.
+fn own(tokens: &[Token]) -> Option<Result<Setting, Refused>> {
+    if word(tokens.first()) != PREFIX.to_ascii_uppercase() {
+        return None;
+    }
+    let name = word(tokens.get(2)).to_ascii_lowercase();
+    Some(format!("{PREFIX}.{name}").parse())
+}
+
+fn assign(verb: &str, local: bool, setting: Setting, rest: &[Token]) -> Statement {
+    match verb {
+        "SHOW" => Statement::Show(setting),
+        "RESET" => Statement::Set(setting, None),
+        _ if local => Statement::Refused(Refused::Set),
+        _ => Statement::Set(setting, value(&rest[3.min(rest.len())..])),
+    }
+}
+
+/// The value after `=` or `TO`; `None` for `DEFAULT` and for nothing.
+fn value(tokens: &[Token]) -> Option<Box<str>> {
+    let tokens = tokens.get(1..)?;
+    if word(tokens.first()) == "DEFAULT" {
+        return None;
+    }
+    let text: String = tokens.iter().map(plain).collect();
+    (!text.is_empty()).then(|| text.into())
+}
+
+fn plain(token: &Token) -> String {
+    match token {
+        Token::SingleQuotedString(text) => text.clone(),
+        Token::Word(word) => word.value.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Whether a `SET` asks for what drivers set at start and every connection has already.
+fn has_anyway(rest: &[Token]) -> bool {
+    let name = word(rest.first()).to_ascii_lowercase();
+    let value = value(&rest[1.min(rest.len())..]).unwrap_or_default();
+    let wanted = value.to_ascii_lowercase();
+    match name.as_str() {
+        "client_encoding" => matches!(wanted.as_str(), "utf8" | "utf-8" | "unicode"),
+        "names" => {
+            has_words(rest, "NAMES", "UTF8") || rest.get(1).map(plain) == Some("UTF8".into())
+        }
+        "standard_conforming_strings" => wanted == "on",
+        "datestyle" => wanted.starts_with("iso"),
+        "application_name" | "extra_float_digits" => true,
+        _ => false,
+    }
+}
