--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod core;
 pub mod net;
 pub mod sql;
+pub mod token;
 pub mod types;
