Serve callers over the PostgreSQL protocol

A caller's messages up to Query, Sync or Flush make one request. Prepared statements are kept by the proxy and prepared again where a batch uses one that it does not prepare itself, under a name drawn from the text.

--- /dev/null
+++ b/src/net/pg/batch.rs
@@ -0,0 +1,307 @@
+//! A caller's messages up to the point where it waits, made into work for a database.
+
+use super::fault::Fault;
+use super::prepared::{Library, Names, Prepared};
+use super::reply;
+use super::settings::Settings;
+use crate::core::request::Kind;
+use crate::net::frame::{Fields, Frame, Malformed, kind, put_raw};
+use crate::net::splice::{Expect, Step};
+use crate::sql::{Script, Statement};
+use bytes::{Bytes, BytesMut};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+/// Work for a database, and how its answer becomes the caller's.
+#[derive(Debug)]
+pub struct Batch {
+    /// The messages for the database; empty if the proxy answers everything itself.
+    pub body: Bytes,
+    /// The parts of the answer.
+    pub steps: Vec<Step>,
+    /// What the database is to execute.
+    pub statements: Vec<Statement>,
+    /// Whether every statement mentioned ends a transaction.
+    pub ending: bool,
+    /// Whether the caller expects ReadyForQuery: it does unless the batch ends in Flush.
+    pub ready: bool,
+}
+
+/// What a caller's earlier messages left behind.
+#[derive(Debug)]
+pub struct Session {
+    /// Its prepared statements.
+    pub names: Names,
+    /// Its settings.
+    pub settings: Settings,
+}
+
+/// What a batch does, by the statements that it executes.
+///
+/// Several statements outside a transaction count as one that may write if one of them does.
+pub fn kind(statements: &[Statement], idle: bool) -> Kind {
+    let has = |wanted: Statement| statements.contains(&wanted);
+    if !idle {
+        Kind::Continue
+    } else if has(Statement::Begin) || (has(Statement::BeginRead) && has(Statement::Write)) {
+        Kind::Begin
+    } else if statements.first() == Some(&Statement::BeginRead) {
+        Kind::BeginRead
+    } else if has(Statement::BeginRead) {
+        Kind::Begin
+    } else if has(Statement::Write) {
+        Kind::Write
+    } else {
+        Kind::Read
+    }
+}
+
+/// Makes a batch of the messages up to Query, Sync or Flush. `idle` says that the caller has no
+/// transaction open.
+pub fn build(
+    frames: &[Frame],
+    session: &mut Session,
+    library: &Library,
+    idle: bool,
+) -> Result<Batch, Fault> {
+    if let [query] = frames
+        && query.kind() == kind::QUERY
+    {
+        return simple(query, session);
+    }
+    let mut builder = Builder {
+        session,
+        library,
+        idle,
+        prefix: BytesMut::new(),
+        injected: 0,
+        body: BytesMut::new(),
+        steps: Vec::new(),
+        statements: Vec::new(),
+        ending: true,
+        present: HashSet::new(),
+        portals: HashMap::new(),
+    };
+    let (last, frames) = frames.split_last().ok_or(Malformed::Order)?;
+    for frame in frames {
+        builder.add(frame)?;
+    }
+    builder.finish(last)
+}
+
+fn simple(query: &Frame, session: &mut Session) -> Result<Batch, Fault> {
+    let mut fields = query.fields();
+    let script = Script::read(fields.text()?);
+    if !fields.0.is_empty() {
+        return Err(Malformed::Field.into());
+    }
+    if let Some(refused) = script.refused() {
+        return Err(Fault::Refused(refused));
+    }
+    let local = unmixed(&script)?;
+    let ending = script.statements == [Statement::End];
+    let mut batch = Batch {
+        body: query.bytes().clone(),
+        steps: vec![Step::Pass(Expect::Query)],
+        statements: script.statements,
+        ending,
+        ready: true,
+    };
+    if local {
+        let answer = reply::simple(&batch.statements, &mut session.settings)?;
+        batch.body = Bytes::new();
+        batch.steps = vec![Step::Insert(answer)];
+    }
+    Ok(batch)
+}
+
+/// Whether the proxy answers for the whole text itself; it must not be a mixture.
+fn unmixed(script: &Script) -> Result<bool, Fault> {
+    let local = script.local();
+    if !local && script.statements.iter().any(Statement::local) {
+        return Err(Fault::Mixed);
+    }
+    Ok(local)
+}
+
+struct Builder<'a> {
+    session: &'a mut Session,
+    library: &'a Library,
+    idle: bool,
+    /// Parse messages of statements that earlier batches prepared.
+    prefix: BytesMut,
+    injected: usize,
+    body: BytesMut,
+    steps: Vec<Step>,
+    statements: Vec<Statement>,
+    ending: bool,
+    /// The statements, by their names on databases, that the batch itself prepares.
+    present: HashSet<Box<str>>,
+    portals: HashMap<Box<str>, Rc<Prepared>>,
+}
+
+impl Builder<'_> {
+    fn add(&mut self, frame: &Frame) -> Result<(), Fault> {
+        match frame.kind() {
+            kind::PARSE => self.parse(frame.fields()),
+            kind::BIND => self.bind(frame.fields()),
+            kind::DESCRIBE => self.describe(frame),
+            kind::EXECUTE => self.execute(frame),
+            kind::CLOSE => self.close(frame),
+            _ => Err(Malformed::Order.into()),
+        }
+    }
+
+    fn parse(&mut self, fields: Fields<'_>) -> Result<(), Fault> {
+        let (name, prepared) = self.library.prepare(fields)?;
+        if let Some(refused) = prepared.script.refused() {
+            return Err(Fault::Refused(refused));
+        }
+        unmixed(&prepared.script)?;
+        self.mention(&prepared);
+        if local(&prepared) {
+            self.insert(reply::parse_complete());
+        } else {
+            self.body.extend_from_slice(&prepared.parse);
+            self.steps.push(Step::Pass(Expect::Parse));
+            self.present.insert(prepared.name.clone());
+        }
+        if !self.session.names.insert(name, prepared) {
+            return Err(Fault::Statements);
+        }
+        Ok(())
+    }
+
+    fn bind(&mut self, mut fields: Fields<'_>) -> Result<(), Fault> {
+        let portal = fields.text()?;
+        let prepared = self.lookup(fields.text()?)?;
+        if local(&prepared) {
+            self.insert(reply::bind_complete());
+        } else {
+            let name = prepared.name.as_bytes();
+            let parts = [portal.as_bytes(), &[0], name, &[0], fields.0];
+            put_raw(&mut self.body, kind::BIND, &parts);
+            self.steps.push(Step::Pass(Expect::Bind));
+        }
+        self.portals.insert(portal.into(), prepared);
+        Ok(())
+    }
+
+    fn describe(&mut self, frame: &Frame) -> Result<(), Fault> {
+        let mut fields = frame.fields();
+        let target = fields.byte()?;
+        let name = fields.text()?;
+        if target == kind::PORTAL {
+            match self.portals.get(name).filter(|prepared| local(prepared)) {
+                Some(prepared) => self.insert(reply::describe_portal(&prepared.script)),
+                None => self.pass(frame, Expect::DescribePortal),
+            }
+            return Ok(());
+        }
+        let prepared = self.lookup(name)?;
+        if local(&prepared) {
+            self.insert(reply::describe_statement(&prepared.script));
+            return Ok(());
+        }
+        let parts = [&[kind::STATEMENT], prepared.name.as_bytes(), &[0]];
+        put_raw(&mut self.body, kind::DESCRIBE, &parts);
+        self.steps.push(Step::Pass(Expect::Describe));
+        Ok(())
+    }
+
+    fn execute(&mut self, frame: &Frame) -> Result<(), Fault> {
+        let portal = frame.fields().text()?;
+        let prepared = self.portals.get(portal).cloned();
+        match prepared {
+            Some(prepared) if local(&prepared) => {
+                let statements = &prepared.script.statements;
+                let answer = reply::execute(statements, &mut self.session.settings)?;
+                self.insert(answer);
+            }
+            Some(prepared) => {
+                self.statements
+                    .extend(prepared.script.statements.iter().cloned());
+                self.pass(frame, Expect::Execute);
+            }
+            None => self.pass(frame, Expect::Execute),
+        }
+        Ok(())
+    }
+
+    fn close(&mut self, frame: &Frame) -> Result<(), Fault> {
+        let mut fields = frame.fields();
+        let target = fields.byte()?;
+        let name = fields.text()?;
+        if target == kind::STATEMENT {
+            self.session.names.remove(name);
+        } else if !self.idle || self.portals.contains_key(name) {
+            self.pass(frame, Expect::Close);
+            return Ok(());
+        }
+        self.insert(reply::close_complete());
+        Ok(())
+    }
+
+    /// What `name` stands for; the batch prepares it if it does not already.
+    fn lookup(&mut self, name: &str) -> Result<Rc<Prepared>, Fault> {
+        let prepared = self.session.names.get(name).cloned();
+        let prepared = prepared.ok_or_else(|| Fault::NoStatement(name.into()))?;
+        self.mention(&prepared);
+        if !local(&prepared) && self.present.insert(prepared.name.clone()) {
+            self.prefix.extend_from_slice(&prepared.parse);
+            self.injected += 1;
+        }
+        Ok(prepared)
+    }
+
+    fn mention(&mut self, prepared: &Prepared) {
+        self.ending &= prepared.script.statements == [Statement::End];
+    }
+
+    fn pass(&mut self, frame: &Frame, expect: Expect) {
+        self.body.extend_from_slice(frame.bytes());
+        self.steps.push(Step::Pass(expect));
+    }
+
+    fn insert(&mut self, answer: Bytes) {
+        self.steps.push(Step::Insert(answer));
+    }
+
+    /// Ends the batch. A database gets a Sync also where the caller sent a Flush: in a
+    /// transaction that changes nothing, and outside one nothing may be executed before a Flush,
+    /// because the Sync would commit it without what follows.
+    fn finish(self, last: &Frame) -> Result<Batch, Fault> {
+        let ready = match last.kind() {
+            kind::SYNC => true,
+            kind::FLUSH => false,
+            _ => return Err(Malformed::Order.into()),
+        };
+        let binds = !self.portals.values().all(|prepared| local(prepared));
+        let begins = matches!(
+            self.statements.first(),
+            Some(Statement::Begin | Statement::BeginRead)
+        );
+        if !ready && self.idle && binds && !begins {
+            return Err(Fault::Flush);
+        }
+        let mut steps = vec![Step::Drop(Expect::Parse); self.injected];
+        steps.extend(self.steps);
+        let mut body = self.prefix;
+        body.extend_from_slice(&self.body);
+        if !body.is_empty() {
+            put_raw(&mut body, kind::SYNC, &[]);
+        }
+        Ok(Batch {
+            body: body.freeze(),
+            ending: self.ending && !steps.is_empty(),
+            steps,
+            statements: self.statements,
+            ready,
+        })
+    }
+}
+
+/// Whether the proxy answers for the statement itself. An empty one goes to a database.
+fn local(prepared: &Prepared) -> bool {
+    !prepared.script.statements.is_empty() && prepared.script.local()
+}
--- a/src/sql/setting.rs
+++ b/src/sql/setting.rs
@@ -117,6 +117,7 @@
             has_words(rest, "NAMES", "UTF8") || rest.get(1).map(plain) == Some("UTF8".into())
         }
         "standard_conforming_strings" => wanted == "on",
+        "timezone" => matches!(wanted.as_str(), "utc" | "gmt" | "etc/utc"),
         "datestyle" => wanted.starts_with("iso"),
         "application_name" | "extra_float_digits" => true,
         _ => false,
