Add typed calls and streams between processes

Cause: the platform client and the peer stream need a transport. Change: a postcard codec for tonic and two hand-wired service shapes, unary and duplex, with no generated code.

--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,4 @@
+//! Sockets, streams and timers round the core.
+
+pub mod codec;
+pub mod rpc;
