Add the streams between proxies

Cause: entries have to reach holders and stewards. Change: one pair of VMs shares the fate of its streams; frames are acknowledged, and a stream whose frames are not is closed; a restarted or moved VM is told from its predecessor by life and name.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,4 +1,5 @@
 //! Sockets, streams and timers round the core.
 
 pub mod codec;
+pub mod peer;
 pub mod rpc;
--- /dev/null
+++ b/src/net/peer.rs
@@ -0,0 +1,524 @@
+//! Streams to other proxies: one fate a pair, whoever opened it.
+//!
+//! A stream that is in doubt is closed and reported as down; nothing that was sent on it is sent
+//! again here, because only the core knows what may be.
+
+use crate::core::message::Message;
+use crate::net::rpc;
+use crate::types::{Life, VmId};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
+use tonic::metadata::MetadataMap;
+use tonic::transport::{Endpoint, Server};
+use tonic::{IntoStreamingRequest, Status, Streaming};
+
+/// How long a frame may go unacknowledged before its stream is in doubt. Far above a round trip
+/// between regions (20 ms), and short enough that a silent stream costs a caller one wait.
+pub const DOUBT: Duration = Duration::from_secs(2);
+
+/// How often doubts and owed acknowledgements are looked at; an acknowledgement that no
+/// message carries is sent after at most this long.
+pub const CHECK: Duration = Duration::from_millis(500);
+
+/// How long a connection attempt may take.
+pub const DIAL: Duration = Duration::from_secs(1);
+
+/// How long after a failed attempt the next one waits.
+pub const REDIAL: Duration = Duration::from_millis(250);
+
+/// Bytes of work and answers that may be unacknowledged on one stream. A peer that reads too
+/// slowly would otherwise fill this process's memory; past it the stream counts as in doubt.
+pub const UNREAD_LIMIT: usize = 64 << 20;
+
+const VM: &str = "vm";
+const LIFE: &str = "life";
+const PROTOCOL: &str = "protocol";
+
+/// What travels on a stream.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Frame {
+    /// How many messages the sender has taken from this stream so far.
+    taken: u64,
+    /// What it says; `None` if it only acknowledges.
+    message: Option<Message>,
+}
+
+/// What happens on the streams.
+#[derive(Debug)]
+pub enum Event {
+    /// A stream to this VM is open.
+    Up(VmId),
+    /// The streams to this VM are closed.
+    Down(VmId),
+    /// A message arrived.
+    Message {
+        /// The sender.
+        from: VmId,
+        /// What it says.
+        message: Message,
+    },
+    /// A message was never handed to the network.
+    Unsent {
+        /// Whom it was for.
+        to: VmId,
+        /// What it said.
+        message: Message,
+    },
+}
+
+/// Who this process is to its peers.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// This VM.
+    pub vm: VmId,
+    /// This process's life.
+    pub life: Life,
+    /// The address that its streams come from.
+    pub source: IpAddr,
+}
+
+/// All streams of this process.
+#[derive(Debug)]
+pub struct Peers {
+    identity: Identity,
+    events: mpsc::UnboundedSender<Event>,
+    book: RefCell<HashMap<VmId, SocketAddr>>,
+    pairs: RefCell<HashMap<VmId, Pair>>,
+    serial: Cell<u64>,
+}
+
+#[derive(Debug)]
+enum Pair {
+    Dialing(Vec<Message>),
+    Open { life: Life, streams: Vec<Stream> },
+    Failed(Instant),
+}
+
+#[derive(Debug)]
+struct Stream {
+    serial: u64,
+    frames: mpsc::UnboundedSender<Frame>,
+    sent: u64,
+    acknowledged: u64,
+    unread: usize,
+    doubtful: Option<Instant>,
+    taken: u64,
+    told: u64,
+}
+
+struct Incoming {
+    vm: VmId,
+    life: Life,
+    messages: Streaming<Frame>,
+    frames: mpsc::UnboundedSender<Frame>,
+}
+
+impl Stream {
+    fn new(serial: u64, frames: mpsc::UnboundedSender<Frame>) -> Self {
+        Self {
+            serial,
+            frames,
+            sent: 0,
+            acknowledged: 0,
+            unread: 0,
+            doubtful: None,
+            taken: 0,
+            told: 0,
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        self.sent += 1;
+        self.unread += size(&message);
+        self.doubtful.get_or_insert_with(|| Instant::now() + DOUBT);
+        self.push(Some(message));
+    }
+
+    fn push(&mut self, message: Option<Message>) {
+        self.told = self.taken;
+        // A closed channel shows as the end of the stream's reader, which reports it.
+        let _ = self.frames.send(Frame {
+            taken: self.taken,
+            message,
+        });
+    }
+
+    fn acknowledge(&mut self, taken: u64) {
+        if taken <= self.acknowledged {
+            return;
+        }
+        self.acknowledged = taken;
+        let rest = self.sent.saturating_sub(taken);
+        self.doubtful = (rest > 0).then(|| Instant::now() + DOUBT);
+        if rest == 0 {
+            self.unread = 0;
+        }
+    }
+
+    fn in_doubt(&self, now: Instant) -> bool {
+        self.unread > UNREAD_LIMIT || self.doubtful.is_some_and(|deadline| deadline <= now)
+    }
+}
+
+fn size(message: &Message) -> usize {
+    match message {
+        Message::Work(work) => work.body.len(),
+        Message::Answer(answer) => match &answer.outcome {
+            crate::core::request::Outcome::Done(done) => done.body.len(),
+            _ => 0,
+        },
+        Message::Document(bytes) => bytes.len(),
+        _ => 0,
+    }
+}
+
+impl Peers {
+    /// No streams yet. What happens on them goes to `events`.
+    pub fn new(identity: Identity, events: mpsc::UnboundedSender<Event>) -> Rc<Self> {
+        let peers = Rc::new(Self {
+            identity,
+            events,
+            book: RefCell::default(),
+            pairs: RefCell::default(),
+            serial: Cell::new(0),
+        });
+        actix_rt::spawn(check(Rc::downgrade(&peers)));
+        peers
+    }
+
+    /// Where each VM listens, as the platform's list has it.
+    pub fn learn(&self, addresses: impl IntoIterator<Item = (VmId, SocketAddr)>) {
+        *self.book.borrow_mut() = addresses.into_iter().collect();
+    }
+
+    /// Serves the streams that other proxies open.
+    pub fn listen(self: &Rc<Self>, listener: TcpListener) {
+        let (sender, mut receiver) = mpsc::unbounded_channel::<Incoming>();
+        let identity = self.identity.clone();
+        let service = rpc::duplex(move |request: tonic::Request<Streaming<Frame>>| {
+            let answer = accept(&identity, request, &sender);
+            async move { answer }
+        });
+        let server = Server::builder()
+            .tcp_nodelay(true)
+            .add_service(service)
+            .serve_with_incoming(TcpListenerStream::new(listener));
+        actix_rt::spawn(async move {
+            if let Err(error) = server.await {
+                log::error!("peer listener ended: {error}; restart this process");
+            }
+        });
+        let peers = Rc::clone(self);
+        actix_rt::spawn(async move {
+            while let Some(incoming) = receiver.recv().await {
+                let Incoming {
+                    vm,
+                    life,
+                    messages,
+                    frames,
+                } = incoming;
+                peers.opened(vm, life, messages, frames);
+            }
+        });
+    }
+
+    /// Sends `message`, opening a stream if there is none.
+    pub fn send(self: &Rc<Self>, to: VmId, message: Message) {
+        let mut pairs = self.pairs.borrow_mut();
+        match pairs.get_mut(&to) {
+            Some(Pair::Open { streams, .. }) if !streams.is_empty() => streams[0].send(message),
+            Some(Pair::Dialing(waiting)) => waiting.push(message),
+            Some(Pair::Failed(until)) if *until > Instant::now() => self.unsent(&to, [message]),
+            _ => {
+                pairs.insert(to.clone(), Pair::Dialing(vec![message]));
+                drop(pairs);
+                self.dial(to);
+            }
+        }
+    }
+
+    /// How many VMs this one has streams to.
+    pub fn open(&self) -> usize {
+        let pairs = self.pairs.borrow();
+        pairs
+            .values()
+            .filter(|pair| matches!(pair, Pair::Open { .. }))
+            .count()
+    }
+
+    fn emit(&self, event: Event) {
+        // The receiver goes away only when the process ends.
+        let _ = self.events.send(event);
+    }
+
+    fn unsent(&self, to: &VmId, messages: impl IntoIterator<Item = Message>) {
+        for message in messages {
+            self.emit(Event::Unsent {
+                to: to.clone(),
+                message,
+            });
+        }
+        self.emit(Event::Down(to.clone()));
+    }
+
+    fn dial(self: &Rc<Self>, to: VmId) {
+        let peers = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let address = peers.book.borrow().get(&to).copied();
+            let Some(address) = address else {
+                log::debug!(vm:% = to; "no address for a peer: it is not in the platform's list");
+                return peers.dial_failed(&to);
+            };
+            match connect(&peers.identity, &to, address).await {
+                Ok((life, messages, frames)) => peers.opened(to, life, messages, frames),
+                Err(status) => {
+                    log::debug!(vm:% = to, address:%; "peer can't be reached: {status}");
+                    peers.dial_failed(&to);
+                }
+            }
+        });
+    }
+
+    fn dial_failed(&self, to: &VmId) {
+        let failed = Pair::Failed(Instant::now() + REDIAL);
+        let former = {
+            let mut pairs = self.pairs.borrow_mut();
+            match pairs.get(to) {
+                Some(Pair::Dialing(_)) => pairs.insert(to.clone(), failed),
+                // The peer's own stream came in meanwhile and took what was waiting.
+                _ => return,
+            }
+        };
+        if let Some(Pair::Dialing(waiting)) = former {
+            self.unsent(to, waiting);
+        }
+    }
+
+    fn opened(
+        self: &Rc<Self>,
+        vm: VmId,
+        life: Life,
+        messages: Streaming<Frame>,
+        frames: mpsc::UnboundedSender<Frame>,
+    ) {
+        self.end_former_life(&vm, life);
+        let serial = self.serial.replace(self.serial.get() + 1);
+        let mut stream = Stream::new(serial, frames);
+        let mut pairs = self.pairs.borrow_mut();
+        match pairs.get_mut(&vm) {
+            Some(Pair::Open { streams, .. }) => streams.push(stream),
+            former => {
+                if let Some(Pair::Dialing(waiting)) = former {
+                    waiting.drain(..).for_each(|message| stream.send(message));
+                }
+                pairs.insert(
+                    vm.clone(),
+                    Pair::Open {
+                        life,
+                        streams: vec![stream],
+                    },
+                );
+                self.emit(Event::Up(vm.clone()));
+            }
+        }
+        drop(pairs);
+        actix_rt::spawn(read(Rc::clone(self), vm, serial, messages));
+    }
+
+    /// A VM that was restarted under the same name knows nothing of what its former life was sent.
+    fn end_former_life(&self, vm: &VmId, life: Life) {
+        let other = match self.pairs.borrow().get(vm) {
+            Some(Pair::Open { life: known, .. }) => *known != life,
+            _ => false,
+        };
+        if other {
+            self.close(vm);
+        }
+    }
+
+    fn close(&self, vm: &VmId) {
+        let former = self.pairs.borrow_mut().remove(vm);
+        if let Some(Pair::Open { .. }) = former {
+            self.emit(Event::Down(vm.clone()));
+        }
+    }
+
+    fn received(&self, vm: &VmId, serial: u64, frame: Frame) -> bool {
+        let mut pairs = self.pairs.borrow_mut();
+        let Some(Pair::Open { streams, .. }) = pairs.get_mut(vm) else {
+            return false;
+        };
+        let Some(stream) = streams.iter_mut().find(|stream| stream.serial == serial) else {
+            return false;
+        };
+        stream.acknowledge(frame.taken);
+        if let Some(message) = frame.message {
+            stream.taken += 1;
+            self.emit(Event::Message {
+                from: vm.clone(),
+                message,
+            });
+        }
+        true
+    }
+
+    fn ended(&self, vm: &VmId, serial: u64) {
+        let ours = match self.pairs.borrow().get(vm) {
+            Some(Pair::Open { streams, .. }) => streams.iter().any(|s| s.serial == serial),
+            _ => false,
+        };
+        if ours {
+            self.close(vm);
+        }
+    }
+
+    /// Closes streams in doubt and sends the acknowledgements that no message carried.
+    ///
+    /// Failure: something between two VMs loses track of a stream, and both ends keep it open.
+    /// Symptom: every statement sent over it waits out its deadline. Enough, because whatever is
+    /// sent has to be acknowledged within `DOUBT`, and a new stream is opened by the next send.
+    fn check(&self) {
+        let now = Instant::now();
+        let mut doubtful = Vec::new();
+        for (vm, pair) in self.pairs.borrow_mut().iter_mut() {
+            let Pair::Open { streams, .. } = pair else {
+                continue;
+            };
+            if streams.iter().any(|stream| stream.in_doubt(now)) {
+                doubtful.push(vm.clone());
+                continue;
+            }
+            for stream in streams
+                .iter_mut()
+                .filter(|stream| stream.told < stream.taken)
+            {
+                stream.push(None);
+            }
+        }
+        for vm in doubtful {
+            log::warn!(vm:%; "a peer stream fell silent and was closed");
+            self.close(&vm);
+        }
+    }
+}
+
+async fn check(peers: std::rc::Weak<Peers>) {
+    loop {
+        tokio::time::sleep(CHECK).await;
+        let Some(peers) = peers.upgrade() else { return };
+        peers.check();
+    }
+}
+
+async fn read(peers: Rc<Peers>, vm: VmId, serial: u64, mut messages: Streaming<Frame>) {
+    loop {
+        match messages.message().await {
+            Ok(Some(frame)) => {
+                if !peers.received(&vm, serial, frame) {
+                    return;
+                }
+            }
+            Ok(None) => break,
+            Err(status) => {
+                log::debug!(vm:%; "peer stream broke: {status}");
+                break;
+            }
+        }
+    }
+    peers.ended(&vm, serial);
+}
+
+type Opened = (Life, Streaming<Frame>, mpsc::UnboundedSender<Frame>);
+
+async fn connect(
+    identity: &Identity,
+    expected: &VmId,
+    address: SocketAddr,
+) -> Result<Opened, Status> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| Status::invalid_argument(error.to_string()))?
+        .tcp_nodelay(true)
+        .local_address(Some(identity.source))
+        .connect_timeout(DIAL);
+    let attempt = async {
+        let channel = endpoint.connect().await;
+        let channel = channel.map_err(|error| Status::unavailable(error.to_string()))?;
+        let (frames, receiver) = mpsc::unbounded_channel();
+        let mut request = UnboundedReceiverStream::new(receiver).into_streaming_request();
+        introduce(identity, request.metadata_mut())?;
+        let response = rpc::open(channel, request).await?;
+        let (vm, life) = introduced(response.metadata())?;
+        if vm != *expected {
+            return Err(Status::not_found(format!("{vm} listens there now")));
+        }
+        Ok((life, response.into_inner(), frames))
+    };
+    let late = |_| Status::deadline_exceeded("no answer to the attempt");
+    tokio::time::timeout(DIAL, attempt).await.map_err(late)?
+}
+
+fn accept(
+    identity: &Identity,
+    request: tonic::Request<Streaming<Frame>>,
+    incoming: &mpsc::UnboundedSender<Incoming>,
+) -> Result<tonic::Response<rpc::Answers<Frame>>, Status> {
+    let (vm, life) = introduced(request.metadata())?;
+    let (frames, receiver) = mpsc::unbounded_channel();
+    let messages = request.into_inner();
+    let accepted = incoming.send(Incoming {
+        vm,
+        life,
+        messages,
+        frames,
+    });
+    accepted.map_err(|_| Status::unavailable("this process is ending"))?;
+    let answers = tokio_stream::StreamExt::map(UnboundedReceiverStream::new(receiver), Ok);
+    let mut response = tonic::Response::new(Box::pin(answers) as rpc::Answers<Frame>);
+    introduce(identity, response.metadata_mut())?;
+    Ok(response)
+}
+
+fn introduce(identity: &Identity, metadata: &mut MetadataMap) -> Result<(), Status> {
+    let entries = [
+        (VM, identity.vm.to_string()),
+        (LIFE, identity.life.to_string()),
+        (PROTOCOL, rpc::PROTOCOL.to_string()),
+    ];
+    for (key, value) in entries {
+        let value = value
+            .parse()
+            .map_err(|_| Status::internal("unprintable identity"))?;
+        metadata.insert(key, value);
+    }
+    Ok(())
+}
+
+fn introduced(metadata: &MetadataMap) -> Result<(VmId, Life), Status> {
+    let text = |key: &str| {
+        let value = metadata.get(key).and_then(|value| value.to_str().ok());
+        value.ok_or_else(|| Status::invalid_argument(format!("the stream does not state `{key}`")))
+    };
+    let protocol = text(PROTOCOL)?;
+    if protocol != rpc::PROTOCOL.to_string() {
+        return Err(Status::failed_precondition(format!(
+            "the peer speaks protocol {protocol}, this process {}: run one version on all VMs",
+            rpc::PROTOCOL
+        )));
+    }
+    let vm = text(VM)?
+        .parse()
+        .map_err(|error| Status::invalid_argument(format!("{error}")))?;
+    let life = text(LIFE)?
+        .parse()
+        .map_err(|error| Status::invalid_argument(format!("{error}")))?;
+    Ok((vm, life))
+}
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -28,7 +28,8 @@
 const CALL: &str = "/lentilspoke/call";
 const STREAM: &str = "/lentilspoke/stream";
 
-type Handler<Q, A> = Arc<dyn Fn(Request<Q>) -> BoxFuture<'static, Result<A, Status>> + Send + Sync>;
+type Answer<A> = Result<Response<A>, Status>;
+type Handler<Q, A> = Arc<dyn Fn(Request<Q>) -> BoxFuture<'static, Answer<A>> + Send + Sync>;
 
 /// What a stream's handler returns: the messages to send back.
 pub type Answers<A> = std::pin::Pin<Box<dyn Stream<Item = Result<A, Status>> + Send>>;
@@ -96,7 +97,8 @@
     R: Future<Output = Result<A, Status>> + Send + 'static,
 {
     let handler = move |request: Request<Q>| -> BoxFuture<'static, _> {
-        Box::pin(handler(request.into_inner()))
+        let answer = handler(request.into_inner());
+        Box::pin(async move { answer.await.map(Response::new) })
     };
     Service {
         handler: Unary(Arc::new(handler)),
@@ -108,7 +110,7 @@
 pub fn duplex<Q, A, F, R>(handler: F) -> Service<Q, A, Duplex<Q, A>>
 where
     F: Fn(Request<Streaming<Q>>) -> R + Send + Sync + 'static,
-    R: Future<Output = Result<Answers<A>, Status>> + Send + 'static,
+    R: Future<Output = Answer<Answers<A>>> + Send + 'static,
 {
     let handler = move |request: Request<Streaming<Q>>| -> BoxFuture<'static, _> {
         Box::pin(handler(request))
@@ -128,8 +130,7 @@
     type Future = BoxFuture<'static, Result<Response<A>, Status>>;
 
     fn call(&mut self, request: Request<Q>) -> Self::Future {
-        let answer = (self.0)(request);
-        Box::pin(async move { answer.await.map(Response::new) })
+        (self.0)(request)
     }
 }
 
@@ -143,8 +144,7 @@
     type Future = BoxFuture<'static, Result<Response<Answers<A>>, Status>>;
 
     fn call(&mut self, request: Request<Streaming<Q>>) -> Self::Future {
-        let answer = (self.0)(request);
-        Box::pin(async move { answer.await.map(Response::new) })
+        (self.0)(request)
     }
 }
 
@@ -209,8 +209,8 @@
         .into_inner())
 }
 
-/// Opens a stream: sends `messages`, returns what comes back.
-pub async fn open<Q, A, M>(channel: Channel, messages: M) -> Result<Streaming<A>, Status>
+/// Opens a stream: sends `messages`, returns what comes back and the metadata before it.
+pub async fn open<Q, A, M>(channel: Channel, messages: M) -> Answer<Streaming<A>>
 where
     Q: Serialize + Send + Sync + 'static,
     A: DeserializeOwned + Send + Sync + 'static,
@@ -223,8 +223,7 @@
         .map_err(|error| Status::unavailable(error.to_string()))?;
     let codec = Postcard::<Q, A>::default();
     let path = PathAndQuery::from_static(STREAM);
-    Ok(client
+    client
         .streaming(messages.into_streaming_request(), path, codec)
-        .await?
-        .into_inner())
+        .await
 }
