--- a/src/core/detect.rs
+++ b/src/core/detect.rs
@@ -1,4 +1,14 @@
 //! When a leader counts as lost, and how soon a group may change its primary again.
+//!
+//! **Pattern answered.** A primary or a path that is slow or comes and goes, beside one that is
+//! really lost.
+//! **Without it** a primary that answers a second late is replaced by a replica that is no better
+//! under the same load, and that one is replaced in turn; each change costs callers a gap, and
+//! every open transaction is rolled back.
+//!
+//! The suspicion span comes from the configuration (`timing.suspicion`, 1 s: four probes of
+//! 250 ms, so that three may be lost in a row). It is counted from when the answered probe was
+//! **sent**, so that a slow answer proves no more than it should.
 
 use crate::clock::{Span, Time};
 use serde::Serialize;
@@ -36,16 +46,39 @@
     }
 }
 
-/// Keeps promotions of a group apart.
+/// Changes of primary that are within the damping span once, without doubling it. A rack switch
+/// may take a primary and its successor; a third change in a row is flapping.
+const FREE_CHANGES: u32 = 2;
+
+/// The damping span is doubled this often at most: to 40 s with the default of 10 s.
+const MOST_DOUBLINGS: u32 = 2;
+
+/// A group that was calm for this many damping spans starts afresh.
+const CALM_SPANS: u64 = 6;
+
+/// Keeps promotions of a group apart, the more so the more of them there were lately.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Damper {
     again: Time,
+    calm_at: Time,
+    changes: u32,
 }
 
 impl Damper {
-    /// The group changed its primary at `now`; another change has to wait `damping`.
+    /// The group changed its primary at `now`; another change has to wait `damping`, or a
+    /// multiple of it if the group keeps changing.
     pub fn promoted(&mut self, now: Time, damping: Span) {
-        self.again = self.again.max(now + damping);
+        if now >= self.calm_at {
+            self.changes = 0;
+        }
+        self.changes += 1;
+        let doublings = self
+            .changes
+            .saturating_sub(FREE_CHANGES)
+            .min(MOST_DOUBLINGS);
+        let wait = Span(damping.0.saturating_mul(1 << doublings));
+        self.again = self.again.max(now + wait);
+        self.calm_at = now + Span(damping.0.saturating_mul(CALM_SPANS));
     }
 
     /// When the next change may start.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,11 +6,13 @@
 pub mod database;
 pub mod detect;
 pub mod gate;
+pub mod limit;
 pub mod lineage;
 pub mod member;
 pub mod message;
 pub mod node;
 pub mod pool;
+pub mod ramp;
 pub mod request;
 pub mod retry;
 pub mod route;
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -1,8 +1,26 @@
 //! How many connections a holder keeps to a database, and when it opens more.
+//!
+//! **Pattern answered.** A burst after quiet (a new connection takes about 10 ms, longer than
+//! most statements), transactions that hold connections, and a second holder that uses the same
+//! database's connection limit while the list of VMs lags.
+//! **Without it** the first statements of each burst wait for connections, a holder that lost its
+//! database leaves no room for the next one, and one that is refused asks again in a tight loop,
+//! which costs the database more than the statements would.
 
-use crate::clock::Time;
+use crate::clock::{Span, Time};
 use serde::Serialize;
 
+/// How long an idle connection above the spare ones is kept: bursts of callers' working hours
+/// are seconds apart, and an unused connection costs the database memory.
+const KEEP: Span = Span::from_secs(30);
+
+/// The first pause after a refusal: a few times what opening takes.
+const FIRST_PAUSE: Span = Span::from_millis(50);
+
+/// The longest pause after refusals in a row: the other holder learns within seconds that it
+/// holds the database no more, and its room should be found soon after.
+const LONGEST_PAUSE: Span = Span::from_secs(1);
+
 /// What a holder has and wants of a database's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Demand {
@@ -16,38 +34,125 @@
     pub opening: u32,
 }
 
+impl Demand {
+    fn held(&self) -> u32 {
+        self.idle + self.busy + self.opening
+    }
+}
+
+/// How a pool behaves; [`Policy::naive`] is the baseline of measurements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Policy {
+    /// Connections kept open and idle for the next burst.
+    pub spare: u32,
+    /// Connections of the database's limit that are left to another holder.
+    pub left: u32,
+    /// Whether a refusal is followed by a pause.
+    pub pauses: bool,
+}
+
+impl Policy {
+    /// Opens on demand, up to the database's limit, and asks again at once when refused.
+    pub fn naive() -> Self {
+        Self {
+            spare: 0,
+            left: 0,
+            pauses: false,
+        }
+    }
+
+    /// Keeps as many connections spare as the database runs statements, and leaves as many to the
+    /// next holder, so that it can run a full load from its first moment.
+    pub fn for_slots(slots: u32) -> Self {
+        Self {
+            spare: slots,
+            left: slots,
+            pauses: true,
+        }
+    }
+}
+
 /// The growth of one pool.
 #[derive(Debug, Clone, Serialize)]
 pub struct Pool {
     limit: u32,
+    policy: Policy,
+    pause: Span,
+    opens_at: Option<Time>,
+    needed_at: Time,
+    shrinks_at: Option<Time>,
 }
 
 impl Pool {
     /// A pool to a database that accepts `limit` connections in all and runs `slots` at once.
-    pub fn new(limit: u32, _slots: u32) -> Self {
-        Self { limit }
+    pub fn new(limit: u32, slots: u32) -> Self {
+        Self::with(limit, Policy::for_slots(slots))
+    }
+
+    /// A pool of a stated policy.
+    pub fn with(limit: u32, policy: Policy) -> Self {
+        Self {
+            limit,
+            policy,
+            pause: Span::ZERO,
+            opens_at: None,
+            needed_at: Time::default(),
+            shrinks_at: None,
+        }
     }
 
     /// How many connections to open now.
-    pub fn grow(&mut self, _now: Time, demand: Demand) -> u32 {
-        let have = demand.idle + demand.busy + demand.opening;
-        let want = demand.waiting.saturating_sub(demand.idle + demand.opening);
-        want.min(self.limit.saturating_sub(have))
+    pub fn grow(&mut self, now: Time, demand: Demand) -> u32 {
+        if self.opens_at.is_some_and(|opens| now < opens) {
+            return 0;
+        }
+        self.opens_at = None;
+        let free = demand.idle + demand.opening;
+        let want = (demand.waiting + self.policy.spare).saturating_sub(free);
+        want.min(self.cap().saturating_sub(demand.held()))
     }
 
     /// How many idle connections to close now.
-    pub fn shrink(&mut self, _now: Time, _demand: Demand) -> u32 {
-        0
+    pub fn shrink(&mut self, now: Time, demand: Demand) -> u32 {
+        let surplus = demand.idle.saturating_sub(self.policy.spare);
+        if surplus == 0 || demand.waiting > 0 || self.policy.spare == 0 {
+            self.needed_at = now;
+            self.shrinks_at = None;
+            return 0;
+        }
+        let due = self.needed_at + KEEP;
+        if now < due {
+            self.shrinks_at = Some(due);
+            return 0;
+        }
+        self.needed_at = now;
+        self.shrinks_at = None;
+        surplus
     }
 
     /// The database refused a connection for want of room: another holder has it.
-    pub fn refused(&mut self, _now: Time) {}
+    pub fn refused(&mut self, now: Time) {
+        if !self.policy.pauses {
+            return;
+        }
+        self.pause = Span((self.pause.0 * 2).clamp(FIRST_PAUSE.0, LONGEST_PAUSE.0));
+        self.opens_at = Some(now + self.pause);
+    }
 
     /// A connection was opened.
-    pub fn opened(&mut self, _now: Time) {}
+    pub fn opened(&mut self, _now: Time) {
+        self.pause = Span::ZERO;
+    }
 
     /// When `grow` or `shrink` may give another answer without anything having happened.
     pub fn wake(&self) -> Option<Time> {
-        None
+        [self.opens_at, self.shrinks_at].into_iter().flatten().min()
+    }
+
+    fn cap(&self) -> u32 {
+        self.limit
+            .saturating_sub(self.policy.left)
+            .max(1)
+            .min(self.limit)
     }
 }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -1,10 +1,59 @@
 //! Which database of a group serves a read.
+//!
+//! **Pattern answered.** A replica that is slow, busy or far behind beside one that is not, and
+//! sessions that read what they have just written.
+//! **Without it** round robin gives a slow replica as many reads as a fast one, and half of all
+//! callers wait; stickiness by time sends every read of a session that wrote lately to the primary,
+//! although the replicas have had the write for long, and takes slots from the writes.
+//!
+//! Two replicas are drawn by their shares (see [`crate::core::ramp`]), and the one
+//! with less expected time is taken: two choices keep entries that all see the same figures from
+//! running to the same replica, and are nearly as good as the best of all. What a read needs is
+//! judged by what the replica was last seen to have, and by the speed at which it moved; the
+//! holder has the last word, so a wrong guess costs a retry and never a stale read. The primary
+//! comes last, unless no replica will do or the replicas' queues are long.
 
 use crate::clock::{Span, Time};
 use crate::core::message::Hint;
+use crate::core::ramp::Share;
 use crate::types::{DatabaseId, Position};
 use serde::Serialize;
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Inverse weight of a new time in the typical one: follows a change within tens of reads.
+const MEMORY: u64 = 16;
+
+/// A database's typical time before its first answer, and what it is forgotten towards.
+const UNKNOWN: Span = Span::from_millis(5);
+
+/// A time that was not confirmed for this long counts half: a replica that was slow and is
+/// no longer asked is asked again within a few such spans.
+const FORGET: Span = Span::from_secs(2);
+
+/// A hint older than this says nothing of the queue or the age: four probe rounds.
+const HINT_LIFE: Span = Span::from_millis(1_000);
+
+/// How much longer than the position alone tells a read's floor is taken to need. The
+/// holder waits for a replica that is nearly there, so a tight guess is worth trying.
+const CATCH_UP: Span = Span::from_millis(50);
+
+/// Failures in a row after which a replica comes after all others.
+const MOST_FAILURES: u32 = 3;
+
+/// How long a replica that failed so often is left out before one read tries it again: as long as
+/// a lost connection takes to be noticed and opened again, several times over.
+const LEFT_OUT: Span = Span::from_millis(500);
+
+/// Replicas' queues longer than this may spill reads to the primary: far above the scatter of
+/// a queue that empties, so that in ordinary load the primary keeps its slots for writes.
+const SPILL_WAIT: Span = Span::from_millis(100);
+
+/// The primary takes spilled reads only while its own queue is this part of the replicas'.
+const SPILL_PERCENT: u64 = 25;
+
+/// A far replica's typical time before it was measured: a round trip between regions.
+const FAR: Span = Span::from_millis(20);
 
 /// What a read needs of its database.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -26,22 +75,180 @@
     pub near: bool,
 }
 
+/// How a router chooses; [`Policy::naive`] is the baseline of measurements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Policy {
+    /// Whether replicas are chosen by what is known of them; else they take turns.
+    pub informed: bool,
+    /// Whether a database's share moves slowly; else the better one gets all at once.
+    pub ramped: bool,
+    /// Whether reads spill to the primary when replicas' queues are long.
+    pub spills: bool,
+}
+
+impl Policy {
+    /// All rules.
+    pub fn full() -> Self {
+        Self {
+            informed: true,
+            ramped: true,
+            spills: true,
+        }
+    }
+
+    /// Round robin over the replicas.
+    pub fn naive() -> Self {
+        Self {
+            informed: false,
+            ramped: false,
+            spills: false,
+        }
+    }
+}
+
+/// What is known of one database.
+#[derive(Debug, Clone, Serialize)]
+struct Seen {
+    typical: u64,
+    answered_at: Time,
+    in_flight: u32,
+    failures: u32,
+    left_out_until: Time,
+    share: Share,
+    hint: Hint,
+    hint_at: Time,
+    /// Log entries applied per microsecond.
+    speed: f64,
+}
+
 /// What an entry has learned of a group's databases from their answers.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct Router {
-    seen: BTreeMap<DatabaseId, Hint>,
-    turn: usize,
+    policy: Policy,
+    seed: u64,
+    turn: u64,
+    seen: BTreeMap<DatabaseId, Seen>,
+}
+
+impl Default for Router {
+    fn default() -> Self {
+        Self::with(Policy::full(), 0)
+    }
+}
+
+/// A replica with what decides about it.
+struct Choice {
+    database: DatabaseId,
+    cost: u64,
+    share: f64,
+    rank: Rank,
+}
+
+/// How well a replica fits; the better one first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    Fit,
+    Behind,
+    Failing,
 }
 
 impl Router {
+    /// A router of a stated policy. Entries with different seeds draw differently.
+    pub fn with(policy: Policy, seed: u64) -> Self {
+        Self {
+            policy,
+            seed,
+            turn: 0,
+            seen: BTreeMap::new(),
+        }
+    }
+
     /// The databases to try for a read, best first; the primary is among them if it is a
     /// candidate, as the last resort or where no replica will do.
-    pub fn order(&mut self, _now: Time, _need: &Need, candidates: &[Candidate]) -> Vec<DatabaseId> {
+    pub fn order(&mut self, now: Time, need: &Need, candidates: &[Candidate]) -> Vec<DatabaseId> {
+        self.turn += 1;
+        if !self.policy.informed {
+            return self.take_turns(candidates);
+        }
+        self.move_shares(now, candidates);
+        let primary = candidates.iter().find(|candidate| candidate.primary);
+        let mut choices: Vec<Choice> = candidates
+            .iter()
+            .filter(|candidate| !candidate.primary)
+            .map(|candidate| self.choice(now, need, candidate))
+            .collect();
+        choices.sort_by_key(|choice| (choice.rank, choice.cost));
+        let fit = choices
+            .iter()
+            .filter(|choice| choice.rank == Rank::Fit)
+            .count();
+        self.draw_first(&mut choices[..fit]);
+        let spills = fit == 0 || self.spills(now, primary, &choices[0]);
+        let mut order: Vec<DatabaseId> =
+            choices.into_iter().map(|choice| choice.database).collect();
+        if let Some(primary) = primary {
+            let place = if spills { 0 } else { order.len() };
+            order.insert(place, primary.database.clone());
+        }
+        order
+    }
+
+    /// A read was sent to `database`.
+    pub fn sent(&mut self, now: Time, database: &DatabaseId) {
+        self.entry(now, database).in_flight += 1;
+    }
+
+    /// `database` answered after `took`, and told `hint` in passing.
+    pub fn answered(&mut self, now: Time, database: &DatabaseId, took: Span, hint: &Hint) {
+        let seen = self.entry(now, database);
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        let returned = seen.failures >= MOST_FAILURES;
+        seen.failures = 0;
+        seen.typical = if returned {
+            took.0
+        } else {
+            seen.typical - seen.typical / MEMORY + took.0 / MEMORY
+        };
+        seen.answered_at = now;
+        seen.learn(now, hint);
+    }
+
+    /// `database` turned a read away, or could not be reached.
+    pub fn failed(&mut self, now: Time, database: &DatabaseId) {
+        let seen = self.entry(now, database);
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        seen.failures = seen.failures.saturating_add(1);
+        if seen.failures >= MOST_FAILURES {
+            seen.left_out_until = now + LEFT_OUT;
+            seen.share = Share::returned(now);
+        }
+    }
+
+    /// `database` was not new enough for a read; it says nothing about its health.
+    pub fn behind(&mut self, now: Time, database: &DatabaseId, hint: &Hint) {
+        let seen = self.entry(now, database);
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        seen.failures = 0;
+        seen.learn(now, hint);
+    }
+
+    /// The share of its fair load that `database` gets, between 0 and 1.
+    pub fn share(&self, database: &DatabaseId) -> f64 {
+        self.seen.get(database).map_or(1.0, |seen| seen.share.get())
+    }
+
+    fn entry(&mut self, now: Time, database: &DatabaseId) -> &mut Seen {
+        self.seen
+            .entry(database.clone())
+            .or_insert_with(|| Seen::new(now))
+    }
+
+    fn take_turns(&self, candidates: &[Candidate]) -> Vec<DatabaseId> {
         let (primary, mut replicas): (Vec<_>, Vec<_>) =
             candidates.iter().partition(|candidate| candidate.primary);
         if !replicas.is_empty() {
-            self.turn = (self.turn + 1) % replicas.len();
-            replicas.rotate_left(self.turn);
+            let turn = self.turn as usize % replicas.len();
+            replicas.rotate_left(turn);
         }
         replicas
             .iter()
@@ -50,14 +257,174 @@
             .collect()
     }
 
-    /// A read was sent to `database`.
-    pub fn sent(&mut self, _now: Time, _database: &DatabaseId) {}
+    fn choice(&self, now: Time, need: &Need, candidate: &Candidate) -> Choice {
+        let database = candidate.database.clone();
+        let Some(seen) = self.seen.get(&database) else {
+            return Choice {
+                database,
+                cost: if candidate.near { UNKNOWN.0 } else { FAR.0 },
+                share: 1.0,
+                rank: Rank::Fit,
+            };
+        };
+        Choice {
+            database,
+            cost: seen.cost(now),
+            share: seen.share.get(),
+            rank: seen.rank(now, need),
+        }
+    }
 
-    /// `database` answered after `took`, and told `hint` in passing.
-    pub fn answered(&mut self, _now: Time, database: &DatabaseId, _took: Span, hint: &Hint) {
-        self.seen.insert(database.clone(), hint.clone());
+    /// Moves each replica's share towards how it compares with the fastest.
+    fn move_shares(&mut self, now: Time, candidates: &[Candidate]) {
+        let replicas = candidates.iter().filter(|candidate| !candidate.primary);
+        let times: Vec<(&DatabaseId, u64)> = replicas
+            .filter_map(|candidate| {
+                let seen = self.seen.get(&candidate.database)?;
+                Some((&candidate.database, seen.typical(now).max(1)))
+            })
+            .collect();
+        let Some(best) = times.iter().map(|(_, time)| *time).min() else {
+            return;
+        };
+        let ramped = self.policy.ramped;
+        for (database, time) in times {
+            let Some(seen) = self.seen.get_mut(database) else {
+                continue;
+            };
+            let target = best as f64 / time as f64;
+            if ramped {
+                seen.share.move_to(now, target);
+            } else {
+                seen.share = Share::full(now);
+            }
+        }
+    }
+
+    /// Puts the cheaper of two that were drawn by share in front; the others stay in order.
+    fn draw_first(&self, fit: &mut [Choice]) {
+        if fit.len() < 2 {
+            return;
+        }
+        let total: f64 = fit.iter().map(|choice| choice.share).sum();
+        let first = draw(fit, self.random(1) * total);
+        let second = draw(fit, self.random(2) * total);
+        let index = first.min(second);
+        fit[..=index].rotate_right(1);
+    }
+
+    /// A number from 0 to 1, the same for the same seed and turn.
+    fn random(&self, salt: u64) -> f64 {
+        let hash = xxh3_64_with_seed(&self.turn.to_le_bytes(), self.seed ^ (salt << 32));
+        hash as f64 / u64::MAX as f64
+    }
+
+    fn spills(&self, now: Time, primary: Option<&Candidate>, first: &Choice) -> bool {
+        if !self.policy.spills {
+            return false;
+        }
+        let wait = |database: &DatabaseId| self.seen.get(database).map(|seen| seen.wait(now));
+        let replicas = wait(&first.database).unwrap_or(Span::ZERO);
+        let spare = primary.and_then(|primary| wait(&primary.database));
+        let spare = spare.unwrap_or(Span::ZERO);
+        replicas > SPILL_WAIT && spare < replicas.percent(SPILL_PERCENT)
+    }
+}
+
+/// The index of the choice at `point` of the shares laid end to end.
+fn draw(choices: &[Choice], mut point: f64) -> usize {
+    for (index, choice) in choices.iter().enumerate() {
+        point -= choice.share;
+        if point <= 0.0 {
+            return index;
+        }
+    }
+    choices.len() - 1
+}
+
+impl Seen {
+    fn new(now: Time) -> Self {
+        Self {
+            typical: UNKNOWN.0,
+            answered_at: now,
+            in_flight: 0,
+            failures: 0,
+            left_out_until: Time::default(),
+            share: Share::full(now),
+            hint: Hint::default(),
+            hint_at: Time::default(),
+            speed: 0.0,
+        }
+    }
+
+    fn learn(&mut self, now: Time, hint: &Hint) {
+        let passed = now.since(self.hint_at).0;
+        let moved = hint
+            .position
+            .offset
+            .0
+            .saturating_sub(self.hint.position.offset.0);
+        if self.hint_at > Time::default() && passed > 0 && passed < HINT_LIFE.0 {
+            let weight = passed as f64 / HINT_LIFE.0 as f64;
+            let speed = moved as f64 / passed as f64;
+            self.speed += (speed - self.speed) * weight;
+        }
+        self.hint = hint.clone();
+        self.hint_at = now;
+    }
+
+    /// The typical time, forgotten towards [`UNKNOWN`] while no answer confirms it.
+    fn typical(&self, now: Time) -> u64 {
+        let halvings = now.since(self.answered_at).0 / FORGET.0;
+        let over = self.typical.saturating_sub(UNKNOWN.0);
+        self.typical - over + over.checked_shr(halvings as u32).unwrap_or(0)
+    }
+
+    /// How long newly queued work would wait, as last heard.
+    fn wait(&self, now: Time) -> Span {
+        if now.since(self.hint_at) > HINT_LIFE {
+            return Span::ZERO;
+        }
+        self.hint.wait
     }
 
-    /// `database` turned a read away, was not new enough, or could not be reached.
-    pub fn failed(&mut self, _now: Time, _database: &DatabaseId) {}
+    /// The expected time of one more read.
+    fn cost(&self, now: Time) -> u64 {
+        let typical = self.typical(now);
+        typical * (u64::from(self.in_flight) + 1) + self.wait(now).0
+    }
+
+    fn rank(&self, now: Time, need: &Need) -> Rank {
+        if self.failures >= MOST_FAILURES && now < self.left_out_until {
+            return Rank::Failing;
+        }
+        if self.is_behind(now, need) {
+            return Rank::Behind;
+        }
+        Rank::Fit
+    }
+
+    fn is_behind(&self, now: Time, need: &Need) -> bool {
+        if self.hint_at == Time::default() {
+            return false;
+        }
+        let fresh = now.since(self.hint_at) <= HINT_LIFE;
+        let too_old = match (need.max_age, self.hint.age) {
+            (Some(most), Some(age)) => fresh && age > most,
+            (Some(_), None) => fresh,
+            (None, _) => false,
+        };
+        too_old || need.floor.is_some_and(|floor| self.misses(now, floor))
+    }
+
+    /// Whether the database is expected not to have `floor` within [`CATCH_UP`].
+    fn misses(&self, now: Time, floor: Position) -> bool {
+        let seen = self.hint.position;
+        if seen >= floor || seen.term != floor.term {
+            return false;
+        }
+        let ahead = now.since(self.hint_at).0 + CATCH_UP.0;
+        let reached = seen.offset.0 as f64 + self.speed * ahead as f64;
+        reached < floor.offset.0 as f64
+    }
 }
