--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,78 @@
+//! One module for each subcommand, and the error at the command line's edge.
+
+pub mod dump;
+
+/// How a command ends if it does not end well.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The words of the command line are wrong; exit code 2.
+    #[error("{0}")]
+    Usage(Box<str>),
+    /// The command was understood and failed; exit code 1.
+    #[error("{0}")]
+    Failed(Box<str>),
+    /// The usage text was asked for; exit code 0.
+    #[error("{0}")]
+    Help(&'static str),
+}
+
+impl Error {
+    /// A failure told by `error`.
+    pub fn failed(error: impl std::fmt::Display) -> Self {
+        Self::Failed(error.to_string().into())
+    }
+
+    /// A wrong use told by `error`.
+    pub fn usage(error: impl std::fmt::Display) -> Self {
+        Self::Usage(error.to_string().into())
+    }
+
+    /// The process's exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Help(_) => 0,
+            Self::Failed(_) => 1,
+            Self::Usage(_) => 2,
+        }
+    }
+}
+
+/// Parses `words` by `options`, which gain `--help`.
+pub fn parse(
+    options: &mut getopts::Options,
+    usage: &'static str,
+    words: &[String],
+) -> Result<getopts::Matches, Error> {
+    options.optflag("h", "help", "");
+    let matches = options.parse(words).map_err(Error::usage)?;
+    if matches.opt_present("help") {
+        return Err(Error::Help(usage));
+    }
+    Ok(matches)
+}
+
+/// The one free word of `matches`, which the usage calls `name`.
+pub fn single(matches: &getopts::Matches, name: &str) -> Result<Box<str>, Error> {
+    match matches.free.as_slice() {
+        [word] => Ok(word.as_str().into()),
+        [] => Err(Error::Usage(format!("{name} is missing").into())),
+        [_, extra, ..] => Err(Error::Usage(
+            format!("`{extra}` is one word too many").into(),
+        )),
+    }
+}
+
+/// The value of option `name`, read as `T`, if it is given.
+pub fn value<T>(matches: &getopts::Matches, name: &str) -> Result<Option<T>, Error>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(None);
+    };
+    let parsed = text
+        .parse()
+        .map_err(|error| Error::usage(format!("--{name} {text}: {error}")));
+    parsed.map(Some)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,47 @@
 //! The command line's entry: dispatch to a subcommand and nothing else.
 
-fn main() {}
+use lentilspoke::cmd::{self, Error};
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+A database proxy with session consistency, for groups of lagging replicas.
+
+Usage: lentilspoke COMMAND [ARGUMENTS]
+
+Commands:
+    dump        print a process's state
+
+`lentilspoke COMMAND --help` tells more about each.
+";
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    match dispatch(&words) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Error::Help(usage)) => {
+            print!("{usage}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("lentilspoke: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+fn dispatch(words: &[String]) -> Result<(), Error> {
+    let Some((command, rest)) = words.split_first() else {
+        return Err(Error::usage("no command: see lentilspoke --help"));
+    };
+    match command.as_str() {
+        "dump" => cmd::dump::run(rest),
+        "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
+        "-V" | "--version" => {
+            println!("lentilspoke {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        other => Err(Error::usage(format!(
+            "no command `{other}`: see lentilspoke --help"
+        ))),
+    }
+}
