--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,10 @@
-//! What connects the core to sockets: callers, databases, other proxies.
+//! Sockets, streams and timers round the core.
 
+pub mod codec;
 pub mod dialect;
 pub mod frame;
 pub mod pg;
 pub mod splice;
+pub mod http;
+pub mod peer;
+pub mod rpc;
