Add a stand-in group of databases with terms, lag and faults

Each group runs on a thread of its own: PostgreSQL protocol by pgwire's codec, SQL by SQLite in memory, a log that replicas receive and apply with a settable lag, and faults set by plain calls.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod core;
 pub mod net;
 pub mod sql;
+pub mod standin;
 pub mod token;
 pub mod types;
--- /dev/null
+++ b/src/standin/database/sql.rs
@@ -0,0 +1,341 @@
+//! What a statement is to the stand-in: how it runs, what it waits for, its text for SQLite.
+
+use super::value::{self, Oid};
+use crate::clock::Span;
+use sqlparser::ast::{
+    Expr, Insert, Query, Select, SelectItem, Set, SetExpr, Statement, TransactionAccessMode,
+    TransactionIsolationLevel, TransactionMode, Value as Literal,
+};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+use sqlparser::tokenizer::{Token, Tokenizer};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How a statement is run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Action {
+    /// Opens a transaction.
+    Begin(Mode),
+    /// Ends a transaction.
+    Commit,
+    /// Undoes a transaction.
+    Rollback,
+    /// Sets a session variable, or forgets all of them.
+    Set(Option<(Box<str>, Box<str>)>),
+    /// Shows a session variable.
+    Show(Box<str>),
+    /// Reads rows.
+    Read,
+    /// Reads rows and locks them until the transaction ends.
+    Lock,
+    /// Changes rows or tables.
+    Write,
+}
+
+/// The mode of a transaction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Mode {
+    /// It may not write.
+    pub(super) read_only: bool,
+    /// It runs alone among those that write.
+    pub(super) serial: bool,
+}
+
+/// A parsed statement.
+#[derive(Debug, Clone)]
+pub(super) struct Plan {
+    /// How it is run.
+    pub(super) action: Action,
+    /// The text that SQLite gets.
+    pub(super) text: Box<str>,
+    /// The first word of the command tag.
+    pub(super) verb: &'static str,
+    /// How long it sleeps by `pg_sleep`.
+    pub(super) sleep: Span,
+    /// The types of the result's columns; `None` for `*`, whose columns the schema knows.
+    pub(super) columns: Vec<Option<Oid>>,
+    /// The types of the parameters, as far as the text tells.
+    pub(super) params: Vec<Option<Oid>>,
+}
+
+/// The types of the tables' columns by name.
+pub(super) type Schema = BTreeMap<Box<str>, Oid>;
+
+/// Parses the statements of `text`; the error is the parser's message.
+pub(super) fn parse(text: &str, schema: &Schema) -> Result<Vec<Plan>, String> {
+    let statements =
+        Parser::parse_sql(&PostgreSqlDialect {}, text).map_err(|error| error.to_string())?;
+    statements
+        .into_iter()
+        .map(|statement| plan(statement, schema))
+        .collect()
+}
+
+fn plan(mut statement: Statement, schema: &Schema) -> Result<Plan, String> {
+    let (action, verb) = classify(&mut statement);
+    let mut plan = Plan {
+        action,
+        text: Box::default(),
+        verb,
+        sleep: Span::ZERO,
+        columns: columns(&statement, schema),
+        params: Vec::new(),
+    };
+    if matches!(plan.action, Action::Read | Action::Lock | Action::Write) {
+        translate(&statement.to_string(), schema, &mut plan)?;
+        if let Statement::Insert(insert) = &statement {
+            type_inserted(insert, schema, &mut plan.params);
+        }
+    }
+    Ok(plan)
+}
+
+fn classify(statement: &mut Statement) -> (Action, &'static str) {
+    match statement {
+        Statement::StartTransaction { modes, .. } => (Action::Begin(mode(modes)), "BEGIN"),
+        Statement::Commit { .. } => (Action::Commit, "COMMIT"),
+        Statement::Rollback { .. } => (Action::Rollback, "ROLLBACK"),
+        Statement::Set(set) => (Action::Set(assignment(set)), "SET"),
+        Statement::Reset(_) => (Action::Set(None), "RESET"),
+        Statement::Discard { .. } => (Action::Set(None), "DISCARD ALL"),
+        Statement::Deallocate { .. } => (Action::Set(None), "DEALLOCATE"),
+        Statement::ShowVariable { variable } => {
+            let name: Vec<String> = variable.iter().map(|part| part.value.clone()).collect();
+            (Action::Show(name.join(".").to_lowercase().into()), "SHOW")
+        }
+        Statement::Query(query) => (query_action(query), "SELECT"),
+        Statement::Insert(_) => (Action::Write, "INSERT"),
+        Statement::Update(_) => (Action::Write, "UPDATE"),
+        Statement::Delete(_) => (Action::Write, "DELETE"),
+        Statement::CreateTable(_) => (Action::Write, "CREATE TABLE"),
+        Statement::CreateIndex(_) => (Action::Write, "CREATE INDEX"),
+        Statement::Drop { .. } => (Action::Write, "DROP TABLE"),
+        _ => (Action::Write, "OK"),
+    }
+}
+
+fn query_action(query: &mut Query) -> Action {
+    let locks = !query.locks.is_empty();
+    query.locks.clear();
+    if locks {
+        return Action::Lock;
+    }
+    match query.body.as_ref() {
+        SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) => Action::Write,
+        _ => Action::Read,
+    }
+}
+
+fn mode(modes: &[TransactionMode]) -> Mode {
+    let mut mode = Mode::default();
+    for stated in modes {
+        match stated {
+            TransactionMode::AccessMode(access) => {
+                mode.read_only = *access == TransactionAccessMode::ReadOnly;
+            }
+            TransactionMode::IsolationLevel(level) => {
+                mode.serial = matches!(
+                    level,
+                    TransactionIsolationLevel::RepeatableRead
+                        | TransactionIsolationLevel::Serializable
+                );
+            }
+        }
+    }
+    mode
+}
+
+fn assignment(set: &Set) -> Option<(Box<str>, Box<str>)> {
+    let Set::SingleAssignment {
+        variable, values, ..
+    } = set
+    else {
+        return None;
+    };
+    let value = match values.first() {
+        Some(Expr::Value(value)) => match &value.value {
+            Literal::SingleQuotedString(text) => text.clone(),
+            other => other.to_string(),
+        },
+        Some(other) => other.to_string(),
+        None => String::new(),
+    };
+    let name = variable.to_string().replace('"', "").to_lowercase();
+    Some((name.into(), value.into()))
+}
+
+fn columns(statement: &Statement, schema: &Schema) -> Vec<Option<Oid>> {
+    let items = match statement {
+        Statement::Query(query) => match query.body.as_ref() {
+            SetExpr::Select(select) => projection(select),
+            SetExpr::Insert(Statement::Insert(insert)) => insert.returning.as_deref(),
+            _ => None,
+        },
+        Statement::Insert(insert) => insert.returning.as_deref(),
+        Statement::Update(update) => update.returning.as_deref(),
+        Statement::Delete(delete) => delete.returning.as_deref(),
+        _ => None,
+    };
+    let typed = |item: &SelectItem| match item {
+        SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. } => {
+            Some(type_of(expr, schema))
+        }
+        _ => None,
+    };
+    items.unwrap_or_default().iter().map(typed).collect()
+}
+
+fn projection(select: &Select) -> Option<&[SelectItem]> {
+    Some(&select.projection)
+}
+
+/// The type of an expression, by the few rules that the tests' statements need; text otherwise.
+fn type_of(expr: &Expr, schema: &Schema) -> Oid {
+    match expr {
+        Expr::Value(value) => match &value.value {
+            Literal::Number(..) => value::INT4,
+            Literal::Boolean(_) => value::BOOL,
+            _ => value::TEXT,
+        },
+        Expr::Identifier(name) => named(&name.value, schema),
+        Expr::CompoundIdentifier(parts) => parts
+            .last()
+            .map_or(value::TEXT, |name| named(&name.value, schema)),
+        Expr::Nested(inner) => type_of(inner, schema),
+        Expr::Cast { data_type, .. } => value::oid_of(&data_type.to_string()),
+        Expr::Exists { .. } | Expr::IsNull(_) | Expr::IsNotNull(_) => value::BOOL,
+        Expr::Function(function) => match function.name.to_string().to_lowercase().as_str() {
+            "count" | "sum" | "length" | "total" => value::INT8,
+            _ => value::TEXT,
+        },
+        Expr::BinaryOp { op, left, .. } => match op.to_string().as_str() {
+            "=" | "<" | ">" | "<=" | ">=" | "<>" | "AND" | "OR" => value::BOOL,
+            "||" => value::TEXT,
+            _ => type_of(left, schema),
+        },
+        _ => value::TEXT,
+    }
+}
+
+fn named(name: &str, schema: &Schema) -> Oid {
+    schema.get(name).copied().unwrap_or(value::TEXT)
+}
+
+/// Writes the statement as SQLite reads it: `?1` for `$1`, no `::type`, no `pg_sleep`.
+fn translate(text: &str, schema: &Schema, plan: &mut Plan) -> Result<(), String> {
+    let tokens = Tokenizer::new(&PostgreSqlDialect {}, text)
+        .tokenize()
+        .map_err(|error| error.to_string())?;
+    let mut output = String::with_capacity(text.len());
+    let mut index = 0;
+    while let Some(token) = tokens.get(index) {
+        match token {
+            Token::DoubleColon => {
+                let name = tokens.get(index + 1).map(Token::to_string);
+                if let Some(number) = index.checked_sub(1).and_then(|i| placeholder(&tokens[i])) {
+                    let oid = value::oid_of(&name.unwrap_or_default());
+                    note(&mut plan.params, number, Some(oid));
+                }
+                index += 1;
+            }
+            Token::Placeholder(_) => {
+                let number = placeholder(token).ok_or("placeholders are written $1")?;
+                note(&mut plan.params, number, compared(&tokens[..index], schema));
+                output.push_str(&format!("?{number}"));
+            }
+            Token::Word(word) if word.value.eq_ignore_ascii_case("pg_sleep") => {
+                let end = tokens[index..]
+                    .iter()
+                    .position(|token| *token == Token::RParen)
+                    .ok_or("pg_sleep takes one number")?;
+                let seconds: String = tokens[index + 1..index + end]
+                    .iter()
+                    .skip(1)
+                    .map(Token::to_string)
+                    .collect();
+                plan.sleep = sleep_span(&seconds)?;
+                output.push_str("''");
+                index += end;
+            }
+            other => output.push_str(&other.to_string()),
+        }
+        index += 1;
+    }
+    plan.text = output.into();
+    Ok(())
+}
+
+/// The argument of `pg_sleep`, in seconds.
+fn sleep_span(text: &str) -> Result<Span, String> {
+    const LONGEST_SECS: f64 = 3600.0;
+    let seconds: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| "pg_sleep takes one number")?;
+    Ok(Duration::from_secs_f64(seconds.clamp(0.0, LONGEST_SECS)).into())
+}
+
+/// The most parameters of one statement, as in PostgreSQL.
+const PARAMETER_LIMIT: usize = 65_535;
+
+fn placeholder(token: &Token) -> Option<usize> {
+    let Token::Placeholder(text) = token else {
+        return None;
+    };
+    let number: usize = text.strip_prefix('$')?.parse().ok()?;
+    (1..=PARAMETER_LIMIT).contains(&number).then_some(number)
+}
+
+fn note(params: &mut Vec<Option<Oid>>, number: usize, oid: Option<Oid>) {
+    if params.len() < number {
+        params.resize(number, None);
+    }
+    if oid.is_some() {
+        params[number - 1] = oid;
+    }
+}
+
+/// The type of the column that the next parameter is compared with, or an integer after
+/// `LIMIT` and `OFFSET`.
+fn compared(before: &[Token], schema: &Schema) -> Option<Oid> {
+    let mut words = before
+        .iter()
+        .rev()
+        .filter(|token| !matches!(token, Token::Whitespace(_)));
+    match words.next()? {
+        Token::Word(word) => ["limit", "offset"]
+            .contains(&word.value.to_lowercase().as_str())
+            .then_some(value::INT8),
+        Token::Eq | Token::Lt | Token::Gt | Token::LtEq | Token::GtEq | Token::Neq => {
+            let Token::Word(word) = words.next()? else {
+                return None;
+            };
+            schema.get(word.value.as_str()).copied()
+        }
+        Token::Plus | Token::Minus => Some(value::INT8),
+        _ => None,
+    }
+}
+
+fn type_inserted(insert: &Insert, schema: &Schema, params: &mut [Option<Oid>]) {
+    let Some(SetExpr::Values(values)) = insert.source.as_deref().map(|query| query.body.as_ref())
+    else {
+        return;
+    };
+    for row in &values.rows {
+        for (column, expr) in insert.columns.iter().zip(row.iter()) {
+            let Expr::Value(value) = expr else { continue };
+            let Literal::Placeholder(text) = &value.value else {
+                continue;
+            };
+            let number = text.strip_prefix('$').and_then(|n| n.parse::<usize>().ok());
+            let slot = number.and_then(|n| params.get_mut(n.checked_sub(1)?));
+            if let Some(slot) = slot
+                && slot.is_none()
+            {
+                *slot = Some(named(&column.to_string(), schema));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins for the outside systems, for tests and the demo: a group of databases that speaks
+//! the PostgreSQL protocol, and the platform's services. Faults are set by plain calls.
+
+pub mod database;
