Check configuration documents and settings, with place and remedy

Operators drive the system only through files, so a file that is wrong has to be refused whole and say where. jsonc reads JSON with comments strictly (a key that stands twice is refused, block comments keep their lines), and finds the place of a clashing value by walking to its path. A group's members may change by one database a step: majorities of two sets that differ by two need not meet.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,7 @@
 //! Time as the core sees it: handed in by whoever drives it, never read.
 
 use crate::types::Invalid;
-use serde::de::Error;
+use serde::de::{Error, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::ops::{Add, Sub};
@@ -116,9 +116,23 @@
 impl<'de> Deserialize<'de> for Span {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         if deserializer.is_human_readable() {
-            let text = String::deserialize(deserializer)?;
-            return text.parse().map_err(D::Error::custom);
+            return deserializer.deserialize_str(SpanText);
         }
         u64::deserialize(deserializer).map(Span)
     }
 }
+
+/// Reads a span from text, and tells a bare number what is missing.
+struct SpanText;
+
+impl Visitor<'_> for SpanText {
+    type Value = Span;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a span of time in quotes with its unit, such as \"250ms\" or \"5s\"")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Span, E> {
+        text.parse().map_err(E::custom)
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,11 +2,15 @@
 //!
 //! A document is checked whole and is in force whole. Its text is JSON with comments.
 
+mod check;
+
 use crate::clock::Span;
+use crate::jsonc::{self, Fault};
 use crate::types::{CallerId, DatabaseId, Domain, GroupId, PoolId, Term, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 /// One whole configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +25,37 @@
     pub timing: Timing,
 }
 
+impl Document {
+    /// Checks what its shape alone does not show: clashing and impossible values.
+    pub fn check(&self) -> Result<(), Fault> {
+        check::document(self)
+    }
+
+    /// Checks that this document may replace `before` in one step: a group's members change by
+    /// one database at a time.
+    pub fn check_step(&self, before: &Document) -> Result<(), Fault> {
+        check::step(before, self)
+    }
+
+    /// All databases, each with its group.
+    pub fn databases(&self) -> impl Iterator<Item = (&GroupId, &DatabaseId, &Database)> {
+        self.groups.iter().flat_map(|(group, members)| {
+            members
+                .databases
+                .iter()
+                .map(move |(id, database)| (group, id, database))
+        })
+    }
+}
+
+impl FromStr for Document {
+    type Err = jsonc::Error;
+
+    fn from_str(text: &str) -> Result<Self, jsonc::Error> {
+        jsonc::read(text, Document::check)
+    }
+}
+
 /// A document and the version under which it was accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/src/jsonc.rs
@@ -0,0 +1,291 @@
+//! JSON with comments, read strictly, with the place of each fault.
+//!
+//! Comments are `//`, `#` and `/* */`. A key that stands twice is refused: the parser would
+//! keep the last one without a word.
+
+use json_comments::StripComments;
+use serde::de::{
+    DeserializeOwned, DeserializeSeed, Error as _, IgnoredAny, MapAccess, SeqAccess, Visitor,
+};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::io::Read;
+
+/// A place in a text, counted from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// The line.
+    pub line: usize,
+    /// The column, in bytes.
+    pub column: usize,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.line, self.column)
+    }
+}
+
+/// Why a text was refused, and where.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{place}: {message}")]
+pub struct Error {
+    /// Where the fault is, or where reading stopped.
+    pub place: Place,
+    /// What is wrong and what to write instead.
+    pub message: Box<str>,
+}
+
+/// Why a value is refused that was read well: it clashes with another one.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{}: {message}", path.join("."))]
+pub struct Fault {
+    /// The keys that lead to the value.
+    pub path: Vec<Box<str>>,
+    /// What is wrong and the remedy.
+    pub message: Box<str>,
+}
+
+impl Fault {
+    /// A fault of the value at `path`.
+    pub fn new<S: fmt::Display>(
+        path: impl IntoIterator<Item = S>,
+        message: impl Into<Box<str>>,
+    ) -> Self {
+        Self {
+            path: path.into_iter().map(|key| key.to_string().into()).collect(),
+            message: message.into(),
+        }
+    }
+}
+
+/// Reads `text`, then checks what was read; a fault found by `check` is given its place.
+pub fn read<T: DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&T) -> Result<(), Fault>,
+) -> Result<T, Error> {
+    let plain = strip(text)?;
+    parse(&plain, Unique)?;
+    let value: T = serde_json::from_str(&plain).map_err(|error| convert(&error))?;
+    check(&value).map_err(|fault| Error {
+        place: locate(&plain, &fault.path),
+        message: fault.to_string().into(),
+    })?;
+    Ok(value)
+}
+
+/// Blanks the comments out, which leaves every other character at its place.
+fn strip(text: &str) -> Result<String, Error> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let stripped = StripComments::new(text.as_bytes()).read_to_end(&mut bytes);
+    if stripped.is_err() || bytes.len() != text.len() {
+        return Err(Error {
+            place: end_of(text),
+            message: "a string or a comment does not end: close it".into(),
+        });
+    }
+    // The library blanks the line ends inside of block comments too.
+    for (byte, original) in bytes.iter_mut().zip(text.bytes()) {
+        if original == b'\n' {
+            *byte = original;
+        }
+    }
+    String::from_utf8(bytes).map_err(|_| Error {
+        place: end_of(text),
+        message: "the text is not UTF-8: save it as UTF-8".into(),
+    })
+}
+
+fn end_of(text: &str) -> Place {
+    let last = text.rsplit('\n').next().unwrap_or_default();
+    Place {
+        line: text.split('\n').count(),
+        column: last.len() + 1,
+    }
+}
+
+fn parse<'a, S: DeserializeSeed<'a>>(text: &'a str, seed: S) -> Result<S::Value, Error> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    seed.deserialize(&mut deserializer)
+        .map_err(|error| convert(&error))
+}
+
+fn convert(error: &serde_json::Error) -> Error {
+    let place = Place {
+        line: error.line().max(1),
+        column: error.column().max(1),
+    };
+    let message = error.to_string();
+    let plain = message
+        .strip_suffix(&format!(
+            " at line {} column {}",
+            error.line(),
+            error.column()
+        ))
+        .unwrap_or(&message);
+    Error {
+        place,
+        message: with_remedy(plain).into(),
+    }
+}
+
+fn with_remedy(message: &str) -> String {
+    let message = ["u8", "u16", "u32", "u64"]
+        .iter()
+        .fold(message.to_owned(), |text, kind| {
+            text.replace(&format!("expected {kind}"), "expected a whole number")
+        });
+    let remedy = REMEDIES
+        .iter()
+        .find(|(start, _)| message.starts_with(start));
+    match remedy {
+        Some((_, remedy)) => format!("{message}: {remedy}"),
+        None => message,
+    }
+}
+
+/// What helps against the parser's own errors, by how they start.
+const REMEDIES: [(&str, &str); 7] = [
+    ("missing field", "add it"),
+    ("unknown field", "correct or remove it"),
+    (
+        "invalid socket address",
+        "write IP:PORT, such as 10.0.0.4:5432",
+    ),
+    ("trailing comma", "remove it"),
+    (
+        "trailing characters",
+        "remove what follows the closing brace",
+    ),
+    ("key must be a string", "put it in double quotes"),
+    ("EOF", "close what is open"),
+];
+
+/// Where the value at `path` ends, or the innermost of its parents that can be found.
+fn locate(text: &str, path: &[Box<str>]) -> Place {
+    match parse(text, Seek(path)) {
+        Err(error) => error.place,
+        Ok(_) if !path.is_empty() => locate(text, &path[..path.len() - 1]),
+        Ok(_) => Place { line: 1, column: 1 },
+    }
+}
+
+/// Walks to a path and fails there on purpose, because the parser's errors know their place.
+#[derive(Clone, Copy)]
+struct Seek<'p>(&'p [Box<str>]);
+
+impl<'de> DeserializeSeed<'de> for Seek<'_> {
+    type Value = ();
+
+    fn deserialize<D: serde::Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        if self.0.is_empty() {
+            IgnoredScalar::stop(deserializer)
+        } else {
+            deserializer.deserialize_any(self)
+        }
+    }
+}
+
+impl<'de> Visitor<'de> for Seek<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object or a list on the path")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        while let Some(key) = map.next_key::<Box<str>>()? {
+            if Some(&key) == self.0.first() {
+                map.next_value_seed(Seek(&self.0[1..]))?;
+            } else {
+                map.next_value::<IgnoredAny>()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        let index: Option<usize> = self.0.first().and_then(|key| key.parse().ok());
+        let mut at = 0;
+        loop {
+            let found = if Some(at) == index {
+                seq.next_element_seed(Seek(&self.0[1..]))?
+            } else {
+                seq.next_element::<IgnoredAny>()?.map(drop)
+            };
+            if found.is_none() {
+                return Ok(());
+            }
+            at += 1;
+        }
+    }
+}
+
+/// Fails at the start of an object or list, or at the end of any other value.
+struct IgnoredScalar;
+
+impl IgnoredScalar {
+    fn stop<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_any(Self)
+    }
+}
+
+impl Visitor<'_> for IgnoredScalar {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("nothing: this is the place looked for")
+    }
+}
+
+/// Refuses a key that stands twice in one object.
+#[derive(Clone, Copy)]
+struct Unique;
+
+impl<'de> DeserializeSeed<'de> for Unique {
+    type Value = ();
+
+    fn deserialize<D: serde::Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+macro_rules! accept {
+    ($($method:ident: $type:ty),*) => {
+        $(fn $method<E: serde::de::Error>(self, _: $type) -> Result<(), E> {
+            Ok(())
+        })*
+    };
+}
+
+impl<'de> Visitor<'de> for Unique {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("JSON")
+    }
+
+    accept!(visit_bool: bool, visit_i64: i64, visit_u64: u64, visit_f64: f64, visit_str: &str);
+
+    fn visit_unit<E: serde::de::Error>(self) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        let mut seen = BTreeSet::new();
+        while let Some(key) = map.next_key::<Box<str>>()? {
+            if seen.contains(&key) {
+                let message = format!("`{key}` stands twice: keep one of them");
+                return Err(A::Error::custom(message));
+            }
+            seen.insert(key);
+            map.next_value_seed(self)?;
+        }
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        while seq.next_element_seed(self)?.is_some() {}
+        Ok(())
+    }
+}
--- a/src/standin/database/sql.rs
+++ b/src/standin/database/sql.rs
@@ -21,8 +21,10 @@
     Commit,
     /// Undoes a transaction.
     Rollback,
-    /// Sets a session variable, or forgets all of them.
+    /// Sets a session variable, or one that means nothing here.
     Set(Option<(Box<str>, Box<str>)>),
+    /// Forgets the session's variables.
+    Reset,
     /// Shows a session variable.
     Show(Box<str>),
     /// Reads rows.
@@ -73,6 +75,18 @@
 }
 
 fn plan(mut statement: Statement, schema: &Schema) -> Result<Plan, String> {
+    let savepoint = matches!(
+        statement,
+        Statement::Savepoint { .. }
+            | Statement::ReleaseSavepoint { .. }
+            | Statement::Rollback {
+                savepoint: Some(_),
+                ..
+            }
+    );
+    if savepoint {
+        return Err("savepoints are not part of the stand-in".into());
+    }
     let (action, verb) = classify(&mut statement);
     let mut plan = Plan {
         action,
@@ -97,9 +111,9 @@
         Statement::Commit { .. } => (Action::Commit, "COMMIT"),
         Statement::Rollback { .. } => (Action::Rollback, "ROLLBACK"),
         Statement::Set(set) => (Action::Set(assignment(set)), "SET"),
-        Statement::Reset(_) => (Action::Set(None), "RESET"),
-        Statement::Discard { .. } => (Action::Set(None), "DISCARD ALL"),
-        Statement::Deallocate { .. } => (Action::Set(None), "DEALLOCATE"),
+        Statement::Reset(_) => (Action::Reset, "RESET"),
+        Statement::Discard { .. } => (Action::Reset, "DISCARD ALL"),
+        Statement::Deallocate { .. } => (Action::Reset, "DEALLOCATE"),
         Statement::ShowVariable { variable } => {
             let name: Vec<String> = variable.iter().map(|part| part.value.clone()).collect();
             (Action::Show(name.join(".").to_lowercase().into()), "SHOW")
--- a/src/standin/database/transaction.rs
+++ b/src/standin/database/transaction.rs
@@ -107,12 +107,12 @@
                 Ok(Rows::default())
             }
             Action::Rollback => self.roll_back(),
-            Action::Set(None) => {
+            Action::Reset => {
                 self.variables.clear();
                 Ok(Rows::default())
             }
-            Action::Set(Some((name, value))) => {
-                self.variables.insert(name.clone(), value.clone());
+            Action::Set(assignment) => {
+                self.variables.extend(assignment.clone());
                 Ok(Rows::default())
             }
             Action::Show(name) => Ok(self.show(name)),
