--- a/src/config.rs
+++ b/src/config.rs
@@ -91,7 +91,7 @@
 }
 
 /// Timing of the protocol between proxies and databases.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timing {
     /// Between two probes of a database.
--- /dev/null
+++ b/src/core/entry.rs
@@ -0,0 +1,446 @@
+//! The entry: what callers ask of this proxy, and where it is sent.
+
+mod answer;
+mod floor;
+mod leader;
+
+use crate::clock::{Span, Time};
+use crate::core::message::{Message, Work};
+use crate::core::recent::Recent;
+use crate::core::request::{Cause, Class, Kind, NotRun, Outcome, Request, Unknown};
+use crate::core::retry::Budget;
+use crate::core::route::{Candidate, Need, Router};
+use crate::core::world::Turn;
+use crate::types::{DatabaseId, GroupId, Link, Position, RequestId, SessionId, VmId};
+use leader::Wait;
+use serde::Serialize;
+use std::collections::HashMap;
+
+/// Leases on sessions' floors that an entry remembers, about 200 bytes each. A forgotten one
+/// is asked for again.
+const LEASES_KEPT: usize = 16_384;
+
+/// The share of a caller's patience that a holder is not given, in percent, so that its "not
+/// run" is back before the entry has to say that the outcome is unknown.
+const MARGIN_PERCENT: u64 = 5;
+
+/// The callers of one proxy and what they have under way.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    links: HashMap<Link, Caller>,
+    sent: HashMap<RequestId, Sent>,
+    groups: HashMap<GroupId, View>,
+    leases: Recent<(GroupId, SessionId), Lease>,
+    asks: HashMap<RequestId, Asking>,
+    budget: Budget,
+}
+
+/// One caller's connection.
+#[derive(Debug, Default)]
+struct Caller {
+    /// The floors of a connection that is a session of its own.
+    floors: Vec<(GroupId, Position)>,
+    transaction: Option<Bound>,
+    under_way: bool,
+}
+
+/// Where a connection's transaction runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct Bound {
+    vm: VmId,
+    database: DatabaseId,
+}
+
+/// A request that is not answered yet.
+#[derive(Debug)]
+struct Pending {
+    request: Request,
+    /// The databases that are yet to be tried for a read, worst first.
+    left: Option<Vec<DatabaseId>>,
+    /// The floor under which it is sent.
+    floor: Option<Position>,
+    tries: u32,
+}
+
+/// A request at a holder.
+#[derive(Debug)]
+struct Sent {
+    pending: Pending,
+    vm: VmId,
+    database: DatabaseId,
+    at: Time,
+    /// It runs on the primary, by way of the steward.
+    primary: bool,
+}
+
+/// A lease that an entry has on a session's floor.
+#[derive(Debug, Clone)]
+struct Lease {
+    floor: Position,
+    until: Time,
+}
+
+/// A question to a steward for a session's floor.
+#[derive(Debug)]
+struct Asking {
+    pending: Pending,
+    session: SessionId,
+    vm: VmId,
+    at: Time,
+    until: Time,
+}
+
+/// What an entry knows of a group that its callers use.
+#[derive(Debug, Default)]
+struct View {
+    router: Router,
+    wait: Wait,
+}
+
+/// An entry's state for `dump`.
+#[derive(Debug, Serialize)]
+pub(crate) struct Dump<'a> {
+    links: usize,
+    transactions: usize,
+    sent: usize,
+    asks: usize,
+    leases: usize,
+    budget: &'a Budget,
+    floors: HashMap<Link, &'a [(GroupId, Position)]>,
+    sessions: Vec<(&'a GroupId, &'a SessionId, Position, Time)>,
+    waiting: HashMap<&'a GroupId, usize>,
+    routers: HashMap<&'a GroupId, &'a Router>,
+}
+
+impl Entry {
+    pub fn new() -> Self {
+        Self {
+            links: HashMap::new(),
+            sent: HashMap::new(),
+            groups: HashMap::new(),
+            leases: Recent::new(LEASES_KEPT),
+            asks: HashMap::new(),
+            budget: Budget::default(),
+        }
+    }
+
+    pub fn dump(&self) -> Dump<'_> {
+        let with_floors = self.links.iter().filter(|(_, c)| !c.floors.is_empty());
+        Dump {
+            links: self.links.len(),
+            transactions: self
+                .links
+                .values()
+                .filter(|c| c.transaction.is_some())
+                .count(),
+            sent: self.sent.len(),
+            asks: self.asks.len(),
+            leases: self.leases.len(),
+            budget: &self.budget,
+            floors: with_floors
+                .map(|(link, c)| (*link, c.floors.as_slice()))
+                .collect(),
+            sessions: self
+                .leases
+                .iter()
+                .map(|((group, session), lease)| (group, session, lease.floor, lease.until))
+                .collect(),
+            waiting: self
+                .groups
+                .iter()
+                .map(|(id, view)| (id, view.wait.len()))
+                .collect(),
+            routers: self
+                .groups
+                .iter()
+                .map(|(id, view)| (id, &view.router))
+                .collect(),
+        }
+    }
+
+    /// Nothing is under way and no transaction is open.
+    pub fn is_quiet(&self) -> bool {
+        self.links.values().all(Caller::is_idle)
+    }
+
+    /// Whether a tick may have something to do.
+    pub fn is_busy(&self) -> bool {
+        !self.sent.is_empty()
+            || !self.asks.is_empty()
+            || self.groups.values().any(|view| view.wait.len() > 0)
+    }
+
+    /// A caller sends a request.
+    pub fn submit(&mut self, turn: &mut Turn, request: Request) {
+        let link = request.link;
+        let caller = self.links.entry(link).or_default();
+        if caller.under_way {
+            // The caller's side of this process keeps one request a connection under way.
+            turn.world.counters.nonsense += 1;
+            return;
+        }
+        caller.under_way = true;
+        if let Some(bound) = caller.transaction.clone() {
+            return self.go_on(turn, request, bound);
+        }
+        let pending = Pending {
+            request,
+            left: None,
+            floor: None,
+            tries: 0,
+        };
+        if pending.request.kind == Kind::Continue {
+            return self.not_run(turn, pending, Cause::RolledBack, Span::ZERO);
+        }
+        if turn.world.stopping {
+            return self.not_run(turn, pending, Cause::Stopping, Span::ZERO);
+        }
+        if !serves(turn, &pending.request) {
+            return self.not_run(turn, pending, Cause::NoPool, Span::ZERO);
+        }
+        self.budget.deposit(turn.now);
+        self.dispatch(turn, pending);
+    }
+
+    /// Sends a statement to where its transaction is.
+    fn go_on(&mut self, turn: &mut Turn, mut request: Request, bound: Bound) {
+        request.kind = Kind::Continue;
+        let pending = Pending {
+            request,
+            left: None,
+            floor: None,
+            tries: 0,
+        };
+        self.send(turn, pending, bound.vm, bound.database, false);
+    }
+
+    /// Sends a request to where it may run, or lets it wait for what it lacks.
+    fn dispatch(&mut self, turn: &mut Turn, mut pending: Pending) {
+        if pending.request.deadline <= turn.now {
+            return self.not_run(turn, pending, Cause::Expired, Span::ZERO);
+        }
+        match pending.request.kind {
+            Kind::Write | Kind::Begin | Kind::Continue => {
+                pending.floor = self.known_floor(&pending.request);
+                self.send_to_primary(turn, pending);
+            }
+            Kind::Read | Kind::BeginRead => {
+                let Some(session) = pending.request.session.clone() else {
+                    pending.floor = self.own_floor(&pending.request);
+                    return self.send_to_replica(turn, pending);
+                };
+                self.under_lease(turn, pending, session);
+            }
+        }
+    }
+
+    /// Sends a read to the next best database that is left to try.
+    fn send_to_replica(&mut self, turn: &mut Turn, mut pending: Pending) {
+        if pending.left.is_none() {
+            pending.left = Some(self.choose(turn, &pending));
+        }
+        let leader = turn.world.leaders.get(&pending.request.group);
+        let primary = leader.map(|leader| leader.database.clone());
+        let next = pending.left.as_mut().and_then(Vec::pop);
+        match next {
+            Some(database) if Some(&database) != primary.as_ref() => {
+                let vm = turn.world.holder(turn.now, &database);
+                self.send(turn, pending, vm, database, false);
+            }
+            _ => self.send_to_primary(turn, pending),
+        }
+    }
+
+    /// The databases for a read, worst first.
+    fn choose(&mut self, turn: &mut Turn, pending: &Pending) -> Vec<DatabaseId> {
+        let group = &pending.request.group;
+        let leader = turn.world.leaders.get(group);
+        let primary = leader.map(|leader| &leader.database);
+        let Some(found) = turn.world.group(group) else {
+            return Vec::new();
+        };
+        let stays = found
+            .databases
+            .iter()
+            .filter(|(_, settings)| !settings.leaving);
+        let candidates: Vec<Candidate> = stays
+            .map(|(id, settings)| Candidate {
+                database: id.clone(),
+                primary: primary == Some(id),
+                near: settings.domain == turn.world.me.domain,
+            })
+            .collect();
+        let need = Need {
+            floor: pending.floor,
+            max_age: pending.request.max_age,
+        };
+        let view = self.groups.entry(group.clone()).or_default();
+        let mut order = view.router.order(turn.now, &need, &candidates);
+        order.reverse();
+        order
+    }
+
+    /// Sends work to a database's holder and remembers it until its answer.
+    fn send(
+        &mut self,
+        turn: &mut Turn,
+        mut pending: Pending,
+        vm: VmId,
+        database: DatabaseId,
+        primary: bool,
+    ) {
+        let id = turn.id();
+        pending.tries += 1;
+        let request = &pending.request;
+        let left = request.deadline.since(turn.now);
+        let leader = turn.world.leaders.get(&request.group);
+        let work = Work {
+            request: id,
+            link: request.link,
+            session: request.session.clone(),
+            caller: request.caller.clone(),
+            pool: request.pool.clone(),
+            group: request.group.clone(),
+            database: database.clone(),
+            kind: request.kind,
+            class: class(turn, request),
+            floor: pending.floor,
+            max_age: request.max_age,
+            key: request.key.clone(),
+            patience: left.percent(100 - MARGIN_PERCENT),
+            leader: leader.map(|leader| leader.term),
+            body: request.body.clone(),
+        };
+        if let Some(view) = self.groups.get_mut(&request.group) {
+            view.router.sent(turn.now, &database);
+        }
+        turn.send(&vm, Message::Work(work));
+        let sent = Sent {
+            pending,
+            vm,
+            database,
+            at: turn.now,
+            primary,
+        };
+        self.sent.insert(id, sent);
+    }
+
+    /// Tells a caller what came of its request.
+    fn tell(&mut self, turn: &mut Turn, pending: Pending, outcome: Outcome) {
+        let request = pending.request;
+        let floor = self.shown_floor(&request);
+        if let Some(caller) = self.links.get_mut(&request.link) {
+            caller.under_way = false;
+            turn.reply(request.link, outcome, floor);
+            if turn.world.stopping && caller.is_idle() {
+                turn.out
+                    .push(crate::core::node::Output::Dismiss(request.link));
+            }
+        }
+    }
+
+    fn not_run(&mut self, turn: &mut Turn, pending: Pending, cause: Cause, retry_after: Span) {
+        let not_run = NotRun { cause, retry_after };
+        self.tell(turn, pending, Outcome::NotRun(not_run));
+    }
+
+    /// A caller's connection is gone.
+    pub fn depart(&mut self, turn: &mut Turn, link: Link) {
+        let Some(caller) = self.links.remove(&link) else {
+            return;
+        };
+        let mut vms: Vec<VmId> = caller.transaction.into_iter().map(|b| b.vm).collect();
+        if caller.under_way {
+            let theirs = self.sent.extract_if(|_, sent| sent.link() == link);
+            vms.extend(theirs.map(|(_, sent)| sent.vm));
+            self.asks
+                .retain(|_, asking| asking.pending.request.link != link);
+            for view in self.groups.values_mut() {
+                view.wait.forget(link);
+            }
+        }
+        vms.sort_unstable();
+        vms.dedup();
+        for vm in vms {
+            turn.send(&vm, Message::Depart(link));
+        }
+    }
+
+    /// A caller cancels what its connection has under way.
+    pub fn cancel(&mut self, turn: &mut Turn, link: Link) {
+        let found = self.sent.iter().find(|(_, sent)| sent.link() == link);
+        if let Some((id, sent)) = found {
+            let (id, vm) = (*id, sent.vm.clone());
+            return turn.send(&vm, Message::Cancel(id));
+        }
+        let mut waiting: Vec<Pending> = self
+            .asks
+            .extract_if(|_, asking| asking.pending.request.link == link)
+            .map(|(_, asking)| asking.pending)
+            .collect();
+        for view in self.groups.values_mut() {
+            waiting.extend(view.wait.forget(link));
+        }
+        for pending in waiting {
+            self.not_run(turn, pending, Cause::Expired, Span::ZERO);
+        }
+    }
+
+    /// The process is to stop: idle callers are told to connect elsewhere.
+    pub fn stop(&mut self, turn: &mut Turn) {
+        let idle = self.links.iter().filter(|(_, caller)| caller.is_idle());
+        let mut idle: Vec<Link> = idle.map(|(link, _)| *link).collect();
+        idle.sort_unstable();
+        for link in idle {
+            turn.out.push(crate::core::node::Output::Dismiss(link));
+        }
+    }
+
+    /// Ends what has waited until its deadline, and asks again for leaders.
+    pub fn tick(&mut self, turn: &mut Turn) {
+        let now = turn.now;
+        let late = self
+            .sent
+            .extract_if(|_, sent| sent.pending.request.deadline <= now);
+        let mut late: Vec<(RequestId, Sent)> = late.collect();
+        late.sort_unstable_by_key(|(id, _)| *id);
+        for (id, sent) in late {
+            turn.send(&sent.vm, Message::Cancel(id));
+            self.release(turn, &sent.pending.request, &sent.vm);
+            self.tell(turn, sent.pending, Outcome::Unknown(Unknown::PeerLost));
+        }
+        self.tick_asks(turn);
+        self.tick_waiting(turn);
+    }
+}
+
+impl Caller {
+    fn is_idle(&self) -> bool {
+        !self.under_way && self.transaction.is_none()
+    }
+}
+
+impl Sent {
+    fn link(&self) -> Link {
+        self.pending.request.link
+    }
+}
+
+/// Whether the pool of a request exists and reaches its group.
+fn serves(turn: &Turn, request: &Request) -> bool {
+    let pool = turn.world.pool(&request.pool);
+    pool.is_some_and(|pool| pool.groups.contains(&request.group))
+        && turn.world.group(&request.group).is_some()
+}
+
+/// A request's place among other work.
+fn class(turn: &Turn, request: &Request) -> Class {
+    if turn.world.pool(&request.pool).is_some_and(|pool| pool.long) {
+        return Class::Long;
+    }
+    match request.kind {
+        Kind::Write | Kind::Begin | Kind::Continue => Class::Confirm,
+        Kind::Read | Kind::BeginRead if request.max_age.is_some() => Class::Aged,
+        Kind::Read | Kind::BeginRead => Class::Session,
+    }
+}
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -55,6 +55,25 @@
     Document(Bytes),
 }
 
+impl Message {
+    /// Whether it is sent for the system's own sake rather than for one statement.
+    pub fn is_control(&self) -> bool {
+        match self {
+            Message::Work(_) | Message::Answer(_) | Message::Cancel(_) | Message::Depart(_) => {
+                false
+            }
+            Message::Ask(_) | Message::Grant(_) | Message::Revoke(_) | Message::Revoked(_) => false,
+            Message::Control(control) => !matches!(control.order, Order::Reach(_)),
+            _ => true,
+        }
+    }
+
+    /// The size of its encoding in bytes.
+    pub fn size(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or_default()
+    }
+}
+
 /// Work for a database's holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -85,6 +104,9 @@
     pub key: Option<RequestKey>,
     /// How much of the caller's patience was left when it was sent.
     pub patience: Span,
+    /// The highest term of the group that the entry knows a leader of, so that the answer
+    /// names a leader only where that is news.
+    pub leader: Option<Term>,
     /// The frontend messages.
     pub body: Bytes,
 }
@@ -97,6 +119,11 @@
     pub request: RequestId,
     /// What came of it.
     pub outcome: Outcome,
+    /// The database's own refusal, if that is why the work was not run.
+    pub refused: Option<Refusal>,
+    /// The entry may go on using the session's floor, which is the position just written, for
+    /// this long since it sent the work.
+    pub lease: Option<Span>,
     /// What the holder knows of its database, for the entry's next choice.
     pub hint: Hint,
 }
@@ -105,13 +132,13 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Hint {
-    /// The end of its log.
+    /// How far it has applied its log.
     pub position: Position,
     /// Its proven age; `None` if nothing is proven.
     pub age: Option<Span>,
     /// How long newly queued work would wait.
     pub wait: Span,
-    /// The group's primary, its term and steward, as far as the holder knows.
+    /// The group's leader, where the holder knows of a later one than the entry did.
     pub primary: Option<Primary>,
 }
 
@@ -135,8 +162,8 @@
     pub request: RequestId,
     /// The group.
     pub group: GroupId,
-    /// The session.
-    pub session: SessionId,
+    /// The session; absent where only the leader is asked for.
+    pub session: Option<SessionId>,
 }
 
 /// A lease on a session's floor. It counts from when the question was sent.
@@ -145,6 +172,8 @@
 pub struct Grant {
     /// The question.
     pub request: RequestId,
+    /// The group.
+    pub group: GroupId,
     /// The floor and how long it may be used; `None` if the VM asked is not the steward or
     /// can't vouch for it now.
     pub floor: Option<Leased>,
@@ -221,11 +250,24 @@
     /// The probe.
     pub round: RequestId,
     /// What the database said; `None` if it did not answer.
-    pub state: Option<State>,
+    pub found: Option<Found>,
     /// The configuration's version at the holder.
     pub version: Version,
 }
 
+/// What a probe found: a database's state without its lineage, which grows with each
+/// promotion and which a steward needs only when it raises a term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Found {
+    /// The term that the database was raised to.
+    pub term: Term,
+    /// The end of its log.
+    pub position: Position,
+    /// Whether it takes writes in `term`.
+    pub open: bool,
+}
+
 /// A steward's order through a holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,15 +3,25 @@
 //! Everything here is driven by typed inputs with the time handed in, and answers with
 //! typed outputs, so that scenarios and the model checker run the code that serves callers.
 
+mod acknowledge;
+mod age;
+pub mod counters;
 pub mod database;
 pub mod detect;
+mod entry;
 pub mod gate;
+mod holder;
 pub mod lineage;
 pub mod member;
 pub mod message;
 pub mod node;
 pub mod pool;
+mod recent;
 pub mod request;
 pub mod retry;
 pub mod route;
+mod session;
+mod spread;
+mod steward;
 pub mod term;
+mod world;
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -1,13 +1,40 @@
-//! The inputs and outputs of one proxy's core.
+//! One proxy's core: its inputs, its outputs, and the roles that they go through.
 
-use crate::config::Accepted;
+mod dump;
+mod peer;
+mod settle;
+
+use crate::clock::{Span, Time};
+use crate::config::{Accepted, Pool};
+use crate::core::counters::Counters;
 use crate::core::database::{Command, Event};
+use crate::core::entry::Entry;
+use crate::core::holder::Holder;
 use crate::core::member::Member;
 use crate::core::message::Message;
 use crate::core::request::{Outcome, Request};
-use crate::types::{Link, Position, VmId};
+use crate::core::spread::Spread;
+use crate::core::steward::{Quiet, Steward};
+use crate::core::world::{Turn, World};
+use crate::types::{CallerId, DatabaseId, Domain, GroupId, Life, Link, PoolId, Position, VmId};
+use serde::Serialize;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// The grain of deadlines while work is under way. A timer for each statement would cost more
+/// than looking at all of them this often.
+const GRAIN: Span = Span::from_millis(10);
+
+/// Between two sweeps for databases and groups that this VM has nothing to do with any more.
+const SWEEP: Span = Span::from_secs(1);
+
+/// A stopping proxy is quiet for this long before it ends, so that what other proxies sent
+/// before they heard of the stop is still served.
+const LINGER: Span = Span::from_millis(300);
+
+/// A planned stop takes no longer than this, whatever callers do with their transactions.
+const STOP_LIMIT: Span = Span::from_secs(60);
+
 /// What happens to a proxy.
 #[derive(Debug, Clone)]
 pub enum Input {
@@ -26,7 +53,9 @@
     },
     /// The stream to another proxy is open.
     PeerUp(VmId),
-    /// The stream to another proxy broke, or could not be opened.
+    /// The stream to another proxy broke, or could not be opened. What was sent since the last
+    /// `PeerUp` may have arrived; without a `PeerUp` since the last `PeerDown`, nothing has.
+    /// No message of the old stream follows.
     PeerDown(VmId),
     /// A database or a connection to it did something.
     Database(Event),
@@ -66,3 +95,203 @@
     /// Nothing is left to do: the process may end.
     Stopped,
 }
+
+/// Which proxy this is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Identity {
+    /// The VM's name.
+    pub vm: VmId,
+    /// The failure domain it runs in.
+    pub domain: Domain,
+    /// The life of its process.
+    pub life: Life,
+}
+
+/// One proxy's core, without sockets or timers.
+#[derive(Debug)]
+pub struct Node {
+    world: World,
+    now: Time,
+    entry: Entry,
+    holders: BTreeMap<DatabaseId, Holder>,
+    stewards: BTreeMap<GroupId, Steward>,
+    /// The primaries that this VM leads, as their holders were told.
+    led: BTreeMap<GroupId, DatabaseId>,
+    spread: Spread,
+    sweep_at: Time,
+    stopping: Option<Stopping>,
+}
+
+/// A planned stop under way.
+#[derive(Debug, Serialize)]
+struct Stopping {
+    /// When the process ends whatever is left.
+    until: Time,
+    /// Since when it has been quiet.
+    quiet_since: Time,
+    stopped: bool,
+}
+
+impl Node {
+    /// A proxy that knows nothing yet.
+    pub fn new(identity: Identity, now: Time) -> Self {
+        Self {
+            world: World::new(identity),
+            now,
+            entry: Entry::new(),
+            holders: BTreeMap::new(),
+            stewards: BTreeMap::new(),
+            led: BTreeMap::new(),
+            spread: Spread::default(),
+            sweep_at: now + SWEEP,
+            stopping: None,
+        }
+    }
+
+    /// Lets `input` happen at `now`, which was read from the clock after the input arrived,
+    /// and adds what is to be done to `out`.
+    ///
+    /// A process that was paused handles an old input with the time of its waking; so nothing
+    /// that lapsed meanwhile is relied on.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        self.take(input, out);
+        while let Some(message) = self.world.inbox.pop_front() {
+            let me = self.world.me.vm.clone();
+            self.message(me, message, out);
+        }
+        self.check_stop(out);
+    }
+
+    /// When it next wants an [`Input::Tick`].
+    pub fn wake(&self) -> Option<Time> {
+        let busy = self.entry.is_busy() || self.holders.values().any(Holder::is_busy);
+        let grain = (busy || self.stopping.is_some()).then(|| self.now + GRAIN);
+        let stewards = self.stewards.values().map(Steward::wake);
+        let timers = [self.sweep_at, self.spread.wake()];
+        timers.into_iter().chain(stewards).chain(grain).min()
+    }
+
+    /// What it has done since it started.
+    pub fn counters(&self) -> &Counters {
+        &self.world.counters
+    }
+
+    /// The pool that serves `caller` in `group`, by the configuration in force.
+    pub fn pool_of(&self, caller: &CallerId, group: &GroupId) -> Option<(PoolId, &Pool)> {
+        self.world.pool_of(caller, group)
+    }
+
+    fn turn<'a>(&'a mut self, out: &'a mut Vec<Output>) -> (Turn<'a>, Parts<'a>) {
+        let turn = Turn {
+            now: self.now,
+            world: &mut self.world,
+            out,
+        };
+        let parts = Parts {
+            entry: &mut self.entry,
+            holders: &mut self.holders,
+            stewards: &mut self.stewards,
+            spread: &mut self.spread,
+        };
+        (turn, parts)
+    }
+
+    fn take(&mut self, input: Input, out: &mut Vec<Output>) {
+        let (mut turn, parts) = self.turn(out);
+        match input {
+            Input::Submit(request) => parts.entry.submit(&mut turn, request),
+            Input::Depart(link) => parts.entry.depart(&mut turn, link),
+            Input::Cancel(link) => parts.entry.cancel(&mut turn, link),
+            Input::Message { from, message } => self.message(from, message, out),
+            Input::PeerUp(vm) => {
+                turn.world.peer_up(&vm);
+                parts.spread.greet(&mut turn, &vm);
+            }
+            Input::PeerDown(vm) => self.peer_down(&vm, out),
+            Input::Database(event) => self.database(event, out),
+            Input::Members(members) => self.members(members, out),
+            Input::Accepted(accepted) => {
+                let settled = parts.spread.offered(&mut turn, accepted);
+                self.put_in_force(settled, out);
+            }
+            Input::Stop => self.stop(out),
+            Input::Tick => self.tick(out),
+        }
+    }
+
+    fn tick(&mut self, out: &mut Vec<Output>) {
+        let (mut turn, parts) = self.turn(out);
+        parts.entry.tick(&mut turn);
+        parts.spread.tick(&mut turn);
+        let settled = parts.spread.settle(&mut turn);
+        self.put_in_force(settled, out);
+        let databases: Vec<DatabaseId> = self.holders.keys().cloned().collect();
+        for database in databases {
+            self.with_holder(&database, out, |holder, turn| holder.tick(turn));
+        }
+        let groups: Vec<GroupId> = self.stewards.keys().cloned().collect();
+        for group in groups {
+            let quiet = self.quiet(&group);
+            self.with_steward(&group, out, |steward, turn| steward.tick(turn, quiet));
+        }
+        if self.sweep_at <= self.now {
+            self.sweep_at = self.now + SWEEP;
+            self.sweep(out);
+        }
+    }
+
+    fn quiet(&self, group: &GroupId) -> Quiet {
+        let holder = self.led.get(group).and_then(|id| self.holders.get(id));
+        Quiet {
+            transactions: holder.is_none_or(Holder::has_no_transaction),
+            work: holder.is_none_or(Holder::has_no_job),
+        }
+    }
+
+    fn stop(&mut self, out: &mut Vec<Output>) {
+        if self.stopping.is_some() {
+            return;
+        }
+        self.world.stopping = true;
+        self.stopping = Some(Stopping {
+            until: self.now + STOP_LIMIT,
+            quiet_since: self.now,
+            stopped: false,
+        });
+        let (mut turn, parts) = self.turn(out);
+        parts.entry.stop(&mut turn);
+        let peers = turn.world.peers.iter().filter(|(_, peer)| peer.up);
+        let mut peers: Vec<VmId> = peers.map(|(vm, _)| vm.clone()).collect();
+        peers.sort_unstable();
+        for vm in peers {
+            parts.spread.greet(&mut turn, &vm);
+        }
+    }
+
+    /// Ends the process once it leads nothing and has had nothing under way for a while.
+    fn check_stop(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        let quiet = self.entry.is_quiet()
+            && self.holders.values().all(Holder::is_quiet)
+            && !self.stewards.values().any(Steward::is_active);
+        let Some(stopping) = self.stopping.as_mut().filter(|stopping| !stopping.stopped) else {
+            return;
+        };
+        if !quiet {
+            stopping.quiet_since = now;
+        }
+        if now >= stopping.quiet_since + LINGER || now >= stopping.until {
+            stopping.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+}
+
+/// The roles of a node, borrowed beside a turn.
+struct Parts<'a> {
+    entry: &'a mut Entry,
+    holders: &'a mut BTreeMap<DatabaseId, Holder>,
+    stewards: &'a mut BTreeMap<GroupId, Steward>,
+    spread: &'a mut Spread,
+}
--- /dev/null
+++ b/src/core/node/peer.rs
@@ -0,0 +1,307 @@
+//! Messages of other proxies, and of this one to itself.
+
+use super::{Node, Output};
+use crate::clock::Span;
+use crate::core::database::{Event, Order, Refusal, State};
+use crate::core::message::{
+    Answer, Control, Controlled, Found, Grant, Hello, Hint, Message, Probe, Report, Suspect, Work,
+};
+use crate::core::request::{Cause, NotRun, Outcome};
+use crate::core::spread;
+use crate::core::world::Errand;
+use crate::types::{DatabaseId, VmId};
+use std::sync::Arc;
+
+impl Node {
+    pub(super) fn message(&mut self, from: VmId, message: Message, out: &mut Vec<Output>) {
+        let (mut turn, parts) = self.turn(out);
+        match message {
+            Message::Work(work) => self.work(from, work, out),
+            Message::Answer(answer) => parts.entry.answered(&mut turn, &from, answer),
+            Message::Cancel(request) => {
+                self.each_holder(out, |holder, turn| holder.cancel(turn, &from, request));
+            }
+            Message::Depart(link) => {
+                self.each_holder(out, |holder, turn| holder.depart(turn, &from, Some(link)));
+            }
+            Message::Ask(ask) => {
+                let (group, request) = (ask.group.clone(), ask.request);
+                let joined =
+                    self.with_steward(&group, out, |steward, turn| steward.ask(turn, &from, ask));
+                if !joined {
+                    let (mut turn, _) = self.turn(out);
+                    let grant = Grant {
+                        request,
+                        group,
+                        floor: None,
+                        primary: None,
+                    };
+                    turn.send(&from, Message::Grant(grant));
+                }
+            }
+            Message::Grant(grant) => parts.entry.granted(&mut turn, &from, grant),
+            Message::Revoke(revoke) => parts.entry.revoked(&mut turn, &from, revoke),
+            Message::Revoked(revoke) => {
+                let group = revoke.group.clone();
+                self.with_steward(&group, out, |steward, turn| {
+                    steward.released(turn, &from, &revoke);
+                });
+            }
+            Message::Probe(probe) => self.probe(from, probe, out),
+            Message::Report(report) => {
+                parts.spread.heard(&mut turn, &from, report.version);
+                parts.spread.answer(&mut turn, &from, report.version);
+                let group = report.group.clone();
+                self.with_steward(&group, out, |steward, turn| steward.reported(turn, report));
+            }
+            Message::Control(control) => self.control(from, control, out),
+            Message::Controlled(controlled) => {
+                let Some(group) = turn.world.group_of(&controlled.database).cloned() else {
+                    return;
+                };
+                self.with_steward(&group, out, |steward, turn| {
+                    steward.controlled(turn, controlled);
+                });
+            }
+            Message::Yield(handover) => {
+                let group = handover.group.clone();
+                self.join_steward(&group, out, |steward, turn| {
+                    steward.yielded(turn, &from, handover);
+                });
+            }
+            Message::Suspect(suspect) => self.suspect(from, suspect, out),
+            Message::Suspected(suspected) => {
+                let group = suspected.group.clone();
+                if let Some(primary) = &suspected.primary {
+                    turn.world.learn(&group, primary);
+                }
+                self.with_steward(&group, out, |steward, turn| {
+                    steward.evidence(turn, &from, suspected);
+                });
+            }
+            Message::Hello(hello) => self.hello(from, hello, out),
+            Message::Want(version) => parts.spread.want(&mut turn, &from, version),
+            Message::Document(packed) => match spread::unpack(&packed) {
+                Some(accepted) => {
+                    let settled = parts.spread.offered(&mut turn, Arc::new(accepted));
+                    self.put_in_force(settled, out);
+                }
+                None => turn.world.counters.nonsense += 1,
+            },
+        }
+    }
+
+    fn each_holder(
+        &mut self,
+        out: &mut Vec<Output>,
+        mut act: impl FnMut(&mut crate::core::holder::Holder, &mut crate::core::world::Turn),
+    ) {
+        let databases: Vec<DatabaseId> = self.holders.keys().cloned().collect();
+        for database in databases {
+            self.with_holder(&database, out, &mut act);
+        }
+    }
+
+    fn work(&mut self, from: VmId, work: Work, out: &mut Vec<Output>) {
+        let (database, request) = (work.database.clone(), work.request);
+        let to = from.clone();
+        let known = self.with_holder(&database, out, |holder, turn| {
+            holder.offer(turn, from, work);
+        });
+        if known {
+            return;
+        }
+        let (mut turn, _) = self.turn(out);
+        let not_run = NotRun {
+            cause: Cause::Refused,
+            retry_after: Span::ZERO,
+        };
+        let answer = Answer {
+            request,
+            outcome: Outcome::NotRun(not_run),
+            refused: None,
+            lease: None,
+            hint: Hint::default(),
+        };
+        turn.send(&to, Message::Answer(answer));
+    }
+
+    /// A steward probes a database that it takes this VM for the holder of.
+    fn probe(&mut self, from: VmId, probe: Probe, out: &mut Vec<Output>) {
+        let (mut turn, parts) = self.turn(out);
+        parts.spread.heard(&mut turn, &from, probe.version);
+        parts.spread.answer(&mut turn, &from, probe.version);
+        let news = turn.world.learn(&probe.group, &probe.primary);
+        let (group, database) = (probe.group.clone(), probe.database.clone());
+        if news {
+            parts.entry.heard_leader(&mut turn, &group);
+        }
+        let current = turn.world.leaders.get(&group) == Some(&probe.primary);
+        self.join_steward(&group, out, |steward, turn| steward.probed(turn, &probe));
+        self.with_holder(&database, out, |holder, turn| {
+            if news {
+                holder.proofs.clear();
+            }
+            if let Some(fresh) = probe.fresh.as_ref().filter(|_| current) {
+                holder.proofs.learn(fresh);
+            }
+            turn.order(&database, Order::Report, Errand::Probe { from, probe });
+        });
+    }
+
+    fn control(&mut self, from: VmId, control: Control, out: &mut Vec<Output>) {
+        let (mut turn, _) = self.turn(out);
+        let (request, database) = (control.request, control.database.clone());
+        let errand = Errand::Relay {
+            from: from.clone(),
+            control: control.clone(),
+        };
+        if turn.order(&database, control.order, errand) {
+            return;
+        }
+        let controlled = Controlled {
+            request,
+            database,
+            result: None,
+        };
+        turn.send(&from, Message::Controlled(controlled));
+    }
+
+    /// Another VM asks for evidence on a group's leader. A leader that asks about its own
+    /// primary wants it tried from here.
+    fn suspect(&mut self, from: VmId, suspect: Suspect, out: &mut Vec<Output>) {
+        let leader = suspect
+            .primary
+            .as_ref()
+            .filter(|leader| leader.steward == from);
+        if let Some(leader) = leader {
+            let database = leader.database.clone();
+            let errand = Errand::Reach {
+                from: from.clone(),
+                suspect: suspect.clone(),
+            };
+            let (mut turn, _) = self.turn(out);
+            if turn.order(&database, Order::Report, errand) {
+                return;
+            }
+        }
+        let group = suspect.group.clone();
+        self.join_steward(&group, out, |steward, turn| {
+            steward.suspected(turn, &from, suspect, None);
+        });
+    }
+
+    /// A database answered an order.
+    pub(super) fn controlled(&mut self, event: Event, out: &mut Vec<Output>) {
+        let Event::Controlled { id, result } = event else {
+            return;
+        };
+        let Some(errand) = self.world.errands.remove(&id) else {
+            return;
+        };
+        let state = result
+            .as_ref()
+            .and_then(|result| result.as_ref().ok())
+            .cloned();
+        match errand {
+            Errand::Refresh(database) => self.observe(&database, state, out),
+            Errand::Probe { from, probe } => self.report(from, probe, state, out),
+            Errand::Relay { from, control } => self.relay(from, control, result, state, out),
+            Errand::Reach { from, suspect } => {
+                let leads = |state: &State| {
+                    state.open
+                        && suspect
+                            .primary
+                            .as_ref()
+                            .is_some_and(|p| p.term == state.term)
+                };
+                let reached = state.as_ref().is_some_and(leads);
+                let group = suspect.group.clone();
+                self.join_steward(&group, out, |steward, turn| {
+                    steward.suspected(turn, &from, suspect, Some(reached));
+                });
+            }
+        }
+    }
+
+    fn observe(&mut self, database: &DatabaseId, state: Option<State>, out: &mut Vec<Output>) {
+        self.with_holder(database, out, |holder, turn| holder.observe(turn, state));
+    }
+
+    fn report(&mut self, from: VmId, probe: Probe, state: Option<State>, out: &mut Vec<Output>) {
+        let found = state.as_ref().map(|state| Found {
+            term: state.term,
+            position: state.position,
+            open: state.open,
+        });
+        self.with_holder(&probe.database, out, |holder, turn| {
+            holder.observe(turn, state);
+            holder.proofs.reported(probe.round, turn.now);
+        });
+        let (mut turn, _) = self.turn(out);
+        let report = Report {
+            group: probe.group,
+            database: probe.database,
+            round: probe.round,
+            found,
+            version: turn.version(),
+        };
+        turn.send(&from, Message::Report(report));
+    }
+
+    fn relay(
+        &mut self,
+        from: VmId,
+        control: Control,
+        result: Option<Result<State, Refusal>>,
+        state: Option<State>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.holders.contains_key(&control.database) {
+            self.observe(&control.database, state, out);
+        }
+        let (mut turn, _) = self.turn(out);
+        let controlled = Controlled {
+            request: control.request,
+            database: control.database,
+            result,
+        };
+        turn.send(&from, Message::Controlled(controlled));
+    }
+
+    /// Another VM tells of itself.
+    ///
+    /// Failure: a VM was replaced by another of its name before its stream was seen to break.
+    /// Symptom: its predecessor's transactions stay open and get the newcomer's statements.
+    /// Enough, because another life ends whatever the former one had here.
+    fn hello(&mut self, from: VmId, hello: Hello, out: &mut Vec<Output>) {
+        let peer = self.world.peers.entry(from.clone()).or_default();
+        let replaced = peer.life.is_some_and(|life| life != hello.life);
+        peer.life = Some(hello.life);
+        peer.stopping = hello.stopping;
+        if replaced {
+            self.peer_lost(&from, true, out);
+        }
+        let (mut turn, parts) = self.turn(out);
+        parts.spread.meet();
+        parts.spread.heard(&mut turn, &from, hello.version);
+        parts.spread.answer(&mut turn, &from, hello.version);
+        let settled = parts.spread.settle(&mut turn);
+        self.put_in_force(settled, out);
+    }
+
+    pub(super) fn peer_down(&mut self, vm: &VmId, out: &mut Vec<Output>) {
+        let left = self.world.peer_down(self.now, vm);
+        self.peer_lost(vm, left, out);
+    }
+
+    fn peer_lost(&mut self, vm: &VmId, left: bool, out: &mut Vec<Output>) {
+        let (mut turn, parts) = self.turn(out);
+        parts.entry.peer_down(&mut turn, vm, left);
+        self.each_holder(out, |holder, turn| holder.depart(turn, vm, None));
+        let groups: Vec<_> = self.stewards.keys().cloned().collect();
+        for group in groups {
+            self.with_steward(&group, out, |steward, turn| steward.peer_down(turn, vm));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/session.rs
@@ -0,0 +1,128 @@
+//! What a steward remembers of its group's sessions: floors, and the leases given on them.
+
+use crate::clock::Time;
+use crate::core::recent::Recent;
+use crate::types::{Position, SessionId, VmId};
+
+/// Sessions remembered for each group, about 200 bytes each. A session that is forgotten costs
+/// only replica reads, not correctness, until the replicas have passed the horizon.
+const SESSIONS_KEPT: usize = 8_192;
+
+/// The floors of a group's sessions under one term.
+#[derive(Debug)]
+pub(crate) struct Sessions {
+    /// The floor of every session without a seat.
+    horizon: Position,
+    seats: Recent<SessionId, Seat>,
+    /// Until when leases may be in use whose session was forgotten.
+    forgotten_until: Time,
+}
+
+#[derive(Debug)]
+struct Seat {
+    floor: Position,
+    leases: Vec<Holding>,
+}
+
+/// A lease that an entry may be using.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Holding {
+    /// The entry; `None` where it was forgotten and cannot be asked to give it up.
+    pub vm: Option<VmId>,
+    /// When it lapses by itself.
+    pub until: Time,
+}
+
+impl Sessions {
+    /// The sessions of a term whose log starts at `base`.
+    ///
+    /// Failure: a steward that has just taken over knows no session. Symptom: a session's read
+    /// is served by a replica that lacks its write. Enough, because every acknowledged write of
+    /// a former term that was kept lies at or below the base.
+    pub fn new(base: Position) -> Self {
+        Self {
+            horizon: base,
+            seats: Recent::new(SESSIONS_KEPT),
+            forgotten_until: Time::default(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.seats.len()
+    }
+
+    pub fn horizon(&self) -> Position {
+        self.horizon
+    }
+
+    /// Leases the floor of `session` to `vm` until `until`.
+    pub fn grant(&mut self, session: &SessionId, vm: &VmId, now: Time, until: Time) -> Position {
+        let seat = self.seat(session);
+        seat.leases.retain(|lease| lease.until > now);
+        match seat.leases.iter_mut().find(|l| l.vm.as_ref() == Some(vm)) {
+            Some(lease) => lease.until = lease.until.max(until),
+            None => seat.leases.push(Holding {
+                vm: Some(vm.clone()),
+                until,
+            }),
+        }
+        seat.floor
+    }
+
+    /// `session` wrote up to `position` by way of `vm`. Returns the leases of other entries,
+    /// which have to end before the write is acknowledged.
+    pub fn wrote(
+        &mut self,
+        session: &SessionId,
+        vm: &VmId,
+        position: Position,
+        now: Time,
+    ) -> Vec<Holding> {
+        let seat = self.seat(session);
+        if position.offset > seat.floor.offset {
+            seat.floor = position;
+        }
+        let other = |lease: &&Holding| lease.until > now && lease.vm.as_ref() != Some(vm);
+        seat.leases.iter().filter(other).cloned().collect()
+    }
+
+    /// `vm` gave its lease up.
+    pub fn released(&mut self, session: &SessionId, vm: &VmId) {
+        if let Some(seat) = self.seats.get_mut(session) {
+            seat.leases.retain(|lease| lease.vm.as_ref() != Some(vm));
+        }
+    }
+
+    /// Until when any lease may be in use.
+    pub fn leased_until(&self) -> Time {
+        let leases = self.seats.iter().flat_map(|(_, seat)| &seat.leases);
+        let last = leases.map(|lease| lease.until).max().unwrap_or_default();
+        last.max(self.forgotten_until)
+    }
+
+    /// Failure: sessions come and go without end. Symptom: the steward runs out of memory, or
+    /// forgets a floor and serves an older row. Enough, because the horizon rises to the floor
+    /// of whatever is forgotten, and a write waits for the leases forgotten with it.
+    fn seat(&mut self, session: &SessionId) -> &mut Seat {
+        let horizon = self.horizon;
+        let forgotten = Holding {
+            vm: None,
+            until: self.forgotten_until,
+        };
+        let make = || Seat {
+            floor: horizon,
+            leases: vec![forgotten],
+        };
+        let (seat, evicted) = self.seats.touch(session, make);
+        let Some((_, old)) = evicted else {
+            return seat;
+        };
+        if old.floor.offset > self.horizon.offset {
+            self.horizon = old.floor;
+            seat.floor = old.floor;
+        }
+        let lapse = old.leases.iter().map(|lease| lease.until).max();
+        self.forgotten_until = self.forgotten_until.max(lapse.unwrap_or_default());
+        seat
+    }
+}
--- /dev/null
+++ b/src/core/steward/election.rs
@@ -0,0 +1,369 @@
+//! Taking a group over: evidence from the holders of a majority, then a raise of the term at a
+//! majority of its databases, then the wait for the former term's confirmations to lapse.
+
+use super::{Evidence, Opening, Phase, Raising, Steward};
+use crate::clock::{Span, Time};
+use crate::core::database::{Order, Refusal, State};
+use crate::core::detect::Detector;
+use crate::core::message::{Control, Controlled, Message, Primary, Suspect, Suspected, Yield};
+use crate::core::term::{Promotion, majority};
+use crate::core::world::Turn;
+use crate::types::{DatabaseId, RequestId, Term, VmId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Tries with ever higher terms before the field is left to another VM.
+const TRIES: u32 = 3;
+
+impl Steward {
+    /// Suspects the steward once it was silent for long enough. VMs wait by rank, so that two
+    /// seldom raise the term against each other; if they do, the higher term wins.
+    pub(super) fn watch_steward(&mut self, turn: &mut Turn) {
+        if turn.world.stopping || turn.now < self.patience || !self.watch.suspects(turn.now) {
+            return;
+        }
+        let Some(rank) = self.rank(turn) else {
+            self.patience = turn.now + turn.timing().suspicion;
+            return;
+        };
+        let step = turn.timing().probe;
+        let turn_comes = self.watch.suspects_at() + Span(step.0 * rank);
+        if turn.now < turn_comes {
+            self.patience = turn_comes;
+            return;
+        }
+        self.gather(turn);
+    }
+
+    /// This VM's place among the holders of the group's databases, the primary's first; `None`
+    /// if it holds none.
+    fn rank(&self, turn: &mut Turn) -> Option<u64> {
+        let primary = self.leader(turn).map(|leader| leader.database);
+        let first = primary.iter().filter(|id| self.members.contains(*id));
+        let others = self
+            .members
+            .iter()
+            .filter(|id| Some(*id) != primary.as_ref());
+        let mut databases = first.chain(others);
+        let place = databases.position(|id| turn.world.holds(turn.now, id))?;
+        Some(place as u64)
+    }
+
+    /// Asks the holders of the other databases whether they miss the steward too.
+    ///
+    /// Failure: one VM is cut from a steward that serves everybody else. Symptom: a promotion
+    /// for nothing, and a gap for all. Enough, because a steward that serves probes a majority
+    /// of the databases, and their holders say so.
+    fn gather(&mut self, turn: &mut Turn) {
+        let mut silent = BTreeSet::new();
+        let mut asked = BTreeMap::new();
+        for (vm, databases) in self.holders(turn) {
+            if vm == turn.world.me.vm {
+                silent.extend(databases);
+                continue;
+            }
+            let request = turn.id();
+            let suspect = Suspect {
+                request,
+                group: self.group.clone(),
+                primary: self.leader(turn),
+            };
+            turn.send(&vm, Message::Suspect(suspect));
+            asked.insert(request, vm);
+        }
+        let until = turn.now + turn.timing().probe;
+        self.phase = Phase::Gather(Evidence {
+            silent,
+            asked,
+            until,
+        });
+        self.weigh(turn);
+    }
+
+    fn holders(&self, turn: &mut Turn) -> BTreeMap<VmId, Vec<DatabaseId>> {
+        let mut holders: BTreeMap<VmId, Vec<DatabaseId>> = BTreeMap::new();
+        for id in &self.members {
+            let vm = turn.world.holder(turn.now, id);
+            holders.entry(vm).or_default().push(id.clone());
+        }
+        holders
+    }
+
+    /// A holder's evidence arrived.
+    pub fn evidence(&mut self, turn: &mut Turn, from: &VmId, suspected: Suspected) {
+        if self.leads() {
+            return self.reachable(turn, from, suspected);
+        }
+        let Phase::Gather(evidence) = &mut self.phase else {
+            return;
+        };
+        if evidence.asked.get(&suspected.request) != Some(from) {
+            return;
+        }
+        evidence.asked.remove(&suspected.request);
+        if suspected.heard {
+            return self.rest(turn);
+        }
+        let theirs = self.holders(turn).remove(from).unwrap_or_default();
+        if let Phase::Gather(evidence) = &mut self.phase {
+            evidence.silent.extend(theirs);
+        }
+        self.weigh(turn);
+    }
+
+    fn weigh(&mut self, turn: &mut Turn) {
+        let Phase::Gather(evidence) = &self.phase else {
+            return;
+        };
+        if evidence.silent.len() >= majority(self.members.len()) {
+            self.raise(turn, self.term.next(), false, 0);
+        }
+    }
+
+    /// Gives up for now: the steward is heard by others, or there is not enough evidence.
+    pub(super) fn rest(&mut self, turn: &mut Turn) {
+        let spread = turn.timing().probe;
+        let jitter = turn.world.random(spread.0.max(1) as usize) as u64;
+        self.patience = turn.now + spread + Span(jitter);
+        self.phase = Phase::Follow;
+    }
+
+    /// Raises the term at every database of the group.
+    pub(super) fn raise(&mut self, turn: &mut Turn, term: Term, yielded: bool, tries: u32) {
+        let mut asked = BTreeMap::new();
+        for id in &self.members {
+            let request = self.order(turn, id, Order::Raise(term));
+            asked.insert(request, id.clone());
+        }
+        self.phase = Phase::Raise(Raising {
+            promotion: Promotion::new(term, self.members.clone()),
+            asked,
+            yielded,
+            tries,
+            choose_at: Time::default(),
+            until: turn.now + turn.timing().suspicion,
+        });
+    }
+
+    /// Sends an order to a database by way of its holder, unless that is the VM under suspicion.
+    pub(super) fn order(&self, turn: &mut Turn, id: &DatabaseId, order: Order) -> RequestId {
+        let request = turn.id();
+        let holder = turn.world.holder(turn.now, id);
+        let suspect = self
+            .leader(turn)
+            .is_some_and(|leader| leader.steward == holder);
+        let to = if suspect {
+            turn.world.me.vm.clone()
+        } else {
+            holder
+        };
+        self.send_order(turn, &to, request, id, order);
+        request
+    }
+
+    pub(super) fn send_order(
+        &self,
+        turn: &mut Turn,
+        to: &VmId,
+        request: RequestId,
+        id: &DatabaseId,
+        order: Order,
+    ) {
+        let control = Control {
+            request,
+            database: id.clone(),
+            order,
+        };
+        turn.send(to, Message::Control(control));
+    }
+
+    /// A database answered an order of this steward.
+    pub fn controlled(&mut self, turn: &mut Turn, controlled: Controlled) {
+        match &self.phase {
+            Phase::Raise(_) => self.raised(turn, controlled),
+            Phase::Open(opening) if opening.request == controlled.request => {
+                self.opened(turn, controlled.result);
+            }
+            Phase::Lead(_) => self.lead_controlled(turn, controlled),
+            _ => {}
+        }
+    }
+
+    fn raised(&mut self, turn: &mut Turn, controlled: Controlled) {
+        let window = turn.timing().window;
+        let Phase::Raise(raising) = &mut self.phase else {
+            return;
+        };
+        let Some(database) = raising.asked.remove(&controlled.request) else {
+            return;
+        };
+        let term = raising.promotion.term();
+        match controlled.result {
+            Some(Ok(state)) if state.term == term => {
+                let end = state.position;
+                raising.promotion.raised(&database, end, turn.now, window);
+                if raising.yielded {
+                    raising.promotion.yielded();
+                }
+                if raising.choose_at == Time::default() && raising.promotion.settled().is_some() {
+                    raising.choose_at = turn.now + turn.timing().probe;
+                }
+                self.tick_raise(turn);
+            }
+            Some(Ok(_)) | None => {}
+            Some(Err(Refusal::Term(higher))) => self.outbid(turn, higher),
+            Some(Err(_)) => {}
+        }
+    }
+
+    /// A database is in a higher term, or in this one by an order whose answer was lost or by
+    /// another steward. Only a term that this VM alone raised may be opened, so a higher one is
+    /// tried, a few times.
+    fn outbid(&mut self, turn: &mut Turn, higher: Term) {
+        let Phase::Raise(raising) = &self.phase else {
+            return;
+        };
+        if raising.promotion.settled().is_some() {
+            return;
+        }
+        let tries = raising.tries + 1;
+        turn.world.counters.promotions_abandoned += 1;
+        self.term = self.term.max(higher);
+        if tries >= TRIES {
+            return self.rest(turn);
+        }
+        // A higher term than the one handed over may have confirmations of its own.
+        self.raise(turn, self.term.next(), false, tries);
+    }
+
+    pub(super) fn tick_raise(&mut self, turn: &mut Turn) {
+        let Phase::Raise(raising) = &self.phase else {
+            return;
+        };
+        if raising.promotion.settled().is_none() {
+            if raising.until <= turn.now {
+                let term = raising.promotion.term();
+                turn.world.counters.promotions_abandoned += 1;
+                self.term = self.term.max(term);
+                self.rest(turn);
+            }
+            return;
+        }
+        if raising.opens().is_some_and(|at| at <= turn.now) {
+            self.open(turn);
+        }
+    }
+
+    fn open(&mut self, turn: &mut Turn) {
+        let Phase::Raise(raising) = &self.phase else {
+            return;
+        };
+        let leaving = |id: &DatabaseId| turn.world.database(id).is_none_or(|found| found.leaving);
+        let Some((primary, base)) = raising.promotion.choice_with(leaving) else {
+            return;
+        };
+        let (term, primary) = (raising.promotion.term(), primary.clone());
+        let request = turn.id();
+        let me = turn.world.me.vm.clone();
+        self.send_order(turn, &me, request, &primary, Order::Open(term));
+        self.phase = Phase::Open(Opening {
+            term,
+            primary,
+            base,
+            request,
+            again: turn.now + turn.timing().probe,
+            until: turn.now + turn.timing().suspicion,
+        });
+    }
+
+    pub(super) fn tick_open(&mut self, turn: &mut Turn) {
+        let Phase::Open(opening) = &self.phase else {
+            return;
+        };
+        if opening.until <= turn.now {
+            // The chosen database went away meanwhile, or only another VM reaches it.
+            self.term = self.term.max(opening.term);
+            turn.world.counters.promotions_abandoned += 1;
+            return self.rest(turn);
+        }
+        if opening.again > turn.now {
+            return;
+        }
+        let (primary, term) = (opening.primary.clone(), opening.term);
+        let request = turn.id();
+        let me = turn.world.me.vm.clone();
+        self.send_order(turn, &me, request, &primary, Order::Open(term));
+        let again = turn.now + turn.timing().probe;
+        if let Phase::Open(opening) = &mut self.phase {
+            (opening.request, opening.again) = (request, again);
+        }
+    }
+
+    fn opened(&mut self, turn: &mut Turn, result: Option<Result<State, Refusal>>) {
+        let Phase::Open(opening) = &self.phase else {
+            return;
+        };
+        let (term, base) = (opening.term, opening.base);
+        match result {
+            Some(Ok(state)) if state.open && state.term == term => {
+                let primary = Primary {
+                    term,
+                    database: opening.primary.clone(),
+                    steward: turn.world.me.vm.clone(),
+                };
+                self.take_lead(turn, primary, base, state);
+            }
+            Some(Err(Refusal::Term(higher))) => {
+                self.term = self.term.max(higher).max(term);
+                turn.world.counters.promotions_abandoned += 1;
+                self.rest(turn);
+            }
+            _ => {}
+        }
+    }
+
+    /// A stopping steward hands the group over: there is nothing to wait out.
+    ///
+    /// Failure: the message is old, and another term has begun since. Symptom: a steward that
+    /// still acknowledges is not waited for. Enough, because only the leader known here can
+    /// hand over, and a raise above any later term fails at the databases that follow it.
+    pub fn yielded(&mut self, turn: &mut Turn, from: &VmId, handover: Yield) {
+        let term = handover.primary.term;
+        if turn.world.stopping || handover.primary.steward != *from || term < self.term {
+            return;
+        }
+        if self.is_active() {
+            return;
+        }
+        self.term = term;
+        self.watch = Detector::new(turn.now, turn.timing().suspicion);
+        self.raise(turn, term.next(), true, 0);
+    }
+
+    /// A stream broke: what was asked over it is not waited for.
+    pub fn peer_down(&mut self, turn: &mut Turn, vm: &VmId) {
+        let Phase::Gather(evidence) = &mut self.phase else {
+            return;
+        };
+        evidence.asked.retain(|_, asked| asked != vm);
+        if evidence.asked.is_empty() {
+            self.rest(turn);
+        }
+    }
+}
+
+impl Raising {
+    /// When the choice is made: not before the former term's confirmations have lapsed, and
+    /// not before every database was heard or had a fair time to answer, because a log that
+    /// goes further than the majority's holds writes that callers may ask after.
+    fn opens(&self) -> Option<Time> {
+        let opens = self.promotion.opens()?;
+        if self.promotion.complete() {
+            return Some(opens);
+        }
+        Some(opens.max(self.choose_at))
+    }
+
+    pub(super) fn wake(&self) -> Time {
+        self.opens().unwrap_or(self.until)
+    }
+}
--- a/src/core/term.rs
+++ b/src/core/term.rs
@@ -166,11 +166,21 @@
     /// write is gone. Enough, because any two majorities share a database that has the write,
     /// and a log that ends higher holds all of it.
     pub fn choice(&self) -> Option<(&DatabaseId, Position)> {
+        self.choice_with(|_| false)
+    }
+
+    /// As [`choice`](Self::choice); of logs that go equally far, one whose database is not to
+    /// be avoided comes first.
+    pub fn choice_with(
+        &self,
+        avoid: impl Fn(&DatabaseId) -> bool,
+    ) -> Option<(&DatabaseId, Position)> {
         self.settled?;
+        let rank = |id| (!avoid(id), std::cmp::Reverse(id));
         let best = self
             .raised
             .iter()
-            .max_by_key(|(id, end)| (**end, std::cmp::Reverse(*id)))?;
+            .max_by_key(|(id, end)| (**end, rank(*id)))?;
         Some((best.0, *best.1))
     }
 
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,462 @@
+//! Proxies' cores and databases on one virtual clock, for tests of the core alone.
+
+#![allow(dead_code)]
+
+mod database;
+
+use database::Database;
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::config::{Accepted, Document};
+use lentilspoke::core::database::{Command, Event};
+use lentilspoke::core::member::Member;
+use lentilspoke::core::message::Message;
+use lentilspoke::core::node::{Identity, Input, Node, Output};
+use lentilspoke::core::request::{Kind, Outcome, Request};
+use lentilspoke::types::{ConnId, DatabaseId, Life, Link, Position, RequestKey, Version, VmId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// One way between any two ends.
+pub const LATENCY: Span = Span(500);
+/// How long a broken stream takes to be noticed.
+pub const NOTICE: Span = Span::from_millis(200);
+
+/// Something that is going to happen.
+#[derive(Debug)]
+pub enum Coming {
+    Input(VmId, Input),
+    Command(VmId, Command),
+    Event(DatabaseId, VmId, Event),
+    Replicate(DatabaseId, DatabaseId),
+    Apply(DatabaseId, usize),
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    pub at: Time,
+    pub outcome: Outcome,
+    pub floor: Option<Position>,
+}
+
+/// The whole of a test.
+pub struct World {
+    pub now: Time,
+    pub nodes: BTreeMap<VmId, Node>,
+    pub databases: BTreeMap<DatabaseId, Database>,
+    pub told: BTreeMap<Link, Vec<Told>>,
+    pub dismissed: Vec<Link>,
+    pub stopped: BTreeSet<VmId>,
+    /// VMs that are paused: what comes to them waits.
+    pub paused: BTreeSet<VmId>,
+    /// Pairs of names between which nothing passes, in either direction.
+    pub cut: BTreeSet<(String, String)>,
+    pub sent: Vec<(VmId, VmId, Message)>,
+    /// Messages that are swallowed.
+    pub swallow: Option<fn(&Message) -> bool>,
+    owners: BTreeMap<(VmId, ConnId), DatabaseId>,
+    queue: BTreeMap<(Time, u64), Coming>,
+    sequence: u64,
+    document: Document,
+    version: u64,
+    members: Vec<Member>,
+    lives: u64,
+}
+
+pub fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+/// A group `ledger` of `a`, `b` and `c` in domains `x`, `y`, `z`; pools `safe` (majority) and
+/// `fast` (primary).
+pub fn document() -> Document {
+    serde_json::from_str(
+        r#"{
+        "groups": {"ledger": {"databases": {
+            "a": {"address": "10.0.0.1:1", "domain": "x", "slots": 3, "connections": 8},
+            "b": {"address": "10.0.0.2:1", "domain": "y", "slots": 3, "connections": 8},
+            "c": {"address": "10.0.0.3:1", "domain": "z", "slots": 3, "connections": 8}}}},
+        "pools": {
+            "safe": {"groups": ["ledger"]},
+            "fast": {"groups": ["ledger"], "callers": ["fast"], "durability": "primary"}}
+    }"#,
+    )
+    .unwrap()
+}
+
+impl World {
+    /// `vms` proxies, one a domain in turn, and the databases of `document`.
+    pub fn new(vms: usize) -> Self {
+        let document = document();
+        let databases = document.groups.values().flat_map(|g| g.databases.keys());
+        let mut world = Self {
+            now: Time(1_000_000),
+            nodes: BTreeMap::new(),
+            databases: databases
+                .map(|id| (id.clone(), Database::new(id)))
+                .collect(),
+            told: BTreeMap::new(),
+            dismissed: Vec::new(),
+            stopped: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            sent: Vec::new(),
+            swallow: None,
+            owners: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            document,
+            version: 0,
+            members: Vec::new(),
+            lives: 0,
+        };
+        for index in 0..vms {
+            world.members.push(member(index));
+        }
+        for index in 0..vms {
+            world.start(&member(index).vm);
+        }
+        world
+    }
+
+    /// Starts a VM's process and opens its streams.
+    pub fn start(&mut self, vm: &VmId) {
+        self.lives += 1;
+        let identity = Identity {
+            vm: vm.clone(),
+            domain: self
+                .members
+                .iter()
+                .find(|m| m.vm == *vm)
+                .unwrap()
+                .domain
+                .clone(),
+            life: Life(self.lives),
+        };
+        let others: Vec<VmId> = self.nodes.keys().cloned().collect();
+        self.nodes.insert(vm.clone(), Node::new(identity, self.now));
+        self.input(vm, Input::Members(self.members.clone()));
+        self.input(vm, Input::Accepted(self.accepted()));
+        for other in others {
+            self.input(vm, Input::PeerUp(other.clone()));
+            self.input(&other, Input::PeerUp(vm.clone()));
+        }
+    }
+
+    pub fn accepted(&self) -> Arc<Accepted> {
+        Arc::new(Accepted {
+            version: Version(1 + self.version),
+            document: self.document.clone(),
+        })
+    }
+
+    /// A later configuration, not given to anybody yet.
+    pub fn change(&mut self, change: impl FnOnce(&mut Document)) -> Arc<Accepted> {
+        self.version += 1;
+        change(&mut self.document);
+        self.accepted()
+    }
+
+    /// Ends a VM's process at once; the others notice after a while.
+    pub fn kill(&mut self, vm: &str) {
+        let vm: VmId = id(vm);
+        self.nodes.remove(&vm);
+        let others: Vec<VmId> = self.nodes.keys().cloned().collect();
+        for other in others {
+            self.later(NOTICE, Coming::Input(other, Input::PeerDown(vm.clone())));
+        }
+        for database in self.databases.values_mut() {
+            database.forget(&vm);
+        }
+    }
+
+    /// Cuts two names off from each other; streams are noticed to be broken after a while.
+    pub fn cut(&mut self, one: &str, other: &str) {
+        self.cut.insert((one.into(), other.into()));
+        self.cut.insert((other.into(), one.into()));
+        let pair = (one.parse::<VmId>(), other.parse::<VmId>());
+        let (Ok(one), Ok(other)) = pair else { return };
+        if self.nodes.contains_key(&one) && self.nodes.contains_key(&other) {
+            let (down, up) = (Input::PeerDown(other.clone()), Input::PeerDown(one.clone()));
+            self.later(NOTICE, Coming::Input(one, down));
+            self.later(NOTICE, Coming::Input(other, up));
+        }
+    }
+
+    /// Ends every cut; streams open again.
+    pub fn heal(&mut self) {
+        for (one, other) in std::mem::take(&mut self.cut) {
+            let (one, other): (VmId, VmId) = (id(&one), id(&other));
+            if self.nodes.contains_key(&one) && self.nodes.contains_key(&other) {
+                self.input(&one, Input::PeerUp(other));
+            }
+        }
+    }
+
+    pub fn kill_database(&mut self, database: &str) {
+        let id: DatabaseId = id(database);
+        let lost = self.databases.get_mut(&id).unwrap().kill();
+        for (vm, conn) in lost {
+            self.later(
+                LATENCY,
+                Coming::Event(id.clone(), vm, Event::Closed { conn }),
+            );
+        }
+    }
+
+    /// A request at a proxy; the answer is in `told`.
+    pub fn submit(&mut self, vm: &str, request: Request) {
+        self.input(&id(vm), Input::Submit(request));
+    }
+
+    pub fn input(&mut self, vm: &VmId, input: Input) {
+        self.later(Span::ZERO, Coming::Input(vm.clone(), input));
+    }
+
+    pub fn later(&mut self, span: Span, coming: Coming) {
+        self.sequence += 1;
+        self.queue.insert((self.now + span, self.sequence), coming);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.step(until) {}
+        self.now = until;
+    }
+
+    /// Lets time pass until `link` has been told `count` things, or ten seconds are over.
+    pub fn wait(&mut self, link: u64, count: usize) -> Outcome {
+        let until = self.now + Span::from_secs(10);
+        while self.told.get(&Link(link)).map_or(0, Vec::len) < count {
+            assert!(self.step(until), "nobody told {link} {count} things");
+        }
+        self.told[&Link(link)][count - 1].outcome.clone()
+    }
+
+    fn step(&mut self, until: Time) -> bool {
+        let wakes = self
+            .nodes
+            .iter()
+            .filter(|(vm, _)| !self.paused.contains(*vm));
+        let wake = wakes
+            .filter_map(|(vm, node)| Some((node.wake()?, vm.clone())))
+            .min();
+        let next = self.queue.first_key_value().map(|(key, _)| key.0);
+        let at = [next, wake.as_ref().map(|wake| wake.0)]
+            .into_iter()
+            .flatten()
+            .min();
+        let Some(at) = at.filter(|at| *at <= until) else {
+            return false;
+        };
+        self.now = self.now.max(at);
+        if next.is_some_and(|next| next <= at) {
+            let (_, coming) = self.queue.pop_first().unwrap();
+            self.happen(coming);
+        } else if let Some((_, vm)) = wake {
+            self.now = self.now + Span(1);
+            self.happen(Coming::Input(vm, Input::Tick));
+        }
+        true
+    }
+
+    fn happen(&mut self, coming: Coming) {
+        match coming {
+            Coming::Input(vm, input) if self.paused.contains(&vm) => {
+                self.later(Span::from_millis(1), Coming::Input(vm, input));
+            }
+            Coming::Input(vm, input) => {
+                let Some(node) = self.nodes.get_mut(&vm) else {
+                    return;
+                };
+                let mut out = Vec::new();
+                node.handle(self.now, input, &mut out);
+                for output in out {
+                    self.output(&vm, output);
+                }
+            }
+            Coming::Command(vm, command) => self.command(vm, command),
+            Coming::Event(database, vm, event) => {
+                if !self.is_cut(vm.as_str(), database.as_str()) {
+                    self.happen(Coming::Input(vm, Input::Database(event)));
+                }
+            }
+            Coming::Replicate(from, to) => {
+                if !self.is_cut(from.as_str(), to.as_str()) {
+                    let source = self.databases[&from].clone();
+                    let replica = self.databases.get_mut(&to).unwrap();
+                    let (events, lag) = (replica.follow(&source), replica.lag);
+                    let length = source.log.len();
+                    self.later(lag, Coming::Apply(to.clone(), length));
+                    for (vm, event) in events {
+                        self.later(LATENCY, Coming::Event(to.clone(), vm, event));
+                    }
+                }
+            }
+            Coming::Apply(id, length) => self.databases.get_mut(&id).unwrap().apply(length),
+        }
+    }
+
+    fn output(&mut self, vm: &VmId, output: Output) {
+        match output {
+            Output::Reply {
+                link,
+                outcome,
+                floor,
+            } => {
+                let told = Told {
+                    at: self.now,
+                    outcome,
+                    floor,
+                };
+                self.told.entry(link).or_default().push(told);
+            }
+            Output::Dismiss(link) => self.dismissed.push(link),
+            Output::Send { to, message } => {
+                self.sent.push((vm.clone(), to.clone(), message.clone()));
+                let swallowed = self.swallow.is_some_and(|swallow| swallow(&message));
+                if !swallowed && !self.is_cut(vm.as_str(), to.as_str()) {
+                    let from = vm.clone();
+                    self.later(LATENCY, Coming::Input(to, Input::Message { from, message }));
+                }
+            }
+            Output::Database(command) => self.later(LATENCY, Coming::Command(vm.clone(), command)),
+            Output::Stopped => {
+                self.stopped.insert(vm.clone());
+            }
+        }
+    }
+
+    fn command(&mut self, vm: VmId, command: Command) {
+        let database = match &command {
+            Command::Connect { conn, database, .. } => {
+                self.owners.insert((vm.clone(), *conn), database.clone());
+                database.clone()
+            }
+            Command::Control { database, .. } => database.clone(),
+            Command::Run { conn, .. } | Command::Cancel { conn } | Command::Close { conn } => {
+                self.owners[&(vm.clone(), *conn)].clone()
+            }
+        };
+        let cut = self.is_cut(vm.as_str(), database.as_str());
+        let target = self.databases.get_mut(&database).unwrap();
+        let before = target.log.len();
+        let event = if cut {
+            target.unreachable(&command)
+        } else {
+            target.take(&vm, command)
+        };
+        let wrote = target.log.len() > before || target.just_opened();
+        let delay = if cut {
+            Span::from_millis(100)
+        } else {
+            target.work + LATENCY
+        };
+        if let Some(event) = event {
+            if cut {
+                self.later(delay, Coming::Input(vm.clone(), Input::Database(event)));
+            } else {
+                self.later(delay, Coming::Event(database.clone(), vm.clone(), event));
+            }
+        }
+        if wrote {
+            let others: Vec<DatabaseId> = self.databases.keys().cloned().collect();
+            for other in others.into_iter().filter(|other| *other != database) {
+                self.later(LATENCY, Coming::Replicate(database.clone(), other));
+            }
+        }
+    }
+
+    fn is_cut(&self, one: &str, other: &str) -> bool {
+        self.cut.contains(&(one.into(), other.into()))
+    }
+
+    /// The VM that leads the group, as most nodes' dumps say.
+    pub fn steward(&self) -> Option<VmId> {
+        let leads = |node: &Node| {
+            let state = serde_json::to_value(node.state()).unwrap();
+            state["stewards"]["ledger"]["phase"] == "lead"
+        };
+        let found = self.nodes.iter().find(|(_, node)| leads(node));
+        found.map(|(vm, _)| vm.clone())
+    }
+
+    pub fn dump(&self, vm: &str) -> serde_json::Value {
+        serde_json::to_value(self.nodes[&id::<VmId>(vm)].state()).unwrap()
+    }
+
+    /// The database that is open in the highest term.
+    pub fn primary(&self) -> Option<String> {
+        let open = self.databases.iter().filter(|(_, db)| db.open && db.up);
+        let primary = open.max_by_key(|(_, db)| db.term)?;
+        Some(primary.0.to_string())
+    }
+
+    pub fn database(&mut self, name: &str) -> &mut Database {
+        self.databases.get_mut(&id::<DatabaseId>(name)).unwrap()
+    }
+
+    pub fn request(&self, link: u64, kind: Kind, body: &str) -> Request {
+        Request {
+            link: Link(link),
+            session: None,
+            caller: id("broker"),
+            pool: id("safe"),
+            group: id("ledger"),
+            kind,
+            max_age: None,
+            key: None::<RequestKey>,
+            shown: None,
+            deadline: self.now + Span::from_secs(5),
+            body: body.to_owned().into(),
+        }
+    }
+
+    pub fn write(&mut self, vm: &str, link: u64, text: &str) {
+        let request = self.request(link, Kind::Write, &format!("w {text}"));
+        self.submit(vm, request);
+    }
+
+    pub fn read(&mut self, vm: &str, link: u64) {
+        let request = self.request(link, Kind::Read, "r");
+        self.submit(vm, request);
+    }
+
+    pub fn write_as(&mut self, vm: &str, link: u64, session: &str, text: &str) {
+        let mut request = self.request(link, Kind::Write, &format!("w {text}"));
+        request.session = Some(id(session));
+        self.submit(vm, request);
+    }
+
+    pub fn read_as(&mut self, vm: &str, link: u64, session: &str) {
+        let mut request = self.request(link, Kind::Read, "r");
+        request.session = Some(id(session));
+        self.submit(vm, request);
+    }
+}
+
+fn member(index: usize) -> Member {
+    let domains = ["x", "y", "z"];
+    Member {
+        vm: id(&format!("vm{index}")),
+        address: format!("10.1.0.{index}:1").parse().unwrap(),
+        domain: id(domains[index % domains.len()]),
+        leaving: false,
+    }
+}
+
+/// An outcome in a few words.
+pub fn short(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Done(done) => {
+            let by = if done.replica { "replica" } else { "primary" };
+            format!("done by {by}: {}", String::from_utf8_lossy(&done.body))
+        }
+        Outcome::NotRun(not_run) => format!("not run: {:?}", not_run.cause),
+        Outcome::Unknown(unknown) => format!("unknown: {unknown:?}"),
+    }
+}
