Experiment: patterns of load on virtual time against the real decisions and the naive rules

Cause: nothing showed what callers get. Change: src/experiment plays callers and databases and drives Gate, Router, Pool and Budget; cmd::experiment prints tables or JSON and checks the aims.

--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! A module for each subcommand.
+
+pub mod experiment;
--- /dev/null
+++ b/src/experiment/stats.rs
@@ -0,0 +1,178 @@
+//! What callers got, counted.
+
+use crate::clock::{Span, Time};
+use crate::experiment::pattern::Kind;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+
+/// How one request ended, as its caller sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Answered in time.
+    Done,
+    /// Answered after the caller had given up.
+    Late,
+    /// Turned away or given up unrun, and told so.
+    NotRun,
+    /// Lost with a database while it ran.
+    Unknown,
+}
+
+/// One request that ended.
+#[derive(Debug, Clone)]
+pub struct Ended<'a> {
+    /// What it was.
+    pub kind: Kind,
+    /// Whose it was.
+    pub caller: &'a str,
+    /// How.
+    pub end: End,
+    /// When it was first sent.
+    pub born: Time,
+    /// When its caller heard.
+    pub heard: Time,
+    /// What it would have taken without waiting for anything.
+    pub service: Span,
+    /// Whether a replica answered.
+    pub replica: bool,
+    /// Whether it read less than its session had written.
+    pub stale: bool,
+}
+
+/// Highest time that histograms hold, in microseconds; longer ones count as this.
+const HIGHEST: u64 = 120_000_000;
+
+/// Counts of one kind of request.
+#[derive(Debug)]
+pub struct Count {
+    /// Requests by how they ended.
+    pub done: u64,
+    /// Answered too late.
+    pub late: u64,
+    /// Turned away.
+    pub not_run: u64,
+    /// Outcome unknown.
+    pub unknown: u64,
+    /// Done by a replica.
+    pub replica: u64,
+    /// Done, but older than its session's writes.
+    pub stale: u64,
+    /// From sending to hearing, in microseconds, of those done.
+    pub answer: Histogram<u64>,
+    /// The same without the statement's own time.
+    pub wait: Histogram<u64>,
+    /// From sending to hearing "not run", in microseconds.
+    pub refusal: Histogram<u64>,
+}
+
+impl Count {
+    fn new() -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Self {
+            done: 0,
+            late: 0,
+            not_run: 0,
+            unknown: 0,
+            replica: 0,
+            stale: 0,
+            answer: Histogram::new_with_max(HIGHEST, 3)?,
+            wait: Histogram::new_with_max(HIGHEST, 3)?,
+            refusal: Histogram::new_with_max(HIGHEST, 3)?,
+        })
+    }
+
+    /// All requests.
+    pub fn offered(&self) -> u64 {
+        self.done + self.late + self.not_run + self.unknown
+    }
+}
+
+/// Counts of one run.
+#[derive(Debug, Default)]
+pub struct Stats {
+    /// By kind of request.
+    pub kinds: BTreeMap<Kind, Count>,
+    /// By caller: offered, and done in time.
+    pub callers: BTreeMap<Box<str>, Share>,
+}
+
+/// What one caller asked for and got.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Share {
+    /// Requests sent.
+    pub offered: u64,
+    /// Requests done in time.
+    pub done: u64,
+}
+
+impl Stats {
+    /// Counts one request.
+    pub fn record(&mut self, ended: &Ended) {
+        if !self.callers.contains_key(ended.caller) {
+            self.callers.insert(ended.caller.into(), Share::default());
+        }
+        if let Some(share) = self.callers.get_mut(ended.caller) {
+            share.offered += 1;
+            share.done += u64::from(ended.end == End::Done);
+        }
+        if !self.kinds.contains_key(&ended.kind) {
+            let Ok(count) = Count::new() else { return };
+            self.kinds.insert(ended.kind, count);
+        }
+        let Some(count) = self.kinds.get_mut(&ended.kind) else {
+            return;
+        };
+        let took = ended.heard.since(ended.born);
+        match ended.end {
+            End::Done => {
+                count.done += 1;
+                count.replica += u64::from(ended.replica);
+                count.stale += u64::from(ended.stale);
+                count.answer.saturating_record(took.0);
+                let wait = took.0.saturating_sub(ended.service.0);
+                count.wait.saturating_record(wait);
+            }
+            End::Late => count.late += 1,
+            End::NotRun => {
+                count.not_run += 1;
+                count.refusal.saturating_record(took.0);
+            }
+            End::Unknown => count.unknown += 1,
+        }
+    }
+
+    /// Jain's index of what callers got against the max-min fair part of what was served: 1 if
+    /// each got its demand or an equal share, 1/n if one of n got all.
+    pub fn fairness(&self) -> f64 {
+        let fair = self.fair_share();
+        let parts: Vec<f64> = self
+            .callers
+            .values()
+            .filter(|share| share.offered > 0 && fair > 0.0)
+            .map(|share| share.done as f64 / fair.min(share.offered as f64))
+            .collect();
+        let sum: f64 = parts.iter().sum();
+        let squares: f64 = parts.iter().map(|part| part * part).sum();
+        if squares == 0.0 {
+            return 0.0;
+        }
+        sum * sum / (parts.len() as f64 * squares)
+    }
+
+    /// The level up to which each caller's demand is met when what was served is dealt out equally.
+    fn fair_share(&self) -> f64 {
+        let mut offered: Vec<u64> = self.callers.values().map(|share| share.offered).collect();
+        offered.sort_unstable();
+        let mut rest: f64 = self.callers.values().map(|share| share.done as f64).sum();
+        let mut level = 0.0;
+        let count = offered.len();
+        for (index, demand) in offered.into_iter().enumerate() {
+            let equal = rest / (count - index) as f64;
+            if (demand as f64) > equal {
+                return equal;
+            }
+            level = demand as f64;
+            rest -= demand as f64;
+        }
+        level
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! outside systems for tests and the demo; `cmd` holds a module for each subcommand.
 
 pub mod clock;
+pub mod cmd;
 pub mod config;
 pub mod core;
+pub mod experiment;
 pub mod types;
