--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,58 @@
+//! What operators and scrapers ask of a process.
+
+use crate::net::http::{self, Call, Reply};
+use crate::net::metrics::{self, Gauges};
+use crate::net::shell::Shell;
+use ::http::{Method, StatusCode};
+use serde::Serialize;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Serves `/metrics`, `/dump`, `/config` and `/ready` until it is dropped.
+pub async fn serve(listener: TcpListener, shell: Rc<Shell>) {
+    http::serve(listener, move |call| {
+        let reply = answer(&shell, &call);
+        async move { reply }
+    })
+    .await;
+}
+
+fn answer(shell: &Shell, call: &Call) -> Reply {
+    match (&call.method, &*call.path) {
+        (&Method::GET, "/metrics") => Reply::new(StatusCode::OK, text(shell).into_string()),
+        (&Method::GET, "/dump") => shell.inspect(|node| json(&node.state())),
+        (&Method::GET, "/config") => shell.inspect(|node| json(&node.accepted())),
+        (&Method::GET, "/ready") => ready(shell),
+        _ => Reply::new(
+            StatusCode::NOT_FOUND,
+            "ask for /metrics, /dump, /config or /ready\n",
+        ),
+    }
+}
+
+/// Ready means that a caller who connects now finds a configuration: the platform's balancer
+/// sends nobody here before that.
+fn ready(shell: &Shell) -> Reply {
+    if shell.inspect(|node| node.accepted().is_some()) {
+        Reply::new(StatusCode::OK, "ready\n")
+    } else {
+        Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
+    }
+}
+
+fn text(shell: &Shell) -> Box<str> {
+    let version = shell.inspect(|node| node.accepted().map_or(0, |accepted| accepted.version.0));
+    let gauges = Gauges {
+        callers: shell.callers() as u64,
+        peers: shell.peers().open() as u64,
+        version,
+    };
+    metrics::text(shell.inspect(|node| node.counters().clone()), gauges)
+}
+
+fn json(value: &impl Serialize) -> Reply {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => Reply::new(StatusCode::OK, text),
+        Err(error) => Reply::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod dialect;
 pub mod frame;
 pub mod http;
+pub mod metrics;
 pub mod peer;
 pub mod pg;
 pub mod rpc;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -57,21 +57,15 @@
 pub enum Event {
     /// A stream to this VM is open.
     Up(VmId),
-    /// The streams to this VM are closed.
+    /// The streams to this VM are closed, or none could be opened. Without an `Up` since the
+    /// last `Down`, nothing that was to be sent has left.
     Down(VmId),
     /// A message arrived.
     Message {
         /// The sender.
         from: VmId,
         /// What it says.
-        message: Message,
-    },
-    /// A message was never handed to the network.
-    Unsent {
-        /// Whom it was for.
-        to: VmId,
-        /// What it said.
-        message: Message,
+        message: Box<Message>,
     },
 }
 
@@ -237,7 +231,7 @@
         match pairs.get_mut(&to) {
             Some(Pair::Open { streams, .. }) if !streams.is_empty() => streams[0].send(message),
             Some(Pair::Dialing(waiting)) => waiting.push(message),
-            Some(Pair::Failed(until)) if *until > Instant::now() => self.unsent(&to, [message]),
+            Some(Pair::Failed(until)) if *until > Instant::now() => self.emit(Event::Down(to)),
             _ => {
                 pairs.insert(to.clone(), Pair::Dialing(vec![message]));
                 drop(pairs);
@@ -260,16 +254,6 @@
         let _ = self.events.send(event);
     }
 
-    fn unsent(&self, to: &VmId, messages: impl IntoIterator<Item = Message>) {
-        for message in messages {
-            self.emit(Event::Unsent {
-                to: to.clone(),
-                message,
-            });
-        }
-        self.emit(Event::Down(to.clone()));
-    }
-
     fn dial(self: &Rc<Self>, to: VmId) {
         let peers = Rc::clone(self);
         actix_rt::spawn(async move {
@@ -290,16 +274,11 @@
 
     fn dial_failed(&self, to: &VmId) {
         let failed = Pair::Failed(Instant::now() + REDIAL);
-        let former = {
-            let mut pairs = self.pairs.borrow_mut();
-            match pairs.get(to) {
-                Some(Pair::Dialing(_)) => pairs.insert(to.clone(), failed),
-                // The peer's own stream came in meanwhile and took what was waiting.
-                _ => return,
-            }
-        };
-        if let Some(Pair::Dialing(waiting)) = former {
-            self.unsent(to, waiting);
+        let mut pairs = self.pairs.borrow_mut();
+        // Otherwise the peer's own stream came in meanwhile and took what was waiting.
+        if let Some(Pair::Dialing(_)) = pairs.get(to) {
+            pairs.insert(to.clone(), failed);
+            self.emit(Event::Down(to.clone()));
         }
     }
 
@@ -365,7 +344,7 @@
             stream.taken += 1;
             self.emit(Event::Message {
                 from: vm.clone(),
-                message,
+                message: Box::new(message),
             });
         }
         true
--- /dev/null
+++ b/src/net/shell.rs
@@ -0,0 +1,198 @@
+//! Drives one core with the sockets and timers of its process.
+
+use crate::clock::{Span, Time};
+use crate::core::node::{Identity, Input, Node, Output};
+use crate::net::peer::{self, Peers};
+use crate::net::pg::{self, Told};
+use crate::net::target::Targets;
+use crate::types::Link;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::Instant;
+
+/// One proxy's core and all that it is connected to.
+#[derive(Debug)]
+pub struct Shell {
+    origin: Instant,
+    node: RefCell<Node>,
+    links: RefCell<HashMap<Link, mpsc::UnboundedSender<Told>>>,
+    last_link: Cell<u64>,
+    targets: Targets,
+    peers: Rc<Peers>,
+    armed: Cell<Option<Time>>,
+    rearmed: Notify,
+    stopped: watch::Sender<bool>,
+}
+
+impl Shell {
+    /// Starts a core with nothing known yet.
+    pub fn start(identity: Identity, source: std::net::IpAddr) -> Rc<Self> {
+        let (target_events, from_targets) = mpsc::unbounded_channel();
+        let (peer_events, from_peers) = mpsc::unbounded_channel();
+        let peer_identity =
+            peer::Identity { vm: identity.vm.clone(), life: identity.life, source };
+        let shell = Rc::new(Self {
+            origin: Instant::now(),
+            node: RefCell::new(Node::new(identity, Time::default())),
+            links: RefCell::default(),
+            last_link: Cell::new(0),
+            targets: Targets::new(source, target_events),
+            peers: Peers::new(peer_identity, peer_events),
+            armed: Cell::new(None),
+            rearmed: Notify::new(),
+            stopped: watch::Sender::new(false),
+        });
+        actix_rt::spawn(pump_targets(Rc::clone(&shell), from_targets));
+        actix_rt::spawn(pump_peers(Rc::clone(&shell), from_peers));
+        actix_rt::spawn(tick(Rc::clone(&shell)));
+        shell
+    }
+
+    /// The time on this process's clock.
+    pub fn now(&self) -> Time {
+        Time::default() + Span::from(self.origin.elapsed())
+    }
+
+    /// The streams to other proxies.
+    pub fn peers(&self) -> &Rc<Peers> {
+        &self.peers
+    }
+
+    /// Looks at the core.
+    pub fn inspect<T>(&self, look: impl FnOnce(&Node) -> T) -> T {
+        look(&self.node.borrow())
+    }
+
+    /// A caller connected: its link, and where it is told things.
+    fn open(&self) -> (Link, mpsc::UnboundedReceiver<Told>) {
+        let link = Link(self.last_link.get() + 1);
+        self.last_link.set(link.0);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.links.borrow_mut().insert(link, sender);
+        (link, receiver)
+    }
+
+    /// A caller's connection is gone.
+    fn depart(&self, link: Link) {
+        self.links.borrow_mut().remove(&link);
+        self.input(Input::Depart(link));
+    }
+
+    /// How many callers are connected.
+    pub fn callers(&self) -> usize {
+        self.links.borrow().len()
+    }
+
+    /// The shell as callers' connections use it.
+    pub fn for_callers(self: &Rc<Self>) -> pg::Core {
+        let shell = || Rc::clone(self);
+        let (open, submit, depart, cancel, now, pool) =
+            (shell(), shell(), shell(), shell(), shell(), shell());
+        pg::Core {
+            open: Box::new(move || open.open()),
+            submit: Box::new(move |request| submit.input(Input::Submit(request))),
+            depart: Box::new(move |link| depart.depart(link)),
+            cancel: Box::new(move |link| cancel.input(Input::Cancel(link))),
+            now: Box::new(move || now.now()),
+            pool: Box::new(move |caller, group| {
+                pool.inspect(|node| {
+                    let (id, rules) = node.pool_of(caller, group)?;
+                    Some(pg::Pool { id, max_age: rules.max_age, patience: rules.patience })
+                })
+            }),
+        }
+    }
+
+    /// Completes once a planned stop has nothing left to do.
+    pub async fn stopped(&self) {
+        let mut stopped = self.stopped.subscribe();
+        // The sender lives as long as the shell.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    }
+
+    /// Hands `input` to the core and carries out what it answers.
+    ///
+    /// The clock is read here, after the event was taken from its socket: a process that was
+    /// paused in between decides with the time at which it woke.
+    pub fn input(&self, input: Input) {
+        let mut outputs = Vec::new();
+        let wake = {
+            let mut node = self.node.borrow_mut();
+            node.handle(self.now(), input, &mut outputs);
+            node.wake()
+        };
+        outputs.into_iter().for_each(|output| self.carry_out(output));
+        self.arm(wake);
+    }
+
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::Reply { link, outcome, floor } => {
+                self.tell(link, Told::Outcome { outcome, floor });
+            }
+            Output::Dismiss(link) => self.tell(link, Told::Dismiss),
+            Output::Send { to, message } => self.peers.send(to, message),
+            Output::Database(command) => self.targets.command(command),
+            Output::Stopped => {
+                self.stopped.send_replace(true);
+            }
+        }
+    }
+
+    fn tell(&self, link: Link, told: Told) {
+        if let Some(sender) = self.links.borrow().get(&link) {
+            // A receiver that is gone has its departure under way.
+            let _ = sender.send(told);
+        }
+    }
+
+    fn arm(&self, wake: Option<Time>) {
+        let sooner = match (wake, self.armed.get()) {
+            (Some(wake), Some(armed)) => wake < armed,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if sooner {
+            self.armed.set(wake);
+            self.rearmed.notify_one();
+        }
+    }
+}
+
+async fn tick(shell: Rc<Shell>) {
+    loop {
+        let Some(armed) = shell.armed.get() else {
+            shell.rearmed.notified().await;
+            continue;
+        };
+        let deadline = shell.origin + std::time::Duration::from_micros(armed.0);
+        tokio::select! {
+            () = tokio::time::sleep_until(deadline) => {
+                shell.armed.set(None);
+                shell.input(Input::Tick);
+            }
+            () = shell.rearmed.notified() => {}
+        }
+    }
+}
+
+async fn pump_targets(
+    shell: Rc<Shell>,
+    mut events: mpsc::UnboundedReceiver<crate::core::database::Event>,
+) {
+    while let Some(event) = events.recv().await {
+        shell.input(Input::Database(event));
+    }
+}
+
+async fn pump_peers(shell: Rc<Shell>, mut events: mpsc::UnboundedReceiver<peer::Event>) {
+    while let Some(event) = events.recv().await {
+        shell.input(match event {
+            peer::Event::Up(vm) => Input::PeerUp(vm),
+            peer::Event::Down(vm) => Input::PeerDown(vm),
+            peer::Event::Message { from, message } => Input::Message { from, message: *message },
+        });
+    }
+}
