--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,8 +3,9 @@
 pub mod codec;
 pub mod dialect;
 pub mod frame;
-pub mod pg;
-pub mod splice;
 pub mod http;
 pub mod peer;
+pub mod pg;
 pub mod rpc;
+pub mod splice;
+pub mod target;
--- a/src/net/pg/caller.rs
+++ b/src/net/pg/caller.rs
@@ -11,6 +11,7 @@
 use crate::core::request::{Cause, Done, Kind, NotRun, Outcome, Request, Status};
 use crate::net::frame::{self, Frame, kind, put};
 use crate::net::splice::{plain, splice};
+use crate::sql::Statement;
 use crate::types::{Link, Position};
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::startup::ParameterStatus;
@@ -332,6 +333,12 @@
 
     fn request(&self, batch: &Batch) -> Result<Request, Fault> {
         let kind = batch::kind(&batch.statements, self.status == Status::Idle);
+        // A COMMIT among the work would end the transaction that holds the key, and what follows
+        // would run again with each retry.
+        let ends = batch.statements.contains(&Statement::End);
+        if kind == Kind::Write && ends && self.session.settings.request.is_some() {
+            return Err(Fault::KeyInTransaction);
+        }
         self.request_of(kind, batch.body.clone())
     }
 
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod server;
+
 use bytes::{Bytes, BytesMut};
 use lentilspoke::core::request::Status;
 use lentilspoke::net::frame::{Frame, kind, put, put_raw, split};
@@ -118,15 +120,14 @@
     }
 
     fn run(&mut self, text: &str, simple: bool, out: &mut BytesMut) -> bool {
-        self.log.push(text.to_owned());
         let ends = text.starts_with("ROLLBACK") || text.starts_with("COMMIT");
-        if text.starts_with("FAIL") || (self.status == Status::Failed && !ends) {
-            let code = if self.status == Status::Failed {
-                "25P02"
-            } else {
-                "22012"
-            };
-            put(out, &error(code));
+        if self.status == Status::Failed && !ends {
+            put(out, &error("25P02"));
+            return false;
+        }
+        self.log.push(text.to_owned());
+        if text.starts_with("FAIL") {
+            put(out, &error("22012"));
             return false;
         }
         let tag = match text.split(' ').next().unwrap_or_default() {
