--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -76,3 +76,6 @@
         .map_err(|error| Error::usage(format!("--{name} {text}: {error}")));
     parsed.map(Some)
 }
+//! A module for each subcommand.
+
+pub mod experiment;
