--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,3 +9,4 @@
 pub mod pg;
 pub mod rpc;
 pub mod splice;
+pub mod target;
