Serve callers end to end in the demo

Cause: callers' and databases' connections landed. Change: merge them, dispatch demo and experiment, show the configuration in force.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -39,7 +39,9 @@
     }
     let proxies = value(&matches, "proxies")?.unwrap_or(DEFAULT_PROXIES);
     if !(1..=MAX_PROXIES).contains(&proxies) {
-        return Err(Error::usage(format!("--proxies {proxies}: write 1 to {MAX_PROXIES}")));
+        return Err(Error::usage(format!(
+            "--proxies {proxies}: write 1 to {MAX_PROXIES}"
+        )));
     }
     Ok(Plan {
         listen: value(&matches, "listen")?.unwrap_or(DEFAULT_LISTEN),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! One module for each subcommand, and the error at the command line's edge.
 
+pub mod demo;
 pub mod dump;
 pub mod experiment;
 
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -172,6 +172,11 @@
         timers.into_iter().chain(stewards).chain(grain).min()
     }
 
+    /// The configuration in force, once there is one.
+    pub fn accepted(&self) -> Option<&Accepted> {
+        self.world.config.as_deref()
+    }
+
     /// What it has done since it started.
     pub fn counters(&self) -> &Counters {
         &self.world.counters
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,9 @@
 Usage: lentilspoke COMMAND [ARGUMENTS]
 
 Commands:
+    demo        run stand-in databases and proxies in one process
     dump        print a process's state
+    experiment  play patterns of load against the decisions
 
 `lentilspoke COMMAND --help` tells more about each.
 ";
@@ -34,7 +36,9 @@
         return Err(Error::usage("no command: see lentilspoke --help"));
     };
     match command.as_str() {
+        "demo" => cmd::demo::run(rest),
         "dump" => cmd::dump::run(rest),
+        "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
             println!("lentilspoke {}", env!("CARGO_PKG_VERSION"));
@@ -45,3 +49,12 @@
         ))),
     }
 }
+
+fn experiment(words: &[String]) -> Result<(), Error> {
+    match cmd::experiment::run(words, &mut std::io::stdout()) {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(Error::failed("an aim was missed")),
+        Err(error @ cmd::experiment::Error::Usage(_)) => Err(Error::usage(error)),
+        Err(error) => Err(Error::failed(error)),
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets, streams and timers round the core.
 
+pub mod admin;
 pub mod codec;
 pub mod dialect;
 pub mod frame;
@@ -7,6 +8,8 @@
 pub mod metrics;
 pub mod peer;
 pub mod pg;
+pub mod proxy;
 pub mod rpc;
+pub mod shell;
 pub mod splice;
 pub mod target;
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -60,7 +60,9 @@
 fn learn(shell: &Shell, news: News) {
     match news {
         News::Members(members) => {
-            let addresses = members.iter().map(|member| (member.vm.clone(), member.address));
+            let addresses = members
+                .iter()
+                .map(|member| (member.vm.clone(), member.address));
             shell.peers().learn(addresses);
             shell.input(Input::Members(members));
         }
--- a/src/net/shell.rs
+++ b/src/net/shell.rs
@@ -31,8 +31,11 @@
     pub fn start(identity: Identity, source: std::net::IpAddr) -> Rc<Self> {
         let (target_events, from_targets) = mpsc::unbounded_channel();
         let (peer_events, from_peers) = mpsc::unbounded_channel();
-        let peer_identity =
-            peer::Identity { vm: identity.vm.clone(), life: identity.life, source };
+        let peer_identity = peer::Identity {
+            vm: identity.vm.clone(),
+            life: identity.life,
+            source,
+        };
         let shell = Rc::new(Self {
             origin: Instant::now(),
             node: RefCell::new(Node::new(identity, Time::default())),
@@ -99,7 +102,11 @@
             pool: Box::new(move |caller, group| {
                 pool.inspect(|node| {
                     let (id, rules) = node.pool_of(caller, group)?;
-                    Some(pg::Pool { id, max_age: rules.max_age, patience: rules.patience })
+                    Some(pg::Pool {
+                        id,
+                        max_age: rules.max_age,
+                        patience: rules.patience,
+                    })
                 })
             }),
         }
@@ -123,13 +130,19 @@
             node.handle(self.now(), input, &mut outputs);
             node.wake()
         };
-        outputs.into_iter().for_each(|output| self.carry_out(output));
+        outputs
+            .into_iter()
+            .for_each(|output| self.carry_out(output));
         self.arm(wake);
     }
 
     fn carry_out(&self, output: Output) {
         match output {
-            Output::Reply { link, outcome, floor } => {
+            Output::Reply {
+                link,
+                outcome,
+                floor,
+            } => {
                 self.tell(link, Told::Outcome { outcome, floor });
             }
             Output::Dismiss(link) => self.tell(link, Told::Dismiss),
@@ -192,7 +205,10 @@
         shell.input(match event {
             peer::Event::Up(vm) => Input::PeerUp(vm),
             peer::Event::Down(vm) => Input::PeerDown(vm),
-            peer::Event::Message { from, message } => Input::Message { from, message: *message },
+            peer::Event::Message { from, message } => Input::Message {
+                from,
+                message: *message,
+            },
         });
     }
 }
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -62,7 +62,10 @@
 pub async fn start(plan: &Plan) -> Result<Demo, Error> {
     let mut document = plan.deployment.document()?;
     let groups = start_groups(plan.deployment, &mut document)?;
-    let accepted = Arc::new(Accepted { version: Version(1), document });
+    let accepted = Arc::new(Accepted {
+        version: Version(1),
+        document,
+    });
     let mut members = Vec::new();
     let mut proxies = Vec::new();
     for index in 0..plan.proxies {
@@ -75,7 +78,11 @@
         let _ = proxy.news.send(News::Members(members.clone()));
         let _ = proxy.news.send(News::Accepted(Arc::clone(&accepted)));
     }
-    Ok(Demo { groups, proxies, kill_primary_after: plan.kill_primary_after })
+    Ok(Demo {
+        groups,
+        proxies,
+        kill_primary_after: plan.kill_primary_after,
+    })
 }
 
 fn start_groups(
@@ -85,7 +92,10 @@
     let mut handles = BTreeMap::new();
     for (id, group) in &mut document.groups {
         let mut spec = Spec::new(group.clone());
-        spec.lag = Lag { receive: RECEIVE_LAG, apply: APPLY_LAG };
+        spec.lag = Lag {
+            receive: RECEIVE_LAG,
+            apply: APPLY_LAG,
+        };
         spec.service = SERVICE;
         spec.connect = CONNECT;
         spec.latency = Arc::new(move |peer, domain| deployment.latency_to(peer, domain));
@@ -114,7 +124,11 @@
     let (admin, admin_address) = bind(SocketAddr::new(listen.ip(), 0))?;
     let vm: VmId = format!("vm{}", index + 1).parse()?;
     let domain = plan.deployment.places()[place].domain.parse()?;
-    let identity = Identity { vm: vm.clone(), domain, life: Life(rand::random()) };
+    let identity = Identity {
+        vm: vm.clone(),
+        domain,
+        life: Life(rand::random()),
+    };
     let member = Member {
         vm,
         address: peers_address,
@@ -122,23 +136,40 @@
         leaving: false,
     };
     let (news, receiver) = mpsc::unbounded_channel();
-    let thread = std::thread::Builder::new().name(member.vm.to_string()).spawn(move || {
-        actix_rt::System::new().block_on(async move {
-            let listeners = (
-                tokio::net::TcpListener::from_std(callers),
-                tokio::net::TcpListener::from_std(peers),
-                tokio::net::TcpListener::from_std(admin),
-            );
-            let (Ok(callers), Ok(peers), Ok(admin)) = listeners else {
-                log::error!("a listener can't be used: free its port");
-                return;
-            };
-            let rules = pg::Rules::default();
-            let setup = Setup { identity, source, callers, peers, admin, rules };
-            proxy::run(setup, receiver).await;
-        });
-    })?;
-    Ok((member, Proxy { callers: callers_address, admin: admin_address, news, thread }))
+    let thread = std::thread::Builder::new()
+        .name(member.vm.to_string())
+        .spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let listeners = (
+                    tokio::net::TcpListener::from_std(callers),
+                    tokio::net::TcpListener::from_std(peers),
+                    tokio::net::TcpListener::from_std(admin),
+                );
+                let (Ok(callers), Ok(peers), Ok(admin)) = listeners else {
+                    log::error!("a listener can't be used: free its port");
+                    return;
+                };
+                let rules = pg::Rules::default();
+                let setup = Setup {
+                    identity,
+                    source,
+                    callers,
+                    peers,
+                    admin,
+                    rules,
+                };
+                proxy::run(setup, receiver).await;
+            });
+        })?;
+    Ok((
+        member,
+        Proxy {
+            callers: callers_address,
+            admin: admin_address,
+            news,
+            thread,
+        },
+    ))
 }
 
 impl Demo {
