Read and apply configurations at the platform, and stand in for it

The table row names the accepted attempts, the object store holds their documents. An apply reads first, then writes by compare-and-set under its own id, so a lost answer is settled by reading back and a late write changes nothing.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,12 @@
 //! A document is checked whole and is in force whole. Its text is JSON with comments.
 
 mod check;
+pub mod diff;
+mod file;
+mod pack;
+
+pub use file::File;
+pub use pack::{Damaged, SIZE_LIMIT};
 
 use crate::clock::Span;
 use crate::jsonc::{self, Fault};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,4 +4,5 @@
 pub mod dialect;
 pub mod http;
 pub mod peer;
+pub mod platform;
 pub mod rpc;
--- /dev/null
+++ b/src/net/platform/apply.rs
@@ -0,0 +1,238 @@
+//! Applying a document: whole or not at all, and told truly although answers get lost.
+
+use super::{Answer, CONFIG_ROW, Call, Client, Error, Head, PAST_LIMIT, Past, spread, unexpected};
+use crate::clock::Span;
+use crate::config::{Accepted, Document, diff};
+use crate::net::http;
+use crate::types::{ApplyId, Version};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// How long an attempt starts new tries while the platform does not answer. With the last try's
+/// calls it stays under [`http::PATIENCE`], so that a proxy's answer still reaches the operator.
+pub const PATIENCE: Span = Span::from_secs(5);
+
+/// Between two tries.
+const RETRY: Span = Span::from_millis(200);
+
+/// The path of the admin address that takes a [`Proposal`] as JSON.
+pub const PATH: &str = "/apply";
+
+/// A document to apply.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Proposal {
+    /// The attempt; the same one for each time that it is asked again.
+    pub id: ApplyId,
+    /// The version that the document was based on.
+    pub base: Version,
+    /// The document.
+    pub document: Document,
+}
+
+/// What came of a proposal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// It is in force, and stays until a newer one is.
+    Accepted(Version),
+    /// Another document is in force; nothing was changed.
+    Outrun(Outrun),
+    /// It can't follow the one in force; nothing was changed.
+    Refused(Box<str>),
+    /// The platform did not answer; nothing was changed.
+    NotApplied(Box<str>),
+    /// The platform did not answer after it was asked to write: it may be in force or not.
+    Unsettled,
+}
+
+/// The winner of a race between operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Outrun {
+    /// The version in force.
+    pub version: Version,
+    /// What changed since the proposal's base; empty if that is not known any more.
+    pub changes: Vec<Box<str>>,
+}
+
+/// What one try came to.
+enum Step {
+    Settled(Verdict),
+    /// Worth another try, because of this.
+    Again(Error),
+}
+
+/// Applies `proposal` by compare-and-set.
+///
+/// Failure: the answer to the write is lost after its effect. Symptom: the operator is told that
+/// it failed and applies again, or is told nothing while it is in force. Enough, because each
+/// try reads first: the row remembers which attempts were accepted, and a write that arrives
+/// late finds another version than it expects, unless it is the only one.
+///
+/// No new try starts after `deadline`.
+pub async fn settle(client: &Client, proposal: &Proposal, deadline: Instant) -> Verdict {
+    let mut written = false;
+    loop {
+        let error = match attempt(client, proposal, &mut written).await {
+            Ok(Step::Settled(verdict)) => return verdict,
+            Ok(Step::Again(error)) | Err(error) => error,
+        };
+        let pause = spread(RETRY);
+        if Instant::now() + pause >= deadline {
+            return match written {
+                true => Verdict::Unsettled,
+                false => Verdict::NotApplied(error.to_string().into()),
+            };
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn attempt(client: &Client, proposal: &Proposal, written: &mut bool) -> Result<Step, Error> {
+    let head = client.head(Version(u64::MAX)).await?.unwrap_or_default();
+    let won = head.past.iter().find(|past| past.apply == proposal.id);
+    if let Some(past) = won {
+        return Ok(Step::Settled(Verdict::Accepted(past.version)));
+    }
+    if head.version() != proposal.base {
+        let outrun = outrun(client, &head, proposal.base).await;
+        return Ok(Step::Settled(Verdict::Outrun(outrun)));
+    }
+    if let Some(past) = head.last() {
+        let before = client.document(past).await?;
+        if let Err(fault) = proposal.document.check_step(&before.document) {
+            return Ok(Step::Settled(Verdict::Refused(fault.to_string().into())));
+        }
+    }
+    write(client, proposal, head, written).await
+}
+
+async fn write(
+    client: &Client,
+    proposal: &Proposal,
+    mut head: Head,
+    written: &mut bool,
+) -> Result<Step, Error> {
+    let next = Past {
+        version: proposal.base.next(),
+        apply: proposal.id,
+    };
+    let accepted = Accepted {
+        version: next.version,
+        document: proposal.document.clone(),
+    };
+    let (name, bytes) = (next.object(), accepted.pack());
+    client.call(Call::Store { name, bytes }).await?;
+    head.past.push(next);
+    let surplus = head.past.len().saturating_sub(PAST_LIMIT);
+    let forgotten: Vec<Past> = head.past.drain(..surplus).collect();
+    let call = Call::Write {
+        key: CONFIG_ROW.into(),
+        expected: proposal.base,
+        value: serde_json::to_vec(&head).unwrap_or_default().into(),
+    };
+    *written = true;
+    match client.call(call).await? {
+        Answer::Written(version) => {
+            for past in forgotten {
+                // One that stays costs some kilobytes and nothing else.
+                let _ = client.call(Call::Remove(past.object())).await;
+            }
+            Ok(Step::Settled(Verdict::Accepted(version)))
+        }
+        Answer::Row(_) => Ok(Step::Again(Error::Unavailable("the row changed".into()))),
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn outrun(client: &Client, head: &Head, base: Version) -> Outrun {
+    let find = |version| {
+        head.past
+            .iter()
+            .find(|past| past.version == version)
+            .copied()
+    };
+    let mut changes = Vec::new();
+    if let (Some(before), Some(after)) = (find(base), head.last())
+        && let (Ok(before), Ok(after)) =
+            (client.document(before).await, client.document(after).await)
+    {
+        changes = diff::changes(&before.document, &after.document);
+    }
+    Outrun {
+        version: head.version(),
+        changes,
+    }
+}
+
+/// Answers a proposal that an operator posted to a proxy.
+///
+/// `enforce` puts the document in force on this proxy, unless it knows a later one, and tells
+/// others; it ends before the operator hears "accepted". So an accepted document stays in force also when the platform
+/// fails right after.
+pub async fn serve<E, R>(client: &Client, body: &[u8], enforce: E) -> http::Reply
+where
+    E: FnOnce(Accepted) -> R,
+    R: Future<Output = ()>,
+{
+    let proposal: Proposal = match serde_json::from_slice(body) {
+        Ok(proposal) => proposal,
+        Err(error) => return refusal(&error),
+    };
+    if let Err(fault) = proposal.document.check() {
+        return refusal(&fault);
+    }
+    let deadline = Instant::now() + PATIENCE.into();
+    let verdict = settle(client, &proposal, deadline).await;
+    if let Verdict::Accepted(version) = &verdict {
+        enforce(Accepted {
+            version: *version,
+            document: proposal.document,
+        })
+        .await;
+    }
+    let json = serde_json::to_vec(&verdict).unwrap_or_default();
+    http::Reply::new(::http::StatusCode::OK, json)
+}
+
+fn refusal(error: &dyn std::fmt::Display) -> http::Reply {
+    let text = format!("not a proposal: {error}; run the same version at both ends");
+    http::Reply::new(::http::StatusCode::BAD_REQUEST, text)
+}
+
+/// Proposes through a proxy at `address`, asking again under the same id while its answer is
+/// lost.
+pub async fn propose(
+    address: std::net::SocketAddr,
+    proposal: &Proposal,
+) -> Result<Verdict, http::Error> {
+    const TRIES: usize = 3;
+    let body = Bytes::from(serde_json::to_vec(proposal).unwrap_or_default());
+    let mut tried = 0;
+    loop {
+        tried += 1;
+        match http::post(address, PATH, body.clone()).await {
+            Ok(reply) => return Ok(doubt(read(&reply), tried > 1)),
+            Err(error @ http::Error::Connect(..)) if tried == 1 => return Err(error),
+            Err(_) if tried < TRIES => tokio::time::sleep(spread(RETRY)).await,
+            Err(http::Error::Connect(..) | http::Error::Broken(..) | http::Error::Late(_)) => {
+                return Ok(Verdict::Unsettled);
+            }
+        }
+    }
+}
+
+/// An earlier try whose answer was lost may have written, so that a later one can't tell.
+fn doubt(verdict: Verdict, tried_before: bool) -> Verdict {
+    match verdict {
+        Verdict::NotApplied(_) if tried_before => Verdict::Unsettled,
+        other => other,
+    }
+}
+
+fn read(reply: &http::Reply) -> Verdict {
+    serde_json::from_slice(&reply.body)
+        .unwrap_or_else(|_| Verdict::Refused(String::from_utf8_lossy(&reply.body).into()))
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,3 +2,4 @@
 //! the PostgreSQL protocol, and the platform's services. Faults are set by plain calls.
 
 pub mod database;
+pub mod platform;
--- a/src/types.rs
+++ b/src/types.rs
@@ -152,6 +152,11 @@
     /// The version of the configuration; 0 before the first one.
     Version
 );
+number!(
+    /// One operator's attempt to apply a document, drawn at random, by which a lost answer is
+    /// settled.
+    ApplyId
+);
 number!(
     /// One caller's connection to this proxy.
     Link
