--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod sql;
 pub mod standin;
 pub mod token;
+pub mod experiment;
 pub mod types;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,10 @@
 
 pub mod codec;
 pub mod dialect;
+pub mod frame;
 pub mod http;
 pub mod peer;
 pub mod platform;
+pub mod pg;
 pub mod rpc;
+pub mod splice;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod database;
 pub mod platform;
+pub mod deployment;
