--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod metrics;
 pub mod peer;
+pub mod platform;
 pub mod pg;
 pub mod proxy;
 pub mod rpc;
