Fair shares go before classes; a calmer adaptive limit

Cause: with classes in strict order, a greedy caller's session reads stopped everyone's aged reads; the limit's typical time scattered so much that it fell without cause. Change: one tag per caller over all classes, urgency as a head start of two statements; long work weighed against short work by slot time, 3 to 1; the limit averages over 256 samples.

--- a/src/core/gate.rs
+++ b/src/core/gate.rs
@@ -12,7 +12,8 @@
 
 use crate::clock::{Span, Time};
 use crate::core::gate::cost::Costs;
-use crate::core::gate::queue::Queue;
+use crate::core::gate::fair::Taken;
+use crate::core::gate::queue::{Charge, Queue};
 use crate::core::gate::slot::Slots;
 use crate::core::request::{Cause, Class, NotRun};
 use crate::types::{CallerId, RequestId};
@@ -130,7 +131,8 @@
             });
         }
         let start_by = self.admit(now, &item)?;
-        self.queue.push(item.class, &item.caller, request);
+        self.queue
+            .push(item.class, &item.caller, request, &self.costs);
         self.expiry.insert((start_by, request));
         self.waiting.insert(request, Waiting { item, start_by });
         Ok(())
@@ -169,15 +171,18 @@
     pub fn next(&mut self, now: Time) -> Option<Item> {
         while self.slots.free() {
             let long = self.slots.free_for_long();
-            let request = self.queue.pop(long, &self.costs)?;
+            let Taken { request, paid } = self.queue.pop(long, &self.costs)?;
             let waiting = self.waiting.remove(&request)?;
             self.expiry.remove(&(waiting.start_by, request));
             if waiting.start_by <= now {
-                self.queue.give_back(&waiting.item, &self.costs);
+                let unrun = Charge {
+                    took: Span::ZERO,
+                    paid,
+                };
+                self.charge(&waiting.item, unrun);
                 self.lapsed.push(waiting.item);
                 continue;
             }
-            let paid = self.costs.mean(waiting.item.class);
             self.slots.start(now, waiting.item.clone(), paid);
             return Some(waiting.item);
         }
@@ -189,14 +194,18 @@
         let Some(ended) = self.slots.finish(now, request) else {
             return;
         };
-        self.queue
-            .charge(ended.item.class, &ended.item.caller, ended.took, ended.paid);
-        self.costs.record(ended.item.class, ended.took);
+        self.charge(&ended.item, ended.charge);
+        self.costs.record(ended.item.class, ended.charge.took);
         if self.queue.is_empty() {
             self.idle_at = now;
         }
     }
 
+    fn charge(&mut self, item: &Item, charge: Charge) {
+        self.queue
+            .charge(item.class, &item.caller, charge, &self.costs);
+    }
+
     /// Takes out waiting work whose deadline has passed, or that will not be served in time.
     pub fn expire(&mut self, now: Time) -> Vec<Item> {
         let mut late = std::mem::take(&mut self.lapsed);
@@ -225,7 +234,8 @@
         };
         self.expiry.remove(&(waiting.start_by, request));
         let item = waiting.item;
-        self.queue.remove(item.class, &item.caller, request);
+        self.queue
+            .remove(item.class, &item.caller, request, &self.costs);
         Some(item)
     }
 
--- a/src/core/gate/queue.rs
+++ b/src/core/gate/queue.rs
@@ -1,37 +1,36 @@
-//! The order of classes.
+//! Which waiting request is next: short work by fair shares, and long work beside it.
 //!
-//! **Pattern answered.** Confirmations and submissions that arrive while reads, or a night's
-//! reconciliation, fill the queue.
-//! **Without it** a late lot confirmation waits behind status checks that would have been as good a
-//! second later.
+//! **Pattern answered.** Long work that waits beside short work at a busy database.
+//! **Without it** either long work takes its slot all the time, and a saturated database serves
+//! half as much short work, or it never gets one and a night's reconciliation has no end.
 //!
-//! The most urgent class goes first, but each class below it that waits is owed one start in a
-//! stated number. Strict order alone would starve: a flood of confirmations on a primary would
-//! stop the reads that must see them, and those callers would send their writes again. Weighted
-//! shares alone would make confirmations wait although few of them are there. The shares
-//! owed add up to 7/16, so that confirmations keep more than half of a database in any case.
+//! Short and long work are weighed against each other by slot time, three parts to one; what one
+//! of them leaves, the other takes. Long work has shares by caller of its own, so that a firm's
+//! report does not delay its confirmations.
 
 use crate::clock::Span;
-use crate::core::gate::Item;
-use crate::core::gate::cost::{BY_URGENCY, CLASSES, Costs};
-use crate::core::gate::fair::Fair;
+use crate::core::gate::cost::Costs;
+use crate::core::gate::fair::{Fair, Taken};
 use crate::core::request::Class;
 use crate::types::{CallerId, RequestId};
 use serde::Serialize;
 use std::collections::VecDeque;
 
-/// Of how many starts each class is owed one while it waits, by urgency. Sessions have
-/// callers who look at a screen; aged reads were promised only an age; long work runs as long as
-/// sixteen others, and has a slot's worth of time at one start in sixteen.
-const OWED_ONE_IN: [u32; CLASSES] = [1, 4, 8, 16];
+/// Short work gets this many parts of the slot time for one of long work, while both wait. Half
+/// of a slot of two is enough for a night's work to be done by the morning.
+const SHORT_PARTS: u64 = 3;
 
 /// The waiting requests of one database.
 #[derive(Debug, Clone, Serialize)]
 pub struct Queue {
     fair: bool,
     arrivals: VecDeque<RequestId>,
-    classes: [Fair; CLASSES],
-    passed: [u32; CLASSES],
+    short: Fair,
+    long: Fair,
+    /// Slot time given to short work, in microseconds.
+    short_given: u64,
+    /// Slot time given to long work, times [`SHORT_PARTS`].
+    long_given: u64,
 }
 
 impl Queue {
@@ -40,14 +39,16 @@
         Self {
             fair,
             arrivals: VecDeque::new(),
-            classes: Default::default(),
-            passed: [0; CLASSES],
+            short: Fair::default(),
+            long: Fair::default(),
+            short_given: 0,
+            long_given: 0,
         }
     }
 
     /// How many wait.
     pub fn len(&self) -> usize {
-        self.arrivals.len() + self.classes.iter().map(Fair::len).sum::<usize>()
+        self.arrivals.len() + self.short.len() + self.long.len()
     }
 
     /// Whether none wait.
@@ -55,56 +56,63 @@
         self.len() == 0
     }
 
+    fn fair(&mut self, class: Class) -> &mut Fair {
+        match class {
+            Class::Long => &mut self.long,
+            _ => &mut self.short,
+        }
+    }
+
     /// Adds a request.
-    pub fn push(&mut self, class: Class, caller: &CallerId, request: RequestId) {
-        if self.fair {
-            self.classes[class as usize].push(caller, request);
-        } else {
+    pub fn push(&mut self, class: Class, caller: &CallerId, request: RequestId, costs: &Costs) {
+        if !self.fair {
             self.arrivals.push_back(request);
+            return;
+        }
+        // What had nothing waiting can't have saved up time meanwhile.
+        if class == Class::Long && self.long.is_empty() {
+            self.long_given = self.long_given.max(self.short_given);
         }
+        if class != Class::Long && self.short.is_empty() {
+            self.short_given = self.short_given.max(self.long_given);
+        }
+        self.fair(class).push(class, caller, request, costs);
     }
 
     /// Takes the request that is to be served next; long work only if `long`.
-    pub fn pop(&mut self, long: bool, costs: &Costs) -> Option<RequestId> {
+    pub fn pop(&mut self, long: bool, costs: &Costs) -> Option<Taken> {
         if !self.fair {
-            return self.arrivals.pop_front();
+            let request = self.arrivals.pop_front()?;
+            return Some(Taken {
+                request,
+                paid: Span::ZERO,
+            });
         }
-        let class = self.choose(long)?;
-        self.count(class, long);
-        self.classes[class as usize].pop(costs.mean(class))
-    }
-
-    fn waits(&self, class: Class, long: bool) -> bool {
-        (long || class != Class::Long) && !self.classes[class as usize].is_empty()
-    }
-
-    /// The class that has been passed over as often as it may be, the most urgent of several;
-    /// else the most urgent that waits.
-    fn choose(&self, long: bool) -> Option<Class> {
-        let mut waiting = BY_URGENCY
-            .into_iter()
-            .filter(|&class| self.waits(class, long));
-        let owed = waiting
-            .clone()
-            .skip(1)
-            .find(|&class| self.passed[class as usize] + 1 >= OWED_ONE_IN[class as usize]);
-        owed.or_else(|| waiting.next())
+        let due = self.short.is_empty() || self.long_given <= self.short_given;
+        let class = if long && due && !self.long.is_empty() {
+            Class::Long
+        } else {
+            Class::Confirm
+        };
+        let taken = self.fair(class).pop(costs)?;
+        self.give(class, taken.paid, Span::ZERO);
+        Some(taken)
     }
 
-    fn count(&mut self, chosen: Class, long: bool) {
-        for class in BY_URGENCY {
-            if class == chosen || !self.waits(class, long) {
-                self.passed[class as usize] = 0;
-            } else {
-                self.passed[class as usize] += 1;
-            }
-        }
+    fn give(&mut self, class: Class, more: Span, less: Span) {
+        let (given, parts) = match class {
+            Class::Long => (&mut self.long_given, SHORT_PARTS),
+            _ => (&mut self.short_given, 1),
+        };
+        *given = given
+            .saturating_add(more.0 * parts)
+            .saturating_sub(less.0 * parts);
     }
 
     /// Takes out one request.
-    pub fn remove(&mut self, class: Class, caller: &CallerId, request: RequestId) {
+    pub fn remove(&mut self, class: Class, caller: &CallerId, request: RequestId, costs: &Costs) {
         if self.fair {
-            self.classes[class as usize].remove(caller, request);
+            self.fair(class).remove(class, caller, request, costs);
             return;
         }
         if let Some(index) = self.arrivals.iter().position(|&waiting| waiting == request) {
@@ -112,68 +120,40 @@
         }
     }
 
-    /// Corrects what `caller` was charged, after its work ended.
-    pub fn charge(&mut self, class: Class, caller: &CallerId, took: Span, paid: Span) {
+    /// Corrects what `caller` was charged: its work took `took`, and it had paid `paid`.
+    pub fn charge(&mut self, class: Class, caller: &CallerId, end: Charge, costs: &Costs) {
         if self.fair {
-            self.classes[class as usize].charge(caller, took, paid);
+            self.give(class, end.took, end.paid);
+            self.fair(class).charge(caller, end.took, end.paid, costs);
         }
     }
 
-    /// Gives back what was charged for work that was taken but not run.
-    pub fn give_back(&mut self, item: &Item, costs: &Costs) {
-        self.charge(item.class, &item.caller, Span::ZERO, costs.mean(item.class));
-    }
-
     /// The slot time of what is served before the next request of `caller`.
     pub fn ahead(&self, class: Class, caller: &CallerId, costs: &Costs) -> Span {
-        if !self.fair {
-            return Span(self.arrivals.len() as u64 * costs.mean(class).0);
-        }
-        let same = self.classes[class as usize].ahead(caller);
-        self.time_ahead(class, same, costs)
+        let count = match class {
+            _ if !self.fair => self.arrivals.len(),
+            Class::Long => self.long.ahead(class, caller),
+            _ => self.short.ahead(class, caller),
+        };
+        Span(count as u64 * costs.mean(class).0)
     }
 
-    /// The slot time of what is served before a request of a caller that has none waiting.
+    /// The slot time of what is served before a read of a caller that has none waiting.
     pub fn ahead_of_newcomer(&self, class: Class, costs: &Costs) -> Span {
-        if !self.fair {
-            return Span(self.arrivals.len() as u64 * costs.mean(class).0);
-        }
-        let same = self.classes[class as usize].ahead_of_newcomer();
-        self.time_ahead(class, same, costs)
-    }
-
-    fn time_ahead(&self, class: Class, same: usize, costs: &Costs) -> Span {
-        let starts = self.starts_ahead(class, same);
-        let mut time = 0u64;
-        for other in BY_URGENCY {
-            let count = if other < class {
-                self.more_urgent_ahead(other, class, same)
-            } else if other == class {
-                same
-            } else {
-                self.owed_among(other, starts)
-            };
-            time += count as u64 * costs.mean(other).0;
-        }
-        Span(time)
-    }
-
-    /// The starts of more urgent classes and of the same one before a request's.
-    fn starts_ahead(&self, class: Class, same: usize) -> usize {
-        let urgent = BY_URGENCY.into_iter().filter(|&other| other < class);
-        same + urgent
-            .map(|other| self.more_urgent_ahead(other, class, same))
-            .sum::<usize>()
-    }
-
-    /// What a class is owed bounds how many of a more urgent one come before its turn.
-    fn more_urgent_ahead(&self, other: Class, class: Class, same: usize) -> usize {
-        let most = (same + 1) * OWED_ONE_IN[class as usize] as usize;
-        self.classes[other as usize].len().min(most)
+        let count = match class {
+            _ if !self.fair => self.arrivals.len(),
+            Class::Long => self.long.ahead_of_newcomer(class),
+            _ => self.short.ahead_of_newcomer(class),
+        };
+        Span(count as u64 * costs.mean(class).0)
     }
+}
 
-    fn owed_among(&self, other: Class, starts: usize) -> usize {
-        let owed = starts / OWED_ONE_IN[other as usize] as usize;
-        self.classes[other as usize].len().min(owed)
-    }
+/// What work took, and what its caller had paid when it started.
+#[derive(Debug, Clone, Copy)]
+pub struct Charge {
+    /// The time in its slot.
+    pub took: Span,
+    /// The time charged at its start.
+    pub paid: Span,
 }
--- a/src/core/gate/slot.rs
+++ b/src/core/gate/slot.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::{Span, Time};
 use crate::core::gate::cost::Costs;
+use crate::core::gate::queue::Charge;
 use crate::core::gate::{Item, Policy};
 use crate::core::limit::Limit;
 use crate::core::request::Class;
@@ -33,10 +34,8 @@
 pub struct Ended {
     /// The work.
     pub item: Item,
-    /// How long it held the slot.
-    pub took: Span,
-    /// What its caller was charged when it started.
-    pub paid: Span,
+    /// How long it held the slot, and what was charged for that.
+    pub charge: Charge,
 }
 
 /// The slots of one database.
@@ -129,8 +128,10 @@
         }
         Some(Ended {
             item: running.item,
-            took,
-            paid: running.paid,
+            charge: Charge {
+                took,
+                paid: running.paid,
+            },
         })
     }
 
--- a/src/core/limit.rs
+++ b/src/core/limit.rs
@@ -13,12 +13,14 @@
 use crate::clock::{Span, Time};
 use serde::Serialize;
 
-/// Weight of a new sample in the typical time. Statements' times scatter by about their mean; over
-/// 64 samples the scatter of the typical time is a tenth of that, well inside [`CROWDED`].
-const SAMPLE_WEIGHT: f64 = 1.0 / 64.0;
+/// Weight of a new sample in the typical time. Logarithms of exponential times scatter by 1.28, so
+/// the typical time scatters by 6%: the best of many windows is about 20% below the mean, and
+/// [`CROWDED`] is seven such deviations off. With 1/64 the limit fell without cause once in a few
+/// seconds. A busy database has 256 samples in half a second.
+const SAMPLE_WEIGHT: f64 = 1.0 / 256.0;
 
 /// Samples between two changes of the limit, so that a change shows before the next is made.
-const STEP_SAMPLES: u32 = 64;
+const STEP_SAMPLES: u32 = 128;
 
 /// The limit falls when the typical time is this many times the best one: two holders at full
 /// load double it, and the scatter of a steady database stays below 1.5.
