--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,5 +3,5 @@
 
 pub mod database;
 pub mod demo;
-pub mod platform;
 pub mod deployment;
+pub mod platform;
