Serve from the platform: serve, demo with a platform, apply through a proxy

Cause: configuration and members were handed to the demo's proxies directly. Change: proxies follow the platform's row and list; an operator's document is applied by a proxy, which has told others before it answers; serve runs one proxy from settings.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -54,6 +54,7 @@
 /// Runs the subcommand.
 pub fn run(words: &[String]) -> Result<(), Error> {
     let plan = plan(words)?;
+    crate::util::log(log::LevelFilter::Warn);
     actix_rt::System::new().block_on(async {
         let demo = demo::start(&plan).await.map_err(Error::failed)?;
         let callers: Vec<String> = demo.callers().iter().map(SocketAddr::to_string).collect();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub mod demo;
 pub mod dump;
 pub mod experiment;
+pub mod serve;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -177,6 +177,11 @@
         self.world.config.as_deref()
     }
 
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_some()
+    }
+
     /// What it has done since it started.
     pub fn counters(&self) -> &Counters {
         &self.world.counters
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod standin;
 pub mod token;
 pub mod types;
+pub mod util;
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 Commands:
     demo        run stand-in databases and proxies in one process
     dump        print a process's state
+    serve       run one proxy
     experiment  play patterns of load against the decisions
 
 `lentilspoke COMMAND --help` tells more about each.
@@ -38,6 +39,7 @@
     match command.as_str() {
         "demo" => cmd::demo::run(rest),
         "dump" => cmd::dump::run(rest),
+        "serve" => cmd::serve::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,21 +2,41 @@
 
 use crate::net::http::{self, Call, Reply};
 use crate::net::metrics::{self, Gauges};
+use crate::net::platform::{Client, apply};
+use crate::net::proxy;
 use crate::net::shell::Shell;
 use ::http::{Method, StatusCode};
 use serde::Serialize;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
+/// How long an operator who applies a configuration waits for other proxies to have it too.
+const SPREAD: Duration = Duration::from_secs(1);
+
 /// Serves `/metrics`, `/dump`, `/config` and `/ready` until it is dropped.
-pub async fn serve(listener: TcpListener, shell: Rc<Shell>) {
+pub async fn serve(listener: TcpListener, shell: Rc<Shell>, platform: Rc<Client>) {
     http::serve(listener, move |call| {
-        let reply = answer(&shell, &call);
-        async move { reply }
+        let (shell, platform) = (Rc::clone(&shell), Rc::clone(&platform));
+        async move {
+            match (&call.method, &*call.path) {
+                (&Method::POST, apply::PATH) => propose(&shell, &platform, &call).await,
+                _ => answer(&shell, &call),
+            }
+        }
     })
     .await;
 }
 
+/// Applies an operator's document, and has told other proxies when it answers.
+async fn propose(shell: &Shell, platform: &Client, call: &Call) -> Reply {
+    apply::serve(platform, &call.body, |accepted| async move {
+        proxy::enforce(shell, accepted);
+        shell.peers().flushed(SPREAD).await;
+    })
+    .await
+}
+
 fn answer(shell: &Shell, call: &Call) -> Reply {
     match (&call.method, &*call.path) {
         (&Method::GET, "/metrics") => Reply::new(StatusCode::OK, text(shell).into_string()),
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -38,6 +38,8 @@
 /// slowly would otherwise fill this process's memory; past it the stream counts as in doubt.
 pub const UNREAD_LIMIT: usize = 64 << 20;
 
+const FLUSH_CHECK: Duration = Duration::from_millis(20);
+
 const VM: &str = "vm";
 const LIFE: &str = "life";
 const PROTOCOL: &str = "protocol";
@@ -240,6 +242,33 @@
         }
     }
 
+    /// Waits until the peers have taken all that was sent so far, but no longer than `patience`.
+    pub async fn flushed(&self, patience: Duration) {
+        let sent: Vec<(u64, u64)> = self.each_stream(|stream| (stream.serial, stream.sent));
+        let deadline = Instant::now() + patience;
+        while Instant::now() < deadline {
+            let taken = self.each_stream(|stream| (stream.serial, stream.acknowledged));
+            let behind = |&(serial, sent): &(u64, u64)| {
+                taken
+                    .iter()
+                    .any(|&(other, taken)| other == serial && taken < sent)
+            };
+            if !sent.iter().any(behind) {
+                return;
+            }
+            tokio::time::sleep(FLUSH_CHECK).await;
+        }
+    }
+
+    fn each_stream<T>(&self, look: impl Fn(&Stream) -> T) -> Vec<T> {
+        let pairs = self.pairs.borrow();
+        let open = pairs.values().filter_map(|pair| match pair {
+            Pair::Open { streams, .. } => Some(streams),
+            _ => None,
+        });
+        open.flatten().map(look).collect()
+    }
+
     /// How many VMs this one has streams to.
     pub fn open(&self) -> usize {
         let pairs = self.pairs.borrow();
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -1,26 +1,16 @@
 //! One proxy: its listeners, its core, and where its news comes from.
 
 use crate::config::Accepted;
-use crate::core::member::Member;
 use crate::core::node::{Identity, Input};
+use crate::net::platform::watch::{self, News, Pace};
+use crate::net::platform::{Client, Listed};
 use crate::net::shell::Shell;
 use crate::net::{admin, pg};
+use crate::types::{Version, VmId};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
-
-/// What the platform tells a proxy.
-#[derive(Debug, Clone)]
-pub enum News {
-    /// The list of VMs.
-    Members(Vec<Member>),
-    /// The configuration in force.
-    Accepted(Arc<Accepted>),
-    /// The process is asked to stop.
-    Stop,
-}
 
 /// All that a proxy needs from outside.
 #[derive(Debug)]
@@ -35,38 +25,67 @@
     pub peers: TcpListener,
     /// Where operators connect.
     pub admin: TcpListener,
+    /// The platform's services.
+    pub platform: Client,
     /// Limits on callers.
     pub rules: pg::Rules,
 }
 
-/// Runs a proxy on this thread until its planned stop has nothing left to do.
-pub async fn run(setup: Setup, mut news: mpsc::UnboundedReceiver<News>) {
+/// Runs a proxy on this thread until a planned stop, asked for by `stop` or by the platform's
+/// list, has nothing left to do.
+pub async fn run(setup: Setup, stop: impl Future<Output = ()> + 'static) {
+    let vm = setup.identity.vm.clone();
+    let platform = Rc::new(setup.platform);
     let shell = Shell::start(setup.identity, setup.source);
     shell.peers().listen(setup.peers);
+    let operators = admin::serve(setup.admin, Rc::clone(&shell), Rc::clone(&platform));
+    let tasks = [
+        actix_rt::spawn(operators),
+        actix_rt::spawn(follow(Rc::clone(&shell), platform, vm)),
+    ];
     let door = actix_rt::spawn(pg::serve(setup.callers, shell.for_callers(), setup.rules));
-    actix_rt::spawn(admin::serve(setup.admin, Rc::clone(&shell)));
-    let listener = Rc::clone(&shell);
-    actix_rt::spawn(async move {
-        while let Some(news) = news.recv().await {
-            if matches!(news, News::Stop) {
-                door.abort();
-            }
-            learn(&listener, news);
-        }
-    });
+    tokio::select! {
+        () = stop => shell.input(Input::Stop),
+        () = shell.stopping() => {}
+    }
+    log::info!("stopping: no new callers, what is in flight finishes");
+    door.abort();
     shell.stopped().await;
+    tasks.iter().for_each(|task| task.abort());
+    log::info!("stopped");
 }
 
-fn learn(shell: &Shell, news: News) {
-    match news {
-        News::Members(members) => {
-            let addresses = members
-                .iter()
-                .map(|member| (member.vm.clone(), member.address));
-            shell.peers().learn(addresses);
-            shell.input(Input::Members(members));
+async fn follow(shell: Rc<Shell>, platform: Rc<Client>, vm: VmId) {
+    let version = || shell.inspect(|node| node.accepted().map_or(Version(0), |a| a.version));
+    watch::run(&platform, Pace::default(), version, |news| match news {
+        News::Config(accepted) => enforce(&shell, accepted),
+        News::Members(listed) => learn(&shell, &vm, listed),
+        News::Lost(error) => {
+            log::warn!("the platform does not answer, what is in force stays: {error}");
         }
-        News::Accepted(accepted) => shell.input(Input::Accepted(accepted)),
-        News::Stop => shell.input(Input::Stop),
+        News::Back => log::info!("the platform answers again"),
+    })
+    .await;
+}
+
+/// Puts `accepted` in force on this proxy, which spreads it to others.
+pub fn enforce(shell: &Shell, accepted: Accepted) {
+    log::info!(version:% = accepted.version; "configuration learned");
+    shell.input(Input::Accepted(Arc::new(accepted)));
+}
+
+fn learn(shell: &Shell, vm: &VmId, listed: Listed) {
+    let addresses = listed
+        .members
+        .iter()
+        .map(|member| (member.vm.clone(), member.address));
+    shell.peers().learn(addresses);
+    let leaving = listed
+        .members
+        .iter()
+        .any(|member| member.vm == *vm && member.leaving);
+    shell.input(Input::Members(listed.members));
+    if leaving {
+        shell.input(Input::Stop);
     }
 }
--- a/src/net/shell.rs
+++ b/src/net/shell.rs
@@ -12,6 +12,8 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
+const STOP_CHECK: std::time::Duration = std::time::Duration::from_millis(100);
+
 /// One proxy's core and all that it is connected to.
 #[derive(Debug)]
 pub struct Shell {
@@ -112,6 +114,13 @@
         }
     }
 
+    /// Completes once a planned stop has begun.
+    pub async fn stopping(&self) {
+        while !self.inspect(Node::is_stopping) {
+            tokio::time::sleep(STOP_CHECK).await;
+        }
+    }
+
     /// Completes once a planned stop has nothing left to do.
     pub async fn stopped(&self) {
         let mut stopped = self.stopped.subscribe();
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -1,14 +1,16 @@
 //! A whole deployment in one process: groups of databases, and proxies on threads of their own.
 
-use crate::clock::Span;
-use crate::config::{Accepted, Document};
+use crate::config::Document;
 use crate::core::member::Member;
 use crate::core::node::Identity;
 use crate::net::pg;
-use crate::net::proxy::{self, News, Setup};
+use crate::net::platform::Client;
+use crate::net::platform::apply::{Proposal, Verdict, settle};
+use crate::net::proxy::{self, Setup};
 use crate::standin::database::{Group, Handle, Lag, Spec};
 use crate::standin::deployment::{APPLY_LAG, CONNECT, Deployment, GROUPS, RECEIVE_LAG, SERVICE};
-use crate::types::{GroupId, Invalid, Life, Version, VmId};
+use crate::standin::platform::{self, Platform};
+use crate::types::{ApplyId, GroupId, Invalid, Life, Version, VmId};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,7 +18,13 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// How long a demo may take until it serves.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+const START_CHECK: Duration = Duration::from_millis(50);
 
 /// What a demo is to be.
 #[derive(Debug, Clone)]
@@ -35,7 +43,8 @@
 #[derive(Debug)]
 pub struct Demo {
     groups: BTreeMap<GroupId, Handle>,
-    proxies: Vec<Proxy>,
+    platform: platform::Handle,
+    proxies: Vec<Option<Proxy>>,
     kill_primary_after: Option<u64>,
 }
 
@@ -43,7 +52,7 @@
 struct Proxy {
     callers: SocketAddr,
     admin: SocketAddr,
-    news: mpsc::UnboundedSender<News>,
+    stop: oneshot::Sender<()>,
     thread: JoinHandle<()>,
 }
 
@@ -53,6 +62,9 @@
     /// An address can't be bound, or a thread not be started.
     #[error("{0}; another demo may be running: stop it or choose another --listen")]
     Io(#[from] io::Error),
+    /// The deployment's configuration was not accepted.
+    #[error("the configuration was not accepted: {0}")]
+    Config(Box<str>),
     /// A name of the deployment is not valid.
     #[error(transparent)]
     Name(#[from] Invalid),
@@ -62,27 +74,31 @@
 pub async fn start(plan: &Plan) -> Result<Demo, Error> {
     let mut document = plan.deployment.document()?;
     let groups = start_groups(plan.deployment, &mut document)?;
-    let accepted = Arc::new(Accepted {
-        version: Version(1),
+    let platform = Platform::start(SocketAddr::new(plan.listen.ip(), 0))?;
+    let proposal = Proposal {
+        id: ApplyId(rand::random()),
+        base: Version(0),
         document,
-    });
-    let mut members = Vec::new();
+    };
+    let client = Client::new([platform.address()]);
+    let verdict = settle(&client, &proposal, Instant::now() + START_LIMIT).await;
+    if !matches!(verdict, Verdict::Accepted(_)) {
+        return Err(Error::Config(format!("{verdict:?}").into()));
+    }
     let mut proxies = Vec::new();
     for index in 0..plan.proxies {
-        let (member, proxy) = start_proxy(plan, index)?;
-        members.push(member);
-        proxies.push(proxy);
-    }
-    for proxy in &proxies {
-        // A proxy that ended already shows when it is joined.
-        let _ = proxy.news.send(News::Members(members.clone()));
-        let _ = proxy.news.send(News::Accepted(Arc::clone(&accepted)));
+        let (member, proxy) = start_proxy(plan, index, platform.address())?;
+        platform.join(member);
+        proxies.push(Some(proxy));
     }
-    Ok(Demo {
+    let demo = Demo {
         groups,
+        platform,
         proxies,
         kill_primary_after: plan.kill_primary_after,
-    })
+    };
+    demo.wait_until_served().await;
+    Ok(demo)
 }
 
 fn start_groups(
@@ -106,7 +122,7 @@
     Ok(handles)
 }
 
-fn start_proxy(plan: &Plan, index: u8) -> Result<(Member, Proxy), Error> {
+fn start_proxy(plan: &Plan, index: u8, platform: SocketAddr) -> Result<(Member, Proxy), Error> {
     let place = usize::from(index) % GROUPS;
     let source = Deployment::address(place, index + 1);
     let bind = |address: SocketAddr| -> io::Result<(std::net::TcpListener, SocketAddr)> {
@@ -135,7 +151,7 @@
         domain: identity.domain.clone(),
         leaving: false,
     };
-    let (news, receiver) = mpsc::unbounded_channel();
+    let (stop, stopped) = oneshot::channel();
     let thread = std::thread::Builder::new()
         .name(member.vm.to_string())
         .spawn(move || {
@@ -149,16 +165,17 @@
                     log::error!("a listener can't be used: free its port");
                     return;
                 };
-                let rules = pg::Rules::default();
                 let setup = Setup {
                     identity,
                     source,
                     callers,
                     peers,
                     admin,
-                    rules,
+                    platform: Client::new([platform]),
+                    rules: pg::Rules::default(),
                 };
-                proxy::run(setup, receiver).await;
+                // A demo that is dropped ends its proxies too.
+                proxy::run(setup, async { stopped.await.unwrap_or_default() }).await;
             });
         })?;
     Ok((
@@ -166,7 +183,7 @@
         Proxy {
             callers: callers_address,
             admin: admin_address,
-            news,
+            stop,
             thread,
         },
     ))
@@ -175,12 +192,12 @@
 impl Demo {
     /// Where the proxies listen for callers.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.proxies.iter().map(|proxy| proxy.callers).collect()
+        self.running().map(|proxy| proxy.callers).collect()
     }
 
     /// Where the proxies listen for operators.
     pub fn admins(&self) -> Vec<SocketAddr> {
-        self.proxies.iter().map(|proxy| proxy.admin).collect()
+        self.running().map(|proxy| proxy.admin).collect()
     }
 
     /// The databases, for faults.
@@ -188,23 +205,43 @@
         &self.groups
     }
 
-    /// Asks one proxy to stop; it finishes what is in flight.
-    pub fn stop_proxy(&self, index: usize) {
-        if let Some(proxy) = self.proxies.get(index) {
-            // One that ended already needs no telling.
-            let _ = proxy.news.send(News::Stop);
+    /// The platform, for faults.
+    pub fn platform(&self) -> &platform::Handle {
+        &self.platform
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Proxy> {
+        self.proxies.iter().flatten()
+    }
+
+    async fn wait_until_served(&self) {
+        let deadline = Instant::now() + START_LIMIT;
+        for address in self.callers() {
+            for group in self.groups.keys() {
+                while Instant::now() < deadline && !served(address, group).await {
+                    tokio::time::sleep(START_CHECK).await;
+                }
+            }
         }
     }
 
+    /// Asks one proxy to stop, counted from 0, and returns its thread; the proxy finishes what is
+    /// in flight.
+    pub fn stop_proxy(&mut self, index: usize) -> Option<JoinHandle<()>> {
+        let proxy = self.proxies.get_mut(index)?.take()?;
+        // One that ended already needs no telling.
+        let _ = proxy.stop.send(());
+        Some(proxy.thread)
+    }
+
     /// Runs until SIGTERM or SIGINT, then stops the proxies.
     pub async fn run_until_signal(self) -> io::Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        let kill = self.kill_in_time();
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
-            () = kill => {}
+            () = self.kill_in_time() => {}
         }
         self.stop();
         Ok(())
@@ -212,11 +249,11 @@
 
     async fn kill_in_time(&self) {
         if let Some(secs) = self.kill_primary_after {
-            tokio::time::sleep(Duration::from(Span::from_secs(secs))).await;
+            tokio::time::sleep(Duration::from_secs(secs)).await;
             if let Some((group, handle)) = self.groups.iter().next()
                 && let Some(primary) = handle.primary()
             {
-                eprintln!("killing {primary}, the primary of {group}");
+                println!("killed {primary}, the primary of {group}");
                 handle.kill(&primary);
             }
         }
@@ -224,14 +261,28 @@
     }
 
     /// Stops the proxies and waits for them.
-    pub fn stop(self) {
-        for index in 0..self.proxies.len() {
-            self.stop_proxy(index);
-        }
-        for proxy in self.proxies {
-            if proxy.thread.join().is_err() {
+    pub fn stop(mut self) {
+        let indexes = 0..self.proxies.len();
+        let threads: Vec<_> = indexes.filter_map(|index| self.stop_proxy(index)).collect();
+        for thread in threads {
+            if thread.join().is_err() {
                 log::error!("a proxy's thread panicked: report its backtrace");
             }
         }
     }
 }
+
+/// Whether the primary of `group` takes a transaction through the proxy at `address`.
+async fn served(address: SocketAddr, group: &GroupId) -> bool {
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port());
+    config.user("demo").dbname(group.as_str());
+    let Ok((client, connection)) = config.connect(tokio_postgres::NoTls).await else {
+        return false;
+    };
+    let connection = actix_rt::spawn(connection);
+    let served = client.batch_execute("BEGIN").await.is_ok()
+        && client.batch_execute("ROLLBACK").await.is_ok();
+    connection.abort();
+    served
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,39 @@
+//! Small things that several subcommands share.
+
+use std::io::Write;
+
+/// Sends logs to stderr, one line each: the level, where, the text, and its key-values. The
+/// environment variable `RUST_LOG` goes before `level`.
+pub fn log(level: log::LevelFilter) {
+    let mut builder = env_logger::Builder::new();
+    builder
+        .filter_module("lentilspoke", level)
+        .parse_default_env();
+    builder.format(|out, record| {
+        write!(
+            out,
+            "{} {} {}",
+            record.level(),
+            record.target(),
+            record.args()
+        )?;
+        let mut visitor = Pairs(out);
+        // A key-value that can't be shown must not cost the line.
+        let _ = record.key_values().visit(&mut visitor);
+        writeln!(out)
+    });
+    // A second call, by a test in the same process, changes nothing.
+    let _ = builder.try_init();
+}
+
+struct Pairs<'a>(&'a mut env_logger::fmt::Formatter);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        write!(self.0, " {key}={value}").map_err(log::kv::Error::from)
+    }
+}
