Model-check terms; mend four holes that the search found

Cause: the protocol in core::term was argued for, not searched. Change: src/model holds a breadth-first search (pathfinding) and a specification of terms, promotion and acknowledgement that runs the real Confirmations, Promotion and Lineage. Conclusion: stewards have to confirm the primary by its own answers, and use order().

--- a/src/core/term.rs
+++ b/src/core/term.rs
@@ -24,14 +24,27 @@
     wanted > current
 }
 
+/// The position that has to be held by a majority before the steward of `term` vouches for
+/// `position`, which its primary's log holds.
+///
+/// Failure: a write of a former term, found by its request key, is held by a majority, but no
+/// database of that majority has the start of this term. Symptom: a database with a shorter
+/// log of a term in between is chosen by the next promotion, and the write is gone after it
+/// was acknowledged. Enough, because a log that holds a position of `term` holds the start of
+/// `term` and all before it, and goes further than any log of a term in between.
+pub fn binding(term: Term, position: Position) -> Position {
+    Position::new(term.max(position.term), position.offset)
+}
+
 /// Confirmations that a term is still the current one, and until when they allow its steward
 /// to acknowledge writes and to vouch for floors.
 ///
 /// Failure: a replaced primary, or a paused steward, goes on answering. Symptom: a write is
-/// acknowledged that the new term does not hold. Enough, because a raise to a higher term
-/// needs a majority, every majority meets the primary (which then refuses) or a database that
-/// confirmed here (which then stops confirming), and the new term opens only a whole window
-/// after its last raise, when every confirmation counted here has lapsed.
+/// acknowledged that the new term does not hold, or a session's floor is vouched for that the
+/// new term's steward has raised since. Enough, because the primary and the others counted here
+/// are a majority together, every majority raised to a higher term meets one of them, which
+/// then stops confirming, and the new term opens only a whole window after its last raise, when
+/// that one's confirmation has lapsed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize)]
 pub struct Confirmations {
     term: Term,
@@ -61,12 +74,10 @@
         &self.primary
     }
 
-    /// `database` answered a probe, sent at `sent`, that its term is still this one. The
-    /// primary's own answer does not count: it says nothing of what the others were told.
+    /// `database` answered a probe or ran a statement of this term, sent at `sent`. The
+    /// primary's answers are needed too: its refusal of statements alone does not stop an
+    /// answer that it gave before, nor a floor that is granted without asking it.
     pub fn confirm(&mut self, database: &DatabaseId, sent: Time, window: Span) {
-        if *database == self.primary {
-            return;
-        }
         let lapse = self.lapses.entry(database.clone()).or_default();
         *lapse = (*lapse).max(sent + window);
     }
@@ -78,13 +89,18 @@
 
     /// Until when, exclusively, writes may be acknowledged. Zero if too few have confirmed.
     pub fn deadline(&self) -> Time {
-        let others = majority(self.members) - 1;
-        if others == 0 {
-            return Time(u64::MAX);
+        let own = self.lapses.get(&self.primary).copied().unwrap_or_default();
+        let mut others: Vec<Time> = self
+            .lapses
+            .iter()
+            .filter(|(database, _)| **database != self.primary)
+            .map(|(_, lapse)| *lapse)
+            .collect();
+        others.sort_unstable_by(|a, b| b.cmp(a));
+        match majority(self.members) - 1 {
+            0 => own,
+            needed => own.min(others.get(needed - 1).copied().unwrap_or_default()),
         }
-        let mut lapses: Vec<Time> = self.lapses.values().copied().collect();
-        lapses.sort_unstable_by(|a, b| b.cmp(a));
-        lapses.get(others - 1).copied().unwrap_or_default()
     }
 
     /// Whether an answer of the primary that has been read already may be passed on now.
@@ -104,6 +120,8 @@
     settled: Option<Time>,
     /// Until when the former term's confirmations may count, once `settled` is known.
     opens: Option<Time>,
+    /// The database that was ordered to open, once one was.
+    ordered: Option<DatabaseId>,
 }
 
 impl Promotion {
@@ -115,6 +133,7 @@
             raised: BTreeMap::new(),
             settled: None,
             opens: None,
+            ordered: None,
         }
     }
 
@@ -123,7 +142,9 @@
         self.term
     }
 
-    /// `database` answered at `now` that it was raised and that its log ends at `end`.
+    /// `database` answered at `now` that it was raised and that its log ends at `end`: the
+    /// term that its log was opened in last, whether or not anything was written in it, and the
+    /// offset.
     ///
     /// Failure: the former steward still holds fresh confirmations when the new primary opens.
     /// Symptom: both acknowledge. Enough, because every confirmation from a raised database was
@@ -141,10 +162,15 @@
         }
     }
 
-    /// The former steward has stopped for good: it will acknowledge nothing more in its term,
-    /// so there is nothing to wait out.
-    pub fn yielded(&mut self) {
-        if let Some(settled) = self.settled {
+    /// The steward of `former` has stopped for good: it acknowledges nothing more in its term
+    /// and no lease that it granted is left, so there is nothing to wait out. Called after the
+    /// majority was raised.
+    ///
+    /// Failure: the handover is late, and `former` was replaced already. Symptom: the steward
+    /// of a term in between still acknowledges when this one opens. Enough, because between
+    /// `former` and the very next term there is none.
+    pub fn yielded(&mut self, former: Term) {
+        if let Some(settled) = self.settled.filter(|_| former.next() == self.term) {
             self.opens = Some(settled);
         }
     }
@@ -174,6 +200,18 @@
         Some((best.0, *best.1))
     }
 
+    /// The database to order to open at `now`, if it is time; the same one ever after.
+    ///
+    /// Failure: the order to open is lost on its way back, a further database is raised, and
+    /// its log goes further. Symptom: two databases are open in one term. Enough, because the
+    /// choice is kept; if that database is lost, a higher term is needed.
+    pub fn order(&mut self, now: Time) -> Option<&DatabaseId> {
+        if self.ordered.is_none() && self.opens? <= now {
+            self.ordered = self.choice().map(|(database, _)| database.clone());
+        }
+        self.ordered.as_ref()
+    }
+
     /// When the chosen database may be opened for writes.
     pub fn opens(&self) -> Option<Time> {
         self.opens
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod model;
 pub mod types;
