--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,15 @@
 //! outside systems for tests and the demo; `cmd` holds a module for each subcommand.
 
 pub mod clock;
+pub mod cmd;
 pub mod config;
 pub mod core;
 pub mod model;
+pub mod experiment;
+pub mod jsonc;
+pub mod net;
+pub mod settings;
+pub mod sql;
+pub mod standin;
+pub mod token;
 pub mod types;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,60 @@
 //! The command line's entry: dispatch to a subcommand and nothing else.
 
-fn main() {}
+use lentilspoke::cmd::{self, Error};
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+A database proxy with session consistency, for groups of lagging replicas.
+
+Usage: lentilspoke COMMAND [ARGUMENTS]
+
+Commands:
+    demo        run stand-in databases and proxies in one process
+    dump        print a process's state
+    experiment  play patterns of load against the decisions
+
+`lentilspoke COMMAND --help` tells more about each.
+";
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    match dispatch(&words) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Error::Help(usage)) => {
+            print!("{usage}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("lentilspoke: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+fn dispatch(words: &[String]) -> Result<(), Error> {
+    let Some((command, rest)) = words.split_first() else {
+        return Err(Error::usage("no command: see lentilspoke --help"));
+    };
+    match command.as_str() {
+        "demo" => cmd::demo::run(rest),
+        "dump" => cmd::dump::run(rest),
+        "experiment" => experiment(rest),
+        "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
+        "-V" | "--version" => {
+            println!("lentilspoke {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        other => Err(Error::usage(format!(
+            "no command `{other}`: see lentilspoke --help"
+        ))),
+    }
+}
+
+fn experiment(words: &[String]) -> Result<(), Error> {
+    match cmd::experiment::run(words, &mut std::io::stdout()) {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(Error::failed("an aim was missed")),
+        Err(error @ cmd::experiment::Error::Usage(_)) => Err(Error::usage(error)),
+        Err(error) => Err(Error::failed(error)),
+    }
+}
