--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cmd;
 pub mod config;
 pub mod core;
+pub mod model;
 pub mod experiment;
 pub mod jsonc;
 pub mod net;
