--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,9 @@
 //! One module for each subcommand, and the error at the command line's edge.
 
+pub mod apply;
+pub mod check;
 pub mod dump;
+pub mod experiment;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
@@ -76,6 +79,4 @@
         .map_err(|error| Error::usage(format!("--{name} {text}: {error}")));
     parsed.map(Some)
 }
-//! A module for each subcommand.
-
-pub mod experiment;
+pub mod show;
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,9 @@
 Usage: lentilspoke COMMAND [ARGUMENTS]
 
 Commands:
+    check       check a configuration file
+    apply       put a configuration file in force
+    show        print the configuration in force
     dump        print a process's state
 
 `lentilspoke COMMAND --help` tells more about each.
@@ -34,6 +37,9 @@
         return Err(Error::usage("no command: see lentilspoke --help"));
     };
     match command.as_str() {
+        "check" => cmd::check::run(rest),
+        "apply" => cmd::apply::run(rest),
+        "show" => cmd::show::run(rest),
         "dump" => cmd::dump::run(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 pub mod frame;
 pub mod http;
 pub mod peer;
-pub mod platform;
 pub mod pg;
+pub mod platform;
 pub mod rpc;
 pub mod splice;
--- a/src/net/platform/apply.rs
+++ b/src/net/platform/apply.rs
@@ -19,6 +19,9 @@
 /// The path of the admin address that takes a [`Proposal`] as JSON.
 pub const PATH: &str = "/apply";
 
+/// The path of the admin address that tells what is in force, as JSON of [`Accepted`] or `null`.
+pub const CONFIG_PATH: &str = "/config";
+
 /// A document to apply.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -197,6 +200,12 @@
     http::Reply::new(::http::StatusCode::OK, json)
 }
 
+/// Answers [`CONFIG_PATH`].
+pub fn show(in_force: Option<&Accepted>) -> http::Reply {
+    let json = serde_json::to_vec(&in_force).unwrap_or_default();
+    http::Reply::new(::http::StatusCode::OK, json)
+}
+
 fn refusal(error: &dyn std::fmt::Display) -> http::Reply {
     let text = format!("not a proposal: {error}; run the same version at both ends");
     http::Reply::new(::http::StatusCode::BAD_REQUEST, text)
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -145,7 +145,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// No answer. A write may have taken effect.
-    #[error("the platform does not answer ({0}): it is tried again")]
+    #[error("the platform does not answer ({0}): ask again once it does")]
     Unavailable(Box<str>),
     /// Its answer is not understood.
     #[error("the platform's answer is not understood ({0}): check that the versions fit")]
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,5 +2,5 @@
 //! the PostgreSQL protocol, and the platform's services. Faults are set by plain calls.
 
 pub mod database;
-pub mod platform;
 pub mod deployment;
+pub mod platform;
--- /dev/null
+++ b/tests/command/mod.rs
@@ -0,0 +1,59 @@
+//! Runs the binary as an operator would.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+pub const DOCUMENT: &str = r#"{
+    "groups": {
+        "ledger1": {
+            "databases": {
+                "a": {"address": "10.0.1.1:5432", "domain": "mombasa", "slots": 3, "connections": 25}
+            }
+        }
+    },
+    "pools": {"brokers": {"groups": ["ledger1"]}}
+}
+"#;
+
+/// The exit code, standard output and standard error of one run.
+pub fn lentilspoke(words: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_lentilspoke"))
+        .args(words)
+        .output()
+        .unwrap();
+    let code = output.status.code().unwrap();
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim_end().to_owned();
+    let said = [text(&output.stdout), text(&output.stderr)].join("");
+    format!("exit {code}\n{said}")
+}
+
+/// A file that is gone after the test.
+pub struct File(PathBuf);
+
+impl File {
+    pub fn new(text: &str) -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("lentilspoke-{}-{number}.jsonc", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    pub fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+
+    /// The text with this file's path as FILE.
+    pub fn anonymous(&self, said: &str) -> String {
+        said.replace(self.path(), "FILE")
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
