--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -60,6 +60,8 @@
     /// The floor under which it is sent.
     floor: Option<Position>,
     tries: u32,
+    /// An earlier try may have been run.
+    doubt: Option<Unknown>,
 }
 
 /// A request at a holder.
@@ -188,6 +190,7 @@
             left: None,
             floor: None,
             tries: 0,
+            doubt: None,
         };
         if pending.request.kind == Kind::Continue {
             return self.not_run(turn, pending, Cause::RolledBack, Span::ZERO);
@@ -210,6 +213,7 @@
             left: None,
             floor: None,
             tries: 0,
+            doubt: None,
         };
         self.send(turn, pending, bound.vm, bound.database, false);
     }
@@ -303,6 +307,7 @@
             group: request.group.clone(),
             database: database.clone(),
             kind: request.kind,
+            primary,
             class: class(turn, request),
             floor: pending.floor,
             max_age: request.max_age,
@@ -326,7 +331,15 @@
     }
 
     /// Tells a caller what came of its request.
+    ///
+    /// Failure: a write under a key is tried again after an unknown outcome, and the second try
+    /// is not run. Symptom: its caller hears "not run" although the first try was. Enough,
+    /// because an earlier doubt outlives every later "not run".
     fn tell(&mut self, turn: &mut Turn, pending: Pending, outcome: Outcome) {
+        let outcome = match (pending.doubt, outcome) {
+            (Some(doubt), Outcome::NotRun(_)) => Outcome::Unknown(doubt),
+            (_, outcome) => outcome,
+        };
         let request = pending.request;
         let floor = self.shown_floor(&request);
         if let Some(caller) = self.links.get_mut(&request.link) {
--- a/src/core/entry/answer.rs
+++ b/src/core/entry/answer.rs
@@ -120,7 +120,8 @@
     }
 
     /// It is not known whether the work was run.
-    pub(super) fn unknown(&mut self, turn: &mut Turn, sent: Sent, cause: Unknown) {
+    pub(super) fn unknown(&mut self, turn: &mut Turn, mut sent: Sent, cause: Unknown) {
+        sent.pending.doubt = Some(cause);
         let request = &sent.pending.request;
         if let Some(view) = self.groups.get_mut(&request.group) {
             view.router.failed(turn.now, &sent.database);
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -322,12 +322,15 @@
         }
     }
 
-    /// Why work of `kind` may not start, if so.
-    fn forbids(self, kind: Kind) -> Option<Cause> {
-        let writes = matches!(kind, Kind::Write | Kind::Begin);
-        let begins = matches!(kind, Kind::Begin | Kind::BeginRead);
+    /// Why `work` may not start, if so.
+    ///
+    /// Failure: a read without a floor is sent to a steward that was replaced meanwhile.
+    /// Symptom: it is answered from an old primary as if from a replica, and its session does
+    /// not see its write. Enough, because work for a primary is refused by every other role.
+    fn forbids(self, work: &Work) -> Option<Cause> {
+        let begins = matches!(work.kind, Kind::Begin | Kind::BeginRead);
         match self {
-            Role::Replica if writes => Some(Cause::NoPrimary),
+            Role::Replica if work.primary => Some(Cause::NoPrimary),
             Role::Draining(_) if begins => Some(Cause::NoPrimary),
             Role::Frozen(_) => Some(Cause::NoPrimary),
             _ => None,
--- a/src/core/holder/queue.rs
+++ b/src/core/holder/queue.rs
@@ -44,7 +44,7 @@
     /// is cut, or written where it will be lost. Enough, because nothing starts here any more
     /// and what did start keeps its connection to its end.
     fn refuses(&self, turn: &Turn, job: &Job) -> Option<Cause> {
-        if let Some(cause) = self.role.forbids(job.work.kind) {
+        if let Some(cause) = self.role.forbids(&job.work) {
             return Some(cause);
         }
         match turn.world.database(&self.database) {
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -94,6 +94,8 @@
     pub database: DatabaseId,
     /// What it does.
     pub kind: Kind,
+    /// Only the group's primary may run it, under its steward's confirmations.
+    pub primary: bool,
     /// Its place among other work.
     pub class: Class,
     /// The database has to hold this, for a read that must see it.
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -25,6 +25,9 @@
 /// than looking at all of them this often.
 const GRAIN: Span = Span::from_millis(10);
 
+/// The least time between two ticks, so that a timer that stands in the past can't spin.
+const LEAST_WAIT: Span = Span::from_millis(1);
+
 /// Between two sweeps for databases and groups that this VM has nothing to do with any more.
 const SWEEP: Span = Span::from_secs(1);
 
@@ -51,11 +54,15 @@
         /// What it says.
         message: Message,
     },
-    /// The stream to another proxy is open.
+    /// The stream to another proxy is open. `PeerUp` and `PeerDown` of one proxy come in the
+    /// order in which its streams opened and broke, each once.
     PeerUp(VmId),
     /// The stream to another proxy broke, or could not be opened. What was sent since the last
     /// `PeerUp` may have arrived; without a `PeerUp` since the last `PeerDown`, nothing has.
-    /// No message of the old stream follows.
+    ///
+    /// No message of the old stream follows. From the moment at which the stream is found
+    /// broken until this input has been handled, what is sent to that proxy is discarded, not
+    /// sent over a new stream: the node takes it for never sent, and sends it again.
     PeerDown(VmId),
     /// A database or a connection to it did something.
     Database(Event),
@@ -169,7 +176,8 @@
         let grain = (busy || self.stopping.is_some()).then(|| self.now + GRAIN);
         let stewards = self.stewards.values().map(Steward::wake);
         let timers = [self.sweep_at, self.spread.wake()];
-        timers.into_iter().chain(stewards).chain(grain).min()
+        let next = timers.into_iter().chain(stewards).chain(grain).min()?;
+        Some(next.max(self.now + LEAST_WAIT))
     }
 
     /// What it has done since it started.
--- a/src/core/node/peer.rs
+++ b/src/core/node/peer.rs
@@ -9,7 +9,7 @@
 use crate::core::request::{Cause, NotRun, Outcome};
 use crate::core::spread;
 use crate::core::world::Errand;
-use crate::types::{DatabaseId, VmId};
+use crate::types::{DatabaseId, Term, VmId};
 use std::sync::Arc;
 
 impl Node {
@@ -249,6 +249,12 @@
         turn.send(&from, Message::Report(report));
     }
 
+    fn saw_raise(&mut self, database: &DatabaseId, term: Term, out: &mut Vec<Output>) {
+        if let Some(group) = self.world.group_of(database).cloned() {
+            self.with_steward(&group, out, |steward, turn| steward.saw_raise(turn, term));
+        }
+    }
+
     fn relay(
         &mut self,
         from: VmId,
@@ -260,6 +266,9 @@
         if self.holders.contains_key(&control.database) {
             self.observe(&control.database, state, out);
         }
+        if let (Order::Raise(term), Some(Ok(_))) = (control.order, &result) {
+            self.saw_raise(&control.database, term, out);
+        }
         let (mut turn, _) = self.turn(out);
         let controlled = Controlled {
             request: control.request,
--- a/src/core/session.rs
+++ b/src/core/session.rs
@@ -55,6 +55,11 @@
         self.horizon
     }
 
+    /// The floor of a session that is remembered.
+    pub fn floor(&self, session: &SessionId) -> Option<Position> {
+        self.seats.get(session).map(|seat| seat.floor)
+    }
+
     /// Leases the floor of `session` to `vm` until `until`.
     pub fn grant(&mut self, session: &SessionId, vm: &VmId, now: Time, until: Time) -> Position {
         let seat = self.seat(session);
--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -233,6 +233,23 @@
         }
     }
 
+    /// A database was raised to `term` by way of this VM: somebody is taking the group over.
+    ///
+    /// Failure: a VM waits out the former term's window after its raise, and another one, still
+    /// without a sign of life, raises again. Symptom: terms rise without end and nobody leads.
+    /// Enough, because a raise counts as a sign of life for as long as the wait takes, and a
+    /// raiser that dies meanwhile costs no more than that.
+    pub fn saw_raise(&mut self, turn: &Turn, term: Term) {
+        if term <= self.term {
+            return;
+        }
+        if matches!(self.phase, Phase::Follow | Phase::Gather(_)) {
+            self.term = term;
+            self.phase = Phase::Follow;
+            self.watch.heard(turn.now + turn.timing().window);
+        }
+    }
+
     /// Another holder asks whether the steward was heard; a steward asks whether its primary
     /// can be reached from here, which `reached` answers.
     pub fn suspected(
@@ -244,6 +261,7 @@
     ) {
         let heard = match &self.phase {
             Phase::Lead(lead) => lead.serves(turn.now),
+            Phase::Raise(_) | Phase::Open(_) => true,
             _ => !self.watch.suspects(turn.now),
         };
         let answer = Suspected {
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -121,7 +121,7 @@
 
     /// Whether writes are acknowledged just now.
     pub fn serves(&self, now: Time) -> bool {
-        self.confirmations.hold(now) && !self.primary_watch.suspects(now)
+        now < self.confirmations.floor_deadline() && !self.primary_watch.suspects(now)
     }
 
     pub fn wake(&self) -> Time {
@@ -304,6 +304,7 @@
     }
 
     fn primary_controlled(&mut self, turn: &mut Turn, controlled: Controlled) {
+        let window = turn.timing().window;
         let Some(lead) = self.lead() else {
             return;
         };
@@ -316,6 +317,8 @@
         match controlled.result {
             Some(Ok(state)) if state.term == lead.leader.term && state.open => {
                 lead.primary_watch.heard(asked);
+                let primary = lead.leader.database.clone();
+                lead.confirmations.confirm(&primary, asked, window);
                 lead.doubt = None;
                 lead.primary_log = Some(Log {
                     end: state.position,
@@ -396,8 +399,7 @@
         let until = lead.lease_end(now);
         let mut verdicts = Vec::with_capacity(ready.len() + late.len());
         for waiting in ready {
-            let lease = until.filter(|_| waiting.reply.wrote.is_some());
-            let lease = lease.and_then(|until| lead.renew(&waiting.job, now, until));
+            let lease = until.and_then(|until| lead.renew(&waiting, now, until));
             verdicts.push(Verdict::done(waiting, lease));
         }
         verdicts.extend(late.into_iter().map(|(waiting, cause)| Verdict {
@@ -479,17 +481,25 @@
 impl Lead {
     /// Until when a lease given now may be used; `None` if none may be given.
     fn lease_end(&self, now: Time) -> Option<Time> {
-        if self.handover.is_some() || !self.confirmations.hold(now) {
+        let end = self.confirmations.floor_deadline();
+        if self.handover.is_some() || end <= now {
             return None;
         }
-        let end = self.confirmations.deadline();
         Some(end.min(now + LEASE_LIMIT))
     }
 
-    fn renew(&mut self, job: &Job, now: Time, until: Time) -> Option<Time> {
-        let session = job.work.session.as_ref()?;
-        self.sessions
-            .grant(session, &job.origin, now, guarded(now, until));
+    /// Lets the entry that sent a write go on under its new floor.
+    ///
+    /// Failure: the session wrote by way of another entry too, and that write has taken this
+    /// entry's lease back already. Symptom: the entry reads on under the earlier of the two
+    /// floors. Enough, because only the session's last write renews a lease.
+    fn renew(&mut self, waiting: &Waiting, now: Time, until: Time) -> Option<Time> {
+        let session = waiting.job.work.session.as_ref()?;
+        if self.sessions.floor(session) != waiting.reply.wrote {
+            return None;
+        }
+        let vm = &waiting.job.origin;
+        self.sessions.grant(session, vm, now, guarded(now, until));
         Some(until)
     }
 }
--- a/src/core/term.rs
+++ b/src/core/term.rs
@@ -38,6 +38,8 @@
     primary: DatabaseId,
     members: usize,
     lapses: BTreeMap<DatabaseId, Time>,
+    /// When the primary's own confirmation lapses.
+    own: Time,
 }
 
 impl Confirmations {
@@ -48,6 +50,7 @@
             primary,
             members,
             lapses: BTreeMap::new(),
+            own: Time::default(),
         }
     }
 
@@ -62,9 +65,11 @@
     }
 
     /// `database` answered a probe, sent at `sent`, that its term is still this one. The
-    /// primary's own answer does not count: it says nothing of what the others were told.
+    /// primary's own answer says nothing of what the others were told; it counts for floors
+    /// alone.
     pub fn confirm(&mut self, database: &DatabaseId, sent: Time, window: Span) {
         if *database == self.primary {
+            self.own = self.own.max(sent + window);
             return;
         }
         let lapse = self.lapses.entry(database.clone()).or_default();
@@ -87,6 +92,17 @@
         lapses.get(others - 1).copied().unwrap_or_default()
     }
 
+    /// Until when, exclusively, the sessions' floors may be vouched for.
+    ///
+    /// Failure: the primary was raised to the next term, and the steward is cut from it but not
+    /// from the others, which still confirm. No write is acknowledged here any more, since the
+    /// primary refuses them, but others are, in the next term. Symptom: a session reads under a
+    /// floor that lacks its newest write. Enough, because the primary has to confirm as well,
+    /// and every majority that is raised meets it or one of the others counted.
+    pub fn floor_deadline(&self) -> Time {
+        self.deadline().min(self.own)
+    }
+
     /// Whether an answer of the primary that has been read already may be passed on now.
     /// `now` has to be read from the clock after the answer was.
     pub fn hold(&self, now: Time) -> bool {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use lentilspoke::core::node::{Identity, Input, Node, Output};
 use lentilspoke::core::request::{Kind, Outcome, Request};
 use lentilspoke::types::{ConnId, DatabaseId, Life, Link, Position, RequestKey, Version, VmId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// One way between any two ends.
@@ -25,12 +25,27 @@
 #[derive(Debug)]
 pub enum Coming {
     Input(VmId, Input),
+    /// A message on a pair's stream of a certain number.
+    Message(VmId, VmId, u64, Message),
+    /// A stream could not be opened.
+    Down(VmId, VmId),
+    /// A pair's stream is noticed to be broken.
+    Break(VmId, VmId, u64),
     Command(VmId, Command),
     Event(DatabaseId, VmId, Event),
     Replicate(DatabaseId, DatabaseId),
     Apply(DatabaseId, usize),
 }
 
+/// The stream between two VMs.
+#[derive(Debug, Default)]
+struct Stream {
+    number: u64,
+    open: bool,
+    /// Nothing passes any more, which is not noticed yet.
+    broken: bool,
+}
+
 /// What a caller was told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Told {
@@ -49,11 +64,16 @@
     pub stopped: BTreeSet<VmId>,
     /// VMs that are paused: what comes to them waits.
     pub paused: BTreeSet<VmId>,
+    held: BTreeMap<VmId, VecDeque<Input>>,
     /// Pairs of names between which nothing passes, in either direction.
     pub cut: BTreeSet<(String, String)>,
-    pub sent: Vec<(VmId, VmId, Message)>,
+    pub sent: Vec<(Time, VmId, VmId, Message)>,
     /// Messages that are swallowed.
     pub swallow: Option<fn(&Message) -> bool>,
+    streams: BTreeMap<(VmId, VmId), Stream>,
+    /// A VM and another whose stream broke, which the first has yet to be told; and whether
+    /// that has come to it already.
+    down: BTreeMap<(VmId, VmId), bool>,
     owners: BTreeMap<(VmId, ConnId), DatabaseId>,
     queue: BTreeMap<(Time, u64), Coming>,
     sequence: u64,
@@ -102,9 +122,12 @@
             dismissed: Vec::new(),
             stopped: BTreeSet::new(),
             paused: BTreeSet::new(),
+            held: BTreeMap::new(),
             cut: BTreeSet::new(),
             sent: Vec::new(),
             swallow: None,
+            streams: BTreeMap::new(),
+            down: BTreeMap::new(),
             owners: BTreeMap::new(),
             queue: BTreeMap::new(),
             sequence: 0,
@@ -125,6 +148,7 @@
     /// Starts a VM's process and opens its streams.
     pub fn start(&mut self, vm: &VmId) {
         self.lives += 1;
+        self.down.retain(|(from, _), _| from != vm);
         let identity = Identity {
             vm: vm.clone(),
             domain: self
@@ -141,9 +165,63 @@
         self.input(vm, Input::Members(self.members.clone()));
         self.input(vm, Input::Accepted(self.accepted()));
         for other in others {
-            self.input(vm, Input::PeerUp(other.clone()));
-            self.input(&other, Input::PeerUp(vm.clone()));
+            self.open(vm, &other);
+        }
+    }
+
+    fn stream(&mut self, one: &VmId, other: &VmId) -> &mut Stream {
+        let pair = if one < other {
+            (one, other)
+        } else {
+            (other, one)
+        };
+        self.streams
+            .entry((pair.0.clone(), pair.1.clone()))
+            .or_default()
+    }
+
+    fn open(&mut self, one: &VmId, other: &VmId) {
+        let stream = self.stream(one, other);
+        stream.number += 1;
+        (stream.open, stream.broken) = (true, false);
+        for (vm, peer) in [(one, other), (other, one)] {
+            // What is known of an earlier stream comes first.
+            if self.down.get(&(vm.clone(), peer.clone())) == Some(&false) {
+                self.tell_down(vm, peer);
+            }
+            self.input(vm, Input::PeerUp(peer.clone()));
+        }
+    }
+
+    fn tell_down(&mut self, vm: &VmId, peer: &VmId) {
+        self.down.insert((vm.clone(), peer.clone()), true);
+        self.input(vm, Input::PeerDown(peer.clone()));
+    }
+
+    /// Breaks the stream between two VMs, if there is one; that is noticed after a while.
+    fn sever(&mut self, one: &VmId, other: &VmId) {
+        let stream = self.stream(one, other);
+        if stream.open && !stream.broken {
+            stream.broken = true;
+            let number = stream.number;
+            self.later(NOTICE, Coming::Break(one.clone(), other.clone(), number));
+        }
+    }
+
+    fn post(&mut self, from: &VmId, to: VmId, message: Message) {
+        if self.down.contains_key(&(from.clone(), to.clone())) {
+            return;
+        }
+        let unreachable = self.is_cut(from.as_str(), to.as_str()) || !self.nodes.contains_key(&to);
+        if !self.stream(from, &to).open {
+            if unreachable {
+                self.down.insert((from.clone(), to.clone()), false);
+                return self.later(NOTICE, Coming::Down(from.clone(), to));
+            }
+            self.open(from, &to);
         }
+        let number = self.stream(from, &to).number;
+        self.later(LATENCY, Coming::Message(from.clone(), to, number, message));
     }
 
     pub fn accepted(&self) -> Arc<Accepted> {
@@ -164,9 +242,10 @@
     pub fn kill(&mut self, vm: &str) {
         let vm: VmId = id(vm);
         self.nodes.remove(&vm);
+        self.held.remove(&vm);
         let others: Vec<VmId> = self.nodes.keys().cloned().collect();
         for other in others {
-            self.later(NOTICE, Coming::Input(other, Input::PeerDown(vm.clone())));
+            self.sever(&vm, &other);
         }
         for database in self.databases.values_mut() {
             database.forget(&vm);
@@ -180,20 +259,13 @@
         let pair = (one.parse::<VmId>(), other.parse::<VmId>());
         let (Ok(one), Ok(other)) = pair else { return };
         if self.nodes.contains_key(&one) && self.nodes.contains_key(&other) {
-            let (down, up) = (Input::PeerDown(other.clone()), Input::PeerDown(one.clone()));
-            self.later(NOTICE, Coming::Input(one, down));
-            self.later(NOTICE, Coming::Input(other, up));
+            self.sever(&one, &other);
         }
     }
 
-    /// Ends every cut; streams open again.
+    /// Ends every cut.
     pub fn heal(&mut self) {
-        for (one, other) in std::mem::take(&mut self.cut) {
-            let (one, other): (VmId, VmId) = (id(&one), id(&other));
-            if self.nodes.contains_key(&one) && self.nodes.contains_key(&other) {
-                self.input(&one, Input::PeerUp(other));
-            }
-        }
+        self.cut.clear();
     }
 
     pub fn kill_database(&mut self, database: &str) {
@@ -207,6 +279,12 @@
         }
     }
 
+    pub fn revive_databases(&mut self) {
+        for database in self.databases.values_mut() {
+            database.up = true;
+        }
+    }
+
     /// A request at a proxy; the answer is in `told`.
     pub fn submit(&mut self, vm: &str, request: Request) {
         self.input(&id(vm), Input::Submit(request));
@@ -237,7 +315,22 @@
         self.told[&Link(link)][count - 1].outcome.clone()
     }
 
+    /// Gives a VM that is paused no more what has come to it meanwhile, in order.
+    fn deliver_held(&mut self) -> bool {
+        let awake = |vm: &VmId| !self.paused.contains(vm);
+        let Some(vm) = self.held.keys().find(|vm| awake(vm)).cloned() else {
+            return false;
+        };
+        for input in self.held.remove(&vm).unwrap_or_default() {
+            self.happen(Coming::Input(vm.clone(), input));
+        }
+        true
+    }
+
     fn step(&mut self, until: Time) -> bool {
+        if self.deliver_held() {
+            return true;
+        }
         let wakes = self
             .nodes
             .iter()
@@ -267,18 +360,40 @@
     fn happen(&mut self, coming: Coming) {
         match coming {
             Coming::Input(vm, input) if self.paused.contains(&vm) => {
-                self.later(Span::from_millis(1), Coming::Input(vm, input));
+                self.held.entry(vm).or_default().push_back(input);
             }
             Coming::Input(vm, input) => {
                 let Some(node) = self.nodes.get_mut(&vm) else {
                     return;
                 };
+                if let Input::PeerDown(other) = &input {
+                    self.down.remove(&(vm.clone(), other.clone()));
+                }
                 let mut out = Vec::new();
                 node.handle(self.now, input, &mut out);
                 for output in out {
                     self.output(&vm, output);
                 }
             }
+            Coming::Message(from, to, number, message) => {
+                let stream = self.stream(&from, &to);
+                if stream.number == number && stream.open && !stream.broken {
+                    self.happen(Coming::Input(to, Input::Message { from, message }));
+                }
+            }
+            Coming::Down(from, to) => {
+                if self.down.get(&(from.clone(), to.clone())) == Some(&false) {
+                    self.tell_down(&from, &to);
+                }
+            }
+            Coming::Break(one, other, number) => {
+                let stream = self.stream(&one, &other);
+                if stream.number == number && stream.open {
+                    stream.open = false;
+                    self.tell_down(&one, &other);
+                    self.tell_down(&other, &one);
+                }
+            }
             Coming::Command(vm, command) => self.command(vm, command),
             Coming::Event(database, vm, event) => {
                 if !self.is_cut(vm.as_str(), database.as_str()) {
@@ -317,11 +432,11 @@
             }
             Output::Dismiss(link) => self.dismissed.push(link),
             Output::Send { to, message } => {
-                self.sent.push((vm.clone(), to.clone(), message.clone()));
+                self.sent
+                    .push((self.now, vm.clone(), to.clone(), message.clone()));
                 let swallowed = self.swallow.is_some_and(|swallow| swallow(&message));
-                if !swallowed && !self.is_cut(vm.as_str(), to.as_str()) {
-                    let from = vm.clone();
-                    self.later(LATENCY, Coming::Input(to, Input::Message { from, message }));
+                if !swallowed {
+                    self.post(vm, to, message);
                 }
             }
             Output::Database(command) => self.later(LATENCY, Coming::Command(vm.clone(), command)),
