Prove read-your-writes at the node, and free a read that a replica turned away

Cause: a read that every lagging replica turned away spent the retry budget and was told "behind" instead of going to the primary. Change: a turn-away that asked nothing of a database is no retry.

--- a/src/core/entry/answer.rs
+++ b/src/core/entry/answer.rs
@@ -96,9 +96,11 @@
                 self.tell(turn, sent.pending, Outcome::NotRun(not_run));
             }
             (Cause::NoPrimary, _) => self.leader_gone(turn, sent),
-            (Cause::Busy | Cause::Behind | Cause::Refused | Cause::Stopping, _) if reads => {
-                self.next(turn, sent, Outcome::NotRun(not_run));
+            // Nothing was asked of the database, and each is tried once: this adds no load.
+            (Cause::Behind | Cause::Refused | Cause::Stopping, _) if reads && !sent.primary => {
+                self.send_to_replica(turn, sent.pending);
             }
+            (Cause::Busy, _) if reads => self.next(turn, sent, Outcome::NotRun(not_run)),
             _ => self.tell(turn, sent.pending, Outcome::NotRun(not_run)),
         }
     }
--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -4,6 +4,8 @@
 mod election;
 mod handover;
 mod lead;
+mod lease;
+mod pass;
 
 use crate::clock::Time;
 use crate::core::detect::{Damper, Detector};
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -1,22 +1,18 @@
 //! Leading a group: probes, confirmations, acknowledgements and leases under one term.
 
+use super::Steward;
 use super::handover::Handover;
-use super::{Steward, Verdict};
-use crate::clock::{Span, Time};
-use crate::config::Durability;
+use crate::clock::Time;
 use crate::core::acknowledge::{Acknowledgements, Progress, Waiting};
-use crate::core::database::{Order, Refusal, Reply, State};
+use crate::core::database::{Order, Refusal, State};
 use crate::core::detect::Detector;
-use crate::core::holder::{Job, Role};
+use crate::core::holder::Role;
 use crate::core::lineage::Lineage;
-use crate::core::message::{
-    Ask, Controlled, Fresh, Grant, Leased, Message, Primary, Probe, Report, Revoke,
-};
-use crate::core::request::{Done, Outcome};
+use crate::core::message::{Control, Controlled, Fresh, Message, Primary, Probe, Report};
 use crate::core::session::Sessions;
-use crate::core::term::{Confirmations, DRIFT_PERCENT};
+use crate::core::term::Confirmations;
 use crate::core::world::Turn;
-use crate::types::{DatabaseId, GroupId, Offset, Position, RequestId, Term, VmId};
+use crate::types::{DatabaseId, Offset, Position, RequestId, Term, VmId};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -36,7 +32,7 @@
     pub(super) replicas: BTreeMap<DatabaseId, Replica>,
     pub(super) acks: Acknowledgements,
     pub(super) sessions: Sessions,
-    lineage: Lineage,
+    pub(super) lineage: Lineage,
     pub(super) probe_at: Time,
     pub(super) handover: Option<Handover>,
     pub(super) doubt: Option<Doubt>,
@@ -62,14 +58,14 @@
     /// It was found in a higher term.
     higher: bool,
     /// The order to tell when the log has reached a position, while it is under way.
-    reach: Option<Reach>,
+    pub(super) reach: Option<Reach>,
 }
 
 #[derive(Debug)]
-struct Reach {
-    request: RequestId,
-    wanted: Offset,
-    until: Time,
+pub(super) struct Reach {
+    pub request: RequestId,
+    pub wanted: Offset,
+    pub until: Time,
 }
 
 /// The primary is silent here: others are asked whether they reach it.
@@ -190,7 +186,7 @@
         lead.probe_at = now + turn.timing().probe;
         let asked = turn.id();
         lead.primary_asked = Some((asked, now));
-        let control = crate::core::message::Control {
+        let control = Control {
             request: asked,
             database: lead.leader.database.clone(),
             order: Order::Report,
@@ -345,190 +341,6 @@
             self.step_down(turn);
         }
     }
-
-    /// The primary answered `job`, which ran under `term`.
-    pub fn answered(&mut self, turn: &mut Turn, term: Term, job: Job, reply: Reply) {
-        let now = turn.now;
-        let durability = turn.world.pool(&job.work.pool).map(|pool| pool.durability);
-        let group = self.group.clone();
-        let Some(lead) = self.lead().filter(|lead| lead.leader.term == term) else {
-            self.verdicts.push(Verdict::unconfirmed(job));
-            return;
-        };
-        let mut waiting = Waiting {
-            job,
-            reply,
-            durable: None,
-            leases: Vec::new(),
-        };
-        if let Some(wrote) = waiting.reply.wrote {
-            if durability != Some(Durability::Primary) {
-                waiting.durable = Some(wrote.offset);
-            }
-            if let Some(session) = &waiting.job.work.session {
-                let vm = &waiting.job.origin;
-                waiting.leases = lead.sessions.wrote(session, vm, wrote, now);
-                revoke(turn, &group, session, wrote, &waiting);
-            }
-        }
-        lead.acks.push(waiting);
-        self.flush(turn);
-    }
-
-    /// An entry gave a lease up.
-    pub fn released(&mut self, turn: &mut Turn, from: &VmId, revoke: &Revoke) {
-        let Some(lead) = self.lead() else {
-            return;
-        };
-        lead.sessions.released(&revoke.session, from);
-        lead.acks.released(&revoke.session, from);
-        self.flush(turn);
-    }
-
-    /// Passes on what may be, ends what waited too long, and asks the replicas for the rest.
-    pub(super) fn flush(&mut self, turn: &mut Turn) {
-        let now = turn.now;
-        let Some(lead) = self.lead() else {
-            return;
-        };
-        if lead.acks.is_empty() {
-            return;
-        }
-        let ready = lead.acks.ready(now, &lead.confirmations);
-        let late = lead.acks.expire(now, &lead.confirmations);
-        let until = lead.lease_end(now);
-        let mut verdicts = Vec::with_capacity(ready.len() + late.len());
-        for waiting in ready {
-            let lease = until.and_then(|until| lead.renew(&waiting, now, until));
-            verdicts.push(Verdict::done(waiting, lease));
-        }
-        verdicts.extend(late.into_iter().map(|(waiting, cause)| Verdict {
-            job: waiting.job,
-            outcome: Outcome::Unknown(cause),
-            lease: None,
-        }));
-        self.verdicts.append(&mut verdicts);
-        self.ask_replicas(turn);
-    }
-
-    /// Asks each replica to tell when it holds all that waits, one order at a time.
-    fn ask_replicas(&mut self, turn: &mut Turn) {
-        let now = turn.now;
-        let Some(lead) = self.lead() else {
-            return;
-        };
-        let term = lead.leader.term;
-        let patience = turn.timing().answer;
-        for (id, replica) in &mut lead.replicas {
-            if replica
-                .reach
-                .as_ref()
-                .is_some_and(|reach| reach.until > now)
-            {
-                continue;
-            }
-            let Some(wanted) = lead.acks.wanted(id) else {
-                replica.reach = None;
-                continue;
-            };
-            let request = turn.id();
-            replica.reach = Some(Reach {
-                request,
-                wanted,
-                until: now + patience,
-            });
-            let control = crate::core::message::Control {
-                request,
-                database: id.clone(),
-                order: Order::Reach(Position::new(term, wanted)),
-            };
-            let holder = turn.world.holder(now, id);
-            turn.send(&holder, Message::Control(control));
-        }
-    }
-
-    /// An entry asks for a session's floor, or only for the leader.
-    ///
-    /// Failure: two stewards, or one that was paused, both vouch for floors. Symptom: a session
-    /// does not see its write. Enough, because a lease ends with the confirmations that allow
-    /// it, counted from a time before the entry's question left, so none outlives its term.
-    pub fn ask(&mut self, turn: &mut Turn, from: &VmId, ask: Ask) {
-        let now = turn.now;
-        let session = ask.session;
-        let granted = match (self.lead(), &session) {
-            (Some(lead), Some(session)) => lead.lease_end(now).map(|until| Leased {
-                floor: lead.sessions.grant(session, from, now, guarded(now, until)),
-                span: until.since(now),
-                lineage: lead.lineage.clone(),
-            }),
-            _ => None,
-        };
-        if granted.is_none() {
-            turn.world.counters.grants_refused += u64::from(session.is_some());
-            return self.inform(turn, from, ask.request);
-        }
-        turn.world.counters.grants += 1;
-        let grant = Grant {
-            request: ask.request,
-            group: self.group.clone(),
-            floor: granted,
-            primary: self.leader(turn),
-        };
-        turn.send(from, Message::Grant(grant));
-    }
-}
-
-impl Lead {
-    /// Until when a lease given now may be used; `None` if none may be given.
-    fn lease_end(&self, now: Time) -> Option<Time> {
-        let end = self.confirmations.floor_deadline();
-        if self.handover.is_some() || end <= now {
-            return None;
-        }
-        Some(end.min(now + LEASE_LIMIT))
-    }
-
-    /// Lets the entry that sent a write go on under its new floor.
-    ///
-    /// Failure: the session wrote by way of another entry too, and that write has taken this
-    /// entry's lease back already. Symptom: the entry reads on under the earlier of the two
-    /// floors. Enough, because only the session's last write renews a lease.
-    fn renew(&mut self, waiting: &Waiting, now: Time, until: Time) -> Option<Time> {
-        let session = waiting.job.work.session.as_ref()?;
-        if self.sessions.floor(session) != waiting.reply.wrote {
-            return None;
-        }
-        let vm = &waiting.job.origin;
-        self.sessions.grant(session, vm, now, guarded(now, until));
-        Some(until)
-    }
-}
-
-/// The longest lease. It bounds how long a write waits for an entry that can't be reached to
-/// give the lease up, where a group of one database needs no confirmations.
-const LEASE_LIMIT: Span = Span::from_secs(1);
-
-/// When a lease that the entry counts until `until` has surely lapsed, if its clock is slow.
-fn guarded(now: Time, until: Time) -> Time {
-    now + until.since(now).percent(100 + DRIFT_PERCENT)
-}
-
-fn revoke(
-    turn: &mut Turn,
-    group: &GroupId,
-    session: &crate::types::SessionId,
-    floor: Position,
-    waiting: &Waiting,
-) {
-    for vm in waiting.leases.iter().filter_map(|lease| lease.vm.as_ref()) {
-        turn.world.counters.revokes += 1;
-        let revoke = Revoke {
-            group: group.clone(),
-            session: session.clone(),
-            floor,
-        };
-        turn.send(vm, Message::Revoke(revoke));
-    }
 }
 
 impl Replica {
@@ -550,28 +362,3 @@
         })
     }
 }
-
-impl Verdict {
-    fn done(waiting: Waiting, lease: Option<Time>) -> Self {
-        let reply = waiting.reply;
-        let done = Done {
-            body: reply.body,
-            status: reply.status,
-            wrote: reply.wrote,
-            replica: false,
-        };
-        Self {
-            job: waiting.job,
-            outcome: Outcome::Done(done),
-            lease,
-        }
-    }
-
-    fn unconfirmed(job: Job) -> Self {
-        Self {
-            job,
-            outcome: Outcome::Unknown(crate::core::request::Unknown::Unconfirmed),
-            lease: None,
-        }
-    }
-}
--- /dev/null
+++ b/src/core/steward/pass.rs
@@ -0,0 +1,133 @@
+//! Passing a primary's answers on: once its term is confirmed, a majority has the write, and no
+//! other entry reads under an older floor of the session.
+
+use super::lead::Reach;
+use super::lease::revoke;
+use super::{Steward, Verdict};
+use crate::clock::Time;
+use crate::config::Durability;
+use crate::core::acknowledge::Waiting;
+use crate::core::database::{Order, Reply};
+use crate::core::holder::Job;
+use crate::core::message::{Control, Message};
+use crate::core::request::{Done, Outcome, Unknown};
+use crate::core::world::Turn;
+use crate::types::{Position, Term};
+
+impl Steward {
+    /// The primary answered `job`, which ran under `term`.
+    pub fn answered(&mut self, turn: &mut Turn, term: Term, job: Job, reply: Reply) {
+        let now = turn.now;
+        let durability = turn.world.pool(&job.work.pool).map(|pool| pool.durability);
+        let group = self.group.clone();
+        let Some(lead) = self.lead().filter(|lead| lead.leader.term == term) else {
+            self.verdicts.push(Verdict::unconfirmed(job));
+            return;
+        };
+        let mut waiting = Waiting {
+            job,
+            reply,
+            durable: None,
+            leases: Vec::new(),
+        };
+        if let Some(wrote) = waiting.reply.wrote {
+            if durability != Some(Durability::Primary) {
+                waiting.durable = Some(wrote.offset);
+            }
+            if let Some(session) = &waiting.job.work.session {
+                let vm = &waiting.job.origin;
+                waiting.leases = lead.sessions.wrote(session, vm, wrote, now);
+                revoke(turn, &group, session, wrote, &waiting);
+            }
+        }
+        lead.acks.push(waiting);
+        self.flush(turn);
+    }
+
+    /// Passes on what may be, ends what waited too long, and asks the replicas for the rest.
+    pub(super) fn flush(&mut self, turn: &mut Turn) {
+        let now = turn.now;
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        if lead.acks.is_empty() {
+            return;
+        }
+        let ready = lead.acks.ready(now, &lead.confirmations);
+        let late = lead.acks.expire(now, &lead.confirmations);
+        let until = lead.lease_end(now);
+        let mut verdicts = Vec::with_capacity(ready.len() + late.len());
+        for waiting in ready {
+            let lease = until.and_then(|until| lead.renew(&waiting, now, until));
+            verdicts.push(Verdict::done(waiting, lease));
+        }
+        verdicts.extend(late.into_iter().map(|(waiting, cause)| Verdict {
+            job: waiting.job,
+            outcome: Outcome::Unknown(cause),
+            lease: None,
+        }));
+        self.verdicts.append(&mut verdicts);
+        self.ask_replicas(turn);
+    }
+
+    /// Asks each replica to tell when it holds all that waits, one order at a time.
+    fn ask_replicas(&mut self, turn: &mut Turn) {
+        let now = turn.now;
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        let term = lead.leader.term;
+        let patience = turn.timing().answer;
+        for (id, replica) in &mut lead.replicas {
+            if replica
+                .reach
+                .as_ref()
+                .is_some_and(|reach| reach.until > now)
+            {
+                continue;
+            }
+            let Some(wanted) = lead.acks.wanted(id) else {
+                replica.reach = None;
+                continue;
+            };
+            let request = turn.id();
+            replica.reach = Some(Reach {
+                request,
+                wanted,
+                until: now + patience,
+            });
+            let control = Control {
+                request,
+                database: id.clone(),
+                order: Order::Reach(Position::new(term, wanted)),
+            };
+            let holder = turn.world.holder(now, id);
+            turn.send(&holder, Message::Control(control));
+        }
+    }
+}
+
+impl Verdict {
+    fn done(waiting: Waiting, lease: Option<Time>) -> Self {
+        let reply = waiting.reply;
+        let done = Done {
+            body: reply.body,
+            status: reply.status,
+            wrote: reply.wrote,
+            replica: false,
+        };
+        Self {
+            job: waiting.job,
+            outcome: Outcome::Done(done),
+            lease,
+        }
+    }
+
+    fn unconfirmed(job: Job) -> Self {
+        Self {
+            job,
+            outcome: Outcome::Unknown(Unknown::Unconfirmed),
+            lease: None,
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -145,6 +145,25 @@
         world
     }
 
+    /// As [`new`](Self::new), once the group is led.
+    pub fn ready(vms: usize) -> Self {
+        let mut world = Self::new(vms);
+        world.run(Span::from_secs(4));
+        assert!(world.steward().is_some() && world.primary().is_some());
+        world
+    }
+
+    /// What `link` was told, in order and in a few words.
+    pub fn told(&self, link: u64) -> Vec<String> {
+        let told = self.told.get(&Link(link)).into_iter().flatten();
+        told.map(|told| short(&told.outcome)).collect()
+    }
+
+    /// A counter of a proxy, by its path in the dump.
+    pub fn counter(&self, vm: &str, name: &str) -> u64 {
+        self.dump(vm)["counters"][name].as_u64().unwrap()
+    }
+
     /// Starts a VM's process and opens its streams.
     pub fn start(&mut self, vm: &VmId) {
         self.lives += 1;
@@ -541,6 +560,13 @@
         self.submit(vm, request);
     }
 
+    /// A statement of a transaction, or one that opens it.
+    pub fn say(&mut self, vm: &str, link: u64, body: &str) {
+        let kind = if body == "begin" { Kind::Begin } else { Kind::Continue };
+        let request = self.request(link, kind, body);
+        self.submit(vm, request);
+    }
+
     pub fn write_as(&mut self, vm: &str, link: u64, session: &str, text: &str) {
         let mut request = self.request(link, Kind::Write, &format!("w {text}"));
         request.session = Some(id(session));
