--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -55,6 +55,8 @@
 #[derive(Debug)]
 struct Evidence {
     silent: BTreeSet<DatabaseId>,
+    /// Other VMs that miss the steward too.
+    witnesses: usize,
     asked: BTreeMap<RequestId, VmId>,
     until: Time,
 }
@@ -202,7 +204,7 @@
     pub fn tick(&mut self, turn: &mut Turn, quiet: Quiet) {
         match &self.phase {
             Phase::Follow => self.watch_steward(turn),
-            Phase::Gather(evidence) if evidence.until <= turn.now => self.rest(turn),
+            Phase::Gather(evidence) if evidence.until <= turn.now => self.decide_alone(turn),
             Phase::Gather(_) => {}
             Phase::Raise(_) => self.tick_raise(turn),
             Phase::Open(_) => self.tick_open(turn),
--- a/src/core/steward/election.rs
+++ b/src/core/steward/election.rs
@@ -11,6 +11,10 @@
 use crate::types::{DatabaseId, RequestId, Term, VmId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How many times longer than usual the steward is missed before a VM that hears from no
+/// other one takes its group over.
+const ALONE: u64 = 3;
+
 /// Tries with ever higher terms before the field is left to another VM.
 const TRIES: u32 = 3;
 
@@ -56,6 +60,7 @@
     fn gather(&mut self, turn: &mut Turn) {
         let mut silent = BTreeSet::new();
         let mut asked = BTreeMap::new();
+        let leader = self.leader(turn);
         for (vm, databases) in self.holders(turn) {
             if vm == turn.world.me.vm {
                 silent.extend(databases);
@@ -65,18 +70,38 @@
             let suspect = Suspect {
                 request,
                 group: self.group.clone(),
-                primary: self.leader(turn),
+                primary: leader.clone(),
             };
             turn.send(&vm, Message::Suspect(suspect));
             asked.insert(request, vm);
         }
         let until = turn.now + turn.timing().probe;
+        let alone = asked.is_empty();
         self.phase = Phase::Gather(Evidence {
             silent,
+            witnesses: 0,
             asked,
             until,
         });
-        self.weigh(turn);
+        if alone {
+            self.decide_alone(turn);
+        }
+    }
+
+    /// Nobody else has answered. This VM goes on alone once the steward was missed for several
+    /// times as long: it may be the last one, and the list of VMs lags.
+    pub(super) fn decide_alone(&mut self, turn: &mut Turn) {
+        let suspicion = turn.timing().suspicion;
+        let alone_at = self.watch.suspects_at() + Span(suspicion.0 * (ALONE - 1));
+        let Phase::Gather(evidence) = &self.phase else {
+            return;
+        };
+        let enough = evidence.silent.len() >= majority(self.members.len());
+        let others = turn.world.members.len() > 1;
+        if enough && (turn.now >= alone_at || !others) {
+            return self.raise(turn, self.term.next(), false, 0);
+        }
+        self.rest(turn);
     }
 
     fn holders(&self, turn: &mut Turn) -> BTreeMap<VmId, Vec<DatabaseId>> {
@@ -106,6 +131,7 @@
         let theirs = self.holders(turn).remove(from).unwrap_or_default();
         if let Phase::Gather(evidence) = &mut self.phase {
             evidence.silent.extend(theirs);
+            evidence.witnesses += 1;
         }
         self.weigh(turn);
     }
@@ -114,7 +140,7 @@
         let Phase::Gather(evidence) = &self.phase else {
             return;
         };
-        if evidence.silent.len() >= majority(self.members.len()) {
+        if evidence.witnesses > 0 && evidence.silent.len() >= majority(self.members.len()) {
             self.raise(turn, self.term.next(), false, 0);
         }
     }
@@ -346,7 +372,7 @@
         };
         evidence.asked.retain(|_, asked| asked != vm);
         if evidence.asked.is_empty() {
-            self.rest(turn);
+            self.decide_alone(turn);
         }
     }
 }
--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -69,6 +69,10 @@
         self.connections.retain(|(owner, _), _| owner != vm);
     }
 
+    pub fn open_transactions(&self) -> usize {
+        self.connections.values().filter(|open| open.is_some()).count()
+    }
+
     pub fn texts(&self) -> Vec<&str> {
         self.log.iter().map(|row| row.text.as_str()).collect()
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -511,11 +511,20 @@
 
     /// The VM that leads the group, as most nodes' dumps say.
     pub fn steward(&self) -> Option<VmId> {
+        self.leading(|_| true)
+    }
+
+    /// The VM other than `but` that leads the group.
+    pub fn steward_but(&self, but: &VmId) -> Option<VmId> {
+        self.leading(|vm| vm != but)
+    }
+
+    fn leading(&self, among: impl Fn(&VmId) -> bool) -> Option<VmId> {
         let leads = |node: &Node| {
             let state = serde_json::to_value(node.state()).unwrap();
             state["stewards"]["ledger"]["phase"] == "lead"
         };
-        let found = self.nodes.iter().find(|(_, node)| leads(node));
+        let found = self.nodes.iter().find(|(vm, node)| among(vm) && leads(node));
         found.map(|(vm, _)| vm.clone())
     }
 
