--- a/src/core/node/settle.rs
+++ b/src/core/node/settle.rs
@@ -239,7 +239,9 @@
             }
         }
         let led: Vec<DatabaseId> = self.led.values().cloned().collect();
-        let stays = |id: &DatabaseId| held.contains(id) || led.contains(id);
+        let world = &self.world;
+        let works = |id: &DatabaseId| world.database(id).is_some_and(|found| !found.leaving);
+        let stays = |id: &DatabaseId| held.contains(id) && works(id) || led.contains(id);
         let others: Vec<DatabaseId> = self
             .holders
             .keys()
@@ -250,7 +252,7 @@
             self.with_holder(&database, out, |holder, turn| holder.close_idle(turn));
         }
         self.holders
-            .retain(|id, holder| stays(id) || !holder.is_empty());
+            .retain(|id, holder| held.contains(id) || led.contains(id) || !holder.is_empty());
         let world = &self.world;
         self.stewards.retain(|group, steward| {
             steward.is_active() || held.iter().any(|id| world.group_of(id) == Some(group))
--- /dev/null
+++ b/tests/node_outcome.rs
@@ -0,0 +1,148 @@
+//! What callers are told: the answer to their own request, "not run" only if it was not, and
+//! "unknown" at once where nobody can know.
+
+mod support;
+
+use lentilspoke::clock::Span;
+use lentilspoke::core::message::{Answer, Hint, Message};
+use lentilspoke::core::node::Input;
+use lentilspoke::core::request::{Done, Kind, Outcome, Status};
+use lentilspoke::types::RequestId;
+use support::{World, id};
+
+/// A holder answers a request twice, and another VM answers one that it was not asked. The
+/// caller hears the first answer of the VM that was asked, and nothing more.
+#[test]
+fn answers_that_nobody_waits_for_are_dropped() {
+    let mut world = World::ready(4);
+    let steward = world.steward().unwrap().to_string();
+    let entry = if steward == "vm1" { "vm2" } else { "vm1" };
+    let stranger = if steward == "vm3" { "vm0" } else { "vm3" };
+    world.write(entry, 1, "lot-1");
+    let stray = |request| Answer {
+        request: RequestId(request),
+        outcome: Outcome::Done(Done {
+            body: "somebody else's".into(),
+            status: Status::Idle,
+            wrote: None,
+            replica: false,
+        }),
+        refused: None,
+        lease: None,
+        hint: Hint::default(),
+    };
+    for request in 0..200 {
+        let (from, message) = (id(stranger), Message::Answer(stray(request)));
+        world.input(&id(entry), Input::Message { from, message });
+    }
+    world.wait(1, 1);
+    world.run(Span::from_secs(1));
+    assert_eq!(world.told(1), ["done by primary: lot-1"]);
+    assert_eq!(world.counter(entry, "dropped_answers"), 200);
+}
+
+/// The VM that runs a booking is lost. Without a request key the outcome is unknown, at once,
+/// and the booking is not sent again. With a key it is, and happens once.
+#[test]
+fn a_write_at_a_lost_vm_is_sent_again_only_under_a_key() {
+    for key in [None, Some("key-1")] {
+        let mut world = World::ready(4);
+        world.run(Span::from_secs(10));
+        let steward = world.steward().unwrap().to_string();
+        let entry = if steward == "vm1" { "vm2" } else { "vm1" };
+        world.swallow = Some(|message| matches!(message, Message::Answer(_)));
+        let mut request = world.request(1, Kind::Write, "w lot-1");
+        request.key = key.map(id);
+        world.submit(entry, request);
+        world.run(Span::from_millis(20));
+        world.swallow = None;
+        world.kill(&steward);
+        world.wait(1, 1);
+        let expected = if key.is_some() {
+            "done by primary: lot-1"
+        } else {
+            "unknown: PeerLost"
+        };
+        assert_eq!(world.told(1), [expected]);
+        let primary = world.primary().unwrap();
+        assert_eq!(world.database(&primary).texts(), ["lot-1"]);
+    }
+}
+
+/// A database's connections fall silent: what is sent on them gets no answer, for good. A read
+/// is tried at another database once its connection's time is over; a booking's outcome is
+/// unknown then, and the connection is not used again.
+#[test]
+fn a_silent_connection_is_given_up() {
+    let mut world = World::ready(1);
+    world.write("vm0", 1, "lot-1");
+    world.wait(1, 1);
+    world.database("a").silent = true;
+    let mut request = world.request(1, Kind::Write, "w lot-2");
+    request.deadline = world.now + Span::from_secs(30);
+    let asked = world.now;
+    world.submit("vm0", request);
+    world.wait(1, 2);
+    assert_eq!(world.told(1)[1], "unknown: Broken");
+    assert!(world.now.since(asked) < Span::from_millis(5_100));
+    world.database("a").silent = false;
+    world.write("vm0", 1, "lot-3");
+    world.wait(1, 3);
+    assert_eq!(world.told(1)[2], "done by primary: lot-1,lot-3");
+    assert_eq!(world.counter("vm0", "silent_connections"), 1);
+}
+
+/// A statement that looks like a read writes. The replica refuses it unrun, and the primary
+/// runs it, once.
+#[test]
+fn a_read_that_writes_goes_to_the_primary() {
+    let mut world = World::ready(3);
+    let request = world.request(1, Kind::Read, "w lot-1");
+    world.submit("vm1", request);
+    world.wait(1, 1);
+    assert_eq!(world.told(1), ["done by primary: lot-1"]);
+    assert_eq!(world.database("a").texts(), ["lot-1"]);
+}
+
+/// The primary can't be connected to. A booking that waits for a connection was not run, is
+/// told so when its time is over at the latest, and is in no log.
+#[test]
+fn work_that_got_no_connection_was_not_run() {
+    let mut world = World::ready(1);
+    for name in ["a", "b", "c"] {
+        world.kill_database(name);
+    }
+    let mut request = world.request(1, Kind::Write, "w lot-1");
+    request.deadline = world.now + Span::from_secs(1);
+    world.submit("vm0", request);
+    world.wait(1, 1);
+    assert_eq!(world.told(1), ["not run: NoPrimary"]);
+    assert!(world.database("a").texts().is_empty());
+}
+
+/// The answer of a booking under a key is lost with its connection, after the booking was
+/// made. It is sent again under the key and gets the first result.
+#[test]
+fn a_keyed_write_whose_answer_was_lost_happens_once() {
+    let mut world = World::ready(3);
+    world.write("vm1", 9, "lot-0");
+    world.wait(9, 1);
+    world.database("a").lose_answers = 1;
+    let mut request = world.request(1, Kind::Write, "w lot-1");
+    request.key = Some(id("key-1"));
+    world.submit("vm1", request);
+    world.wait(1, 1);
+    assert_eq!(world.told(1), ["done by primary: lot-0,lot-1"]);
+    assert_eq!(world.database("a").texts(), ["lot-0", "lot-1"]);
+}
+
+/// A caller cancels a request that waits for a leader, and one that runs.
+#[test]
+fn a_cancelled_request_that_waits_was_not_run() {
+    let mut world = World::new(1);
+    world.write("vm0", 1, "lot-1");
+    world.run(Span::from_millis(10));
+    world.input(&id("vm0"), Input::Cancel(lentilspoke::types::Link(1)));
+    world.run(Span::from_millis(10));
+    assert_eq!(world.told(1), ["not run: Expired"]);
+}
--- a/tests/node_session.rs
+++ b/tests/node_session.rs
@@ -45,7 +45,10 @@
     let asked = world.now;
     world.write_as("vm2", 3, "broker", "lot-2");
     world.wait(3, 1);
-    assert!(world.now.since(asked) > Span::from_millis(500), "did not wait");
+    assert!(
+        world.now.since(asked) > Span::from_millis(500),
+        "did not wait"
+    );
     world.read_as("vm1", 2, "broker");
     world.wait(2, 2);
     assert!(world.told(2)[1].ends_with("lot-1,lot-2"));
@@ -95,7 +98,11 @@
 
         request.kind = next;
         request.deadline = world.now + Span::from_secs(5);
-        request.body = if next == Kind::Read { "r".into() } else { "w lot-2".into() };
+        request.body = if next == Kind::Read {
+            "r".into()
+        } else {
+            "w lot-2".into()
+        };
         world.submit("vm1", request.clone());
         world.wait(1, 2);
         world.submit("vm1", request);
--- /dev/null
+++ b/tests/node_stop.rs
@@ -0,0 +1,216 @@
+//! Planned stops, databases that leave, and configurations.
+
+mod support;
+
+use lentilspoke::clock::Span;
+use lentilspoke::core::message::Message;
+use lentilspoke::core::node::Input;
+use lentilspoke::core::request::Kind;
+use lentilspoke::types::Link;
+use support::{World, id};
+
+/// The steward's VM is stopped while brokers book by way of it and of others. What is in
+/// flight is answered, the open transaction commits, idle callers are told to go, the group
+/// moves to another VM within a moment, and only then does the process end.
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    let mut world = World::ready(4);
+    let steward = world.steward().unwrap().to_string();
+    let other = if steward == "vm1" { "vm2" } else { "vm1" };
+    world.read(&steward, 7);
+    world.wait(7, 1);
+    world.say(&steward, 1, "begin");
+    world.wait(1, 1);
+    world.write(&steward, 2, "lot-2");
+    world.write(other, 3, "lot-3");
+    world.input(&id(&steward), Input::Stop);
+    world.run(Span::from_secs(2));
+    assert_eq!(world.dismissed, [Link(7), Link(2)]);
+    assert!(world.stopped.is_empty(), "stopped with a transaction open");
+    world.say(&steward, 1, "w lot-1");
+    world.wait(1, 2);
+    world.say(&steward, 1, "commit");
+    world.wait(1, 3);
+    world.run(Span::from_secs(1));
+    assert!(world.stopped.contains(&id(&steward)));
+
+    let asked = world.now;
+    world.write(other, 4, "lot-4");
+    world.wait(4, 1);
+    assert!(
+        world.now.since(asked) < Span::from_millis(100),
+        "a gap after the handover"
+    );
+    let told = [1, 2, 3, 4].map(|link| world.told(link).pop().unwrap());
+    assert!(
+        told.iter().all(|told| told.starts_with("done by primary")),
+        "{told:?}"
+    );
+}
+
+/// Bookings go on through a handover: the longest wait is far below that of a failover, since
+/// the successor has no window to wait out.
+#[test]
+fn a_handover_takes_a_moment() {
+    let mut world = World::ready(4);
+    let steward = world.steward().unwrap().to_string();
+    let other = if steward == "vm1" { "vm2" } else { "vm1" };
+    world.input(&id(&steward), Input::Stop);
+    let mut longest = Span::ZERO;
+    for count in 1..400 {
+        let asked = world.now;
+        world.write(other, 1, &format!("lot-{count}"));
+        world.wait(1, count);
+        longest = longest.max(world.now.since(asked));
+    }
+    assert!(world.told(1).iter().all(|told| told.starts_with("done")));
+    assert!(world.stopped.contains(&id(&steward)));
+    assert!(longest < Span::from_millis(300), "{longest}");
+}
+
+/// A session reads and books by way of two proxies while its group is handed over. No lease of
+/// the former term outlives it.
+#[test]
+fn a_session_sees_its_writes_through_a_handover() {
+    let mut world = World::ready(4);
+    let steward = world.steward().unwrap().to_string();
+    let others: Vec<String> = world.nodes.keys().map(ToString::to_string).collect();
+    let others: Vec<&String> = others.iter().filter(|vm| **vm != steward).collect();
+    for name in ["b", "c"] {
+        world.database(name).lag = Span::from_millis(300);
+    }
+    world.input(&id(&steward), Input::Stop);
+    for count in 1..200 {
+        world.write_as(others[0], 1, "broker", &format!("lot-{count}"));
+        world.wait(1, count);
+        world.read_as(others[1], 2, "broker");
+        world.wait(2, count);
+        let told = world.told(2).pop().unwrap();
+        assert!(
+            told.ends_with(&format!("lot-{count}")),
+            "after {count}: {told}"
+        );
+    }
+}
+
+/// An operator marks a replica as leaving. Within a few seconds it gets no new work and its
+/// connections are closed; its readers go elsewhere.
+#[test]
+fn a_leaving_replica_gets_no_new_work() {
+    let mut world = World::ready(3);
+    for link in 1..10 {
+        world.read("vm1", link);
+        world.wait(link, 1);
+    }
+    let changed = world.change(|document| {
+        let group = document
+            .groups
+            .get_mut(&id::<lentilspoke::types::GroupId>("ledger"));
+        let databases = &mut group.unwrap().databases;
+        databases
+            .get_mut(&id::<lentilspoke::types::DatabaseId>("b"))
+            .unwrap()
+            .leaving = true;
+    });
+    world.input(&id("vm2"), Input::Accepted(changed));
+    world.run(Span::from_secs(3));
+    let runs = world.database("b").runs;
+    for link in 11..20 {
+        world.read("vm1", link);
+        world.wait(link, 1);
+        assert!(world.told(link)[0].starts_with("done"));
+    }
+    assert_eq!(world.database("b").runs, runs);
+    assert!(world.database("b").connections.is_empty());
+}
+
+/// The primary is to leave. The group moves to another database without a failover: no booking
+/// fails, and none is lost.
+#[test]
+fn a_leaving_primary_is_replaced() {
+    let mut world = World::ready(3);
+    world.write("vm1", 1, "lot-1");
+    world.wait(1, 1);
+    let changed = world.change(|document| {
+        let group = document
+            .groups
+            .get_mut(&id::<lentilspoke::types::GroupId>("ledger"));
+        let databases = &mut group.unwrap().databases;
+        databases
+            .get_mut(&id::<lentilspoke::types::DatabaseId>("a"))
+            .unwrap()
+            .leaving = true;
+    });
+    world.input(&id("vm0"), Input::Accepted(changed));
+    for count in 2..300 {
+        world.write("vm1", 1, &format!("lot-{count}"));
+        world.wait(1, count);
+    }
+    world.run(Span::from_secs(3));
+    assert!(world.told(1).iter().all(|told| told.starts_with("done")));
+    let primary = world.primary().unwrap();
+    assert_ne!(primary, "a");
+    assert_eq!(world.database(&primary).log.len(), 299);
+}
+
+/// A configuration is accepted at one proxy, and the store fails right after. The others hear
+/// of it from each other within seconds, and an old one that comes late reverts nothing.
+#[test]
+fn a_configuration_spreads_and_never_reverts() {
+    let mut world = World::ready(7);
+    let old = world.accepted();
+    let changed = world.change(|document| {
+        document.timing.probe = Span::from_millis(200);
+    });
+    let version = changed.version;
+    world.input(&id("vm3"), Input::Accepted(changed));
+    world.run(Span::from_secs(5));
+    let vms: Vec<_> = world.nodes.keys().cloned().collect();
+    for vm in &vms {
+        world.input(vm, Input::Accepted(old.clone()));
+    }
+    world.run(Span::from_millis(1));
+    for vm in &vms {
+        assert_eq!(world.dump(vm.as_str())["version"], version.0, "{vm}");
+    }
+}
+
+/// A fresh VM starts during an outage in which the store shows it an old configuration. It
+/// hears of the later one and never serves the old one.
+#[test]
+fn a_fresh_vm_serves_no_old_configuration() {
+    let mut world = World::ready(4);
+    let old = world.accepted();
+    world.kill("vm3");
+    let changed = world.change(|document| {
+        document
+            .pools
+            .remove(&id::<lentilspoke::types::PoolId>("fast"));
+    });
+    for vm in ["vm0", "vm1", "vm2"] {
+        world.input(&id(vm), Input::Accepted(changed.clone()));
+    }
+    world.run(Span::from_secs(1));
+    world.start_with(&id("vm3"), old);
+    let mut request = world.request(1, Kind::Write, "w lot-1");
+    request.pool = id("fast");
+    world.submit("vm3", request.clone());
+    world.run(Span::from_secs(2));
+    world.submit("vm3", request);
+    world.run(Span::from_secs(1));
+    assert_eq!(world.told(1), ["not run: NoPool", "not run: NoPool"]);
+    assert_eq!(world.dump("vm3")["version"], changed.version.0);
+}
+
+/// A VM sends a document that is damaged, or one that unpacks to far more than it should.
+#[test]
+fn a_damaged_document_is_dropped() {
+    let mut world = World::ready(2);
+    for packed in [&b"nonsense"[..], b"", &[0x1f, 0x8b, 8, 0, 0, 0, 0, 0]] {
+        let message = Message::Document(packed.to_vec().into());
+        let from = id("vm1");
+        world.input(&id("vm0"), Input::Message { from, message });
+    }
+    world.run(Span::from_millis(1));
+    assert_eq!(world.counter("vm0", "nonsense"), 3);
+}
--- a/tests/node_term.rs
+++ b/tests/node_term.rs
@@ -32,7 +32,11 @@
     let mut world = World::ready(4);
     let first = world.steward().unwrap();
     world.kill(first.as_str());
-    let alive = if first.as_str() == "vm1" { "vm2" } else { "vm1" };
+    let alive = if first.as_str() == "vm1" {
+        "vm2"
+    } else {
+        "vm1"
+    };
     world.run(Span::from_millis(500));
     world.write(alive, 1, "lot-1");
     assert!(matches!(world.wait(1, 1), Outcome::Done(_)));
@@ -63,7 +67,10 @@
     world.run(Span::from_secs(12));
     let told = world.told(1);
     assert_eq!(told.len(), 1);
-    assert!(told[0].starts_with("unknown") || told[0].starts_with("not run"), "{told:?}");
+    assert!(
+        told[0].starts_with("unknown") || told[0].starts_with("not run"),
+        "{told:?}"
+    );
     let next = world.primary().unwrap();
     assert_ne!(next, primary);
     assert!(!world.database(&next).texts().contains(&"lot-1"));
@@ -142,7 +149,12 @@
 fn duelling_vms_come_to_an_end() {
     let mut world = World::ready(4);
     let first = world.steward().unwrap();
-    let others: Vec<VmId> = world.nodes.keys().filter(|vm| **vm != first).cloned().collect();
+    let others: Vec<VmId> = world
+        .nodes
+        .keys()
+        .filter(|vm| **vm != first)
+        .cloned()
+        .collect();
     for vm in others {
         world.paused.insert(vm);
     }
--- a/tests/node_transaction.rs
+++ b/tests/node_transaction.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use lentilspoke::clock::Span;
-use lentilspoke::types::Link;
 use lentilspoke::core::node::Input;
+use lentilspoke::types::Link;
 use support::{World, id};
 
 /// Two callers at different proxies interleave their statements. Each transaction has a
@@ -80,7 +80,11 @@
 fn a_transaction_of_an_old_term_is_rolled_back() {
     let mut world = World::ready(4);
     let steward = world.steward().unwrap();
-    let entry = if steward.as_str() == "vm1" { "vm2" } else { "vm1" };
+    let entry = if steward.as_str() == "vm1" {
+        "vm2"
+    } else {
+        "vm1"
+    };
     world.say(entry, 1, "begin");
     world.wait(1, 1);
     world.say(entry, 1, "w lot-1");
--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -23,6 +23,8 @@
     pub up: bool,
     /// Takes everything and answers nothing.
     pub frozen: bool,
+    /// Connections that are open get no answers any more; new ones do.
+    pub silent: bool,
     pub term: Term,
     pub open: bool,
     pub log: Vec<Row>,
@@ -45,6 +47,7 @@
             name: name.clone(),
             up: true,
             frozen: false,
+            silent: false,
             term: Term(1),
             open: false,
             log: Vec::new(),
@@ -70,7 +73,10 @@
     }
 
     pub fn open_transactions(&self) -> usize {
-        self.connections.values().filter(|open| open.is_some()).count()
+        self.connections
+            .values()
+            .filter(|open| open.is_some())
+            .count()
     }
 
     pub fn texts(&self) -> Vec<&str> {
@@ -188,6 +194,9 @@
         if verb == "w" && !self.open {
             return refuse(Refusal::ReadOnly);
         }
+        if self.silent {
+            return None;
+        }
         self.runs += 1;
         let key = run.key.map(|key| key.to_string());
         let mut wrote = None;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -166,6 +166,11 @@
 
     /// Starts a VM's process and opens its streams.
     pub fn start(&mut self, vm: &VmId) {
+        self.start_with(vm, self.accepted());
+    }
+
+    /// As [`start`](Self::start), with what the store shows.
+    pub fn start_with(&mut self, vm: &VmId, accepted: Arc<Accepted>) {
         self.lives += 1;
         self.down.retain(|(from, _), _| from != vm);
         let identity = Identity {
@@ -182,7 +187,7 @@
         let others: Vec<VmId> = self.nodes.keys().cloned().collect();
         self.nodes.insert(vm.clone(), Node::new(identity, self.now));
         self.input(vm, Input::Members(self.members.clone()));
-        self.input(vm, Input::Accepted(self.accepted()));
+        self.input(vm, Input::Accepted(accepted));
         for other in others {
             self.open(vm, &other);
         }
@@ -524,7 +529,10 @@
             let state = serde_json::to_value(node.state()).unwrap();
             state["stewards"]["ledger"]["phase"] == "lead"
         };
-        let found = self.nodes.iter().find(|(vm, node)| among(vm) && leads(node));
+        let found = self
+            .nodes
+            .iter()
+            .find(|(vm, node)| among(vm) && leads(node));
         found.map(|(vm, _)| vm.clone())
     }
 
@@ -571,7 +579,11 @@
 
     /// A statement of a transaction, or one that opens it.
     pub fn say(&mut self, vm: &str, link: u64, body: &str) {
-        let kind = if body == "begin" { Kind::Begin } else { Kind::Continue };
+        let kind = if body == "begin" {
+            Kind::Begin
+        } else {
+            Kind::Continue
+        };
         let request = self.request(link, kind, body);
         self.submit(vm, request);
     }
