--- a/tests/node_random.rs
+++ b/tests/node_random.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use lentilspoke::clock::{Span, Time};
+use lentilspoke::core::node::Input;
 use lentilspoke::core::request::{Kind, Outcome};
 use lentilspoke::types::{Link, VmId};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +24,16 @@
     orphan: bool,
 }
 
+/// A transaction of one booking, by its link.
+struct Transaction {
+    vm: String,
+    text: String,
+    /// `begin`, the booking, `commit`: how many were submitted.
+    said: usize,
+}
+
 struct Schedule {
+    transactions: BTreeMap<Link, Transaction>,
     rng: ChaCha8Rng,
     world: World,
     asked: BTreeMap<Link, Asked>,
@@ -68,10 +78,59 @@
         self.asked.insert(Link(link), asked);
     }
 
+    /// Begins a transaction, or goes on with those whose last statement was answered.
+    fn transact(&mut self) {
+        self.next += 1;
+        let (link, vm) = (self.next, self.vm());
+        if self.world.nodes.contains_key(&id::<VmId>(&vm)) {
+            self.world.say(&vm, link, "begin");
+            let text = format!("x{link}");
+            let transaction = Transaction { vm, text, said: 1 };
+            self.transactions.insert(Link(link), transaction);
+        }
+        for (link, transaction) in &mut self.transactions {
+            let told = self.world.told.get(link).map_or(&[][..], Vec::as_slice);
+            let done = told
+                .iter()
+                .all(|told| matches!(told.outcome, Outcome::Done(_)));
+            let alive = self.world.nodes.contains_key(&id::<VmId>(&transaction.vm));
+            if !alive || !done || told.len() < transaction.said || transaction.said == 3 {
+                continue;
+            }
+            let body = match transaction.said {
+                1 => format!("w {}", transaction.text),
+                _ => "commit".into(),
+            };
+            transaction.said += 1;
+            self.world.say(&transaction.vm.clone(), link.0, &body);
+        }
+    }
+
+    /// A transaction's booking is there if its commit was acknowledged, and is not if it never
+    /// committed or was told that it was not run.
+    fn check_transactions(&self, seed: u64, texts: &[&str]) {
+        for (link, transaction) in &self.transactions {
+            let told = self.world.told.get(link).map_or(&[][..], Vec::as_slice);
+            let count = texts
+                .iter()
+                .filter(|text| **text == transaction.text)
+                .count();
+            let committed = told.get(2).map(|told| &told.outcome);
+            let least = usize::from(matches!(committed, Some(Outcome::Done(_))));
+            let never = transaction.said < 3 || matches!(committed, Some(Outcome::NotRun(_)));
+            let most = usize::from(!never);
+            let name = &transaction.text;
+            assert!(
+                (least..=most).contains(&count),
+                "seed {seed}: {name} {count} times, {told:?}"
+            );
+        }
+    }
+
     fn fault(&mut self) {
         let vm = self.vm();
         let name = ["a", "b", "c"][self.pick(3) as usize];
-        match self.pick(14) {
+        match self.pick(16) {
             0 => {
                 let other = self.vm();
                 if other != vm {
@@ -94,10 +153,19 @@
             9 | 10 => self.start_all(),
             11 => self.world.kill_database(name),
             12 => self.world.revive_databases(),
+            13 => self.world.input(&id(&vm), Input::Stop),
             _ => self.repair(),
         }
     }
 
+    /// Ends the processes that have stopped. What they had under way is answered by then, so
+    /// nobody is left an orphan.
+    fn bury(&mut self) {
+        for vm in std::mem::take(&mut self.world.stopped) {
+            self.world.kill(vm.as_str());
+        }
+    }
+
     fn kill(&mut self, vm: &str) {
         self.world.kill(vm);
         for (link, asked) in &mut self.asked {
@@ -127,7 +195,11 @@
             if self.pick(8) == 0 {
                 self.fault();
             }
+            self.bury();
             self.ask();
+            if self.pick(4) == 0 {
+                self.transact();
+            }
             let pause = self.pick(100);
             self.world.run(Span::from_millis(pause));
         }
@@ -160,6 +232,7 @@
                 Outcome::Unknown(_) => assert!(count(text) <= 1, "seed {seed}: {text} in {log}"),
             }
         }
+        self.check_transactions(seed, &texts);
         self.check_reads(seed);
     }
 
@@ -196,6 +269,7 @@
         rng: ChaCha8Rng::seed_from_u64(seed),
         world: World::new(VMS),
         asked: BTreeMap::new(),
+        transactions: BTreeMap::new(),
         next: 0,
     };
     schedule.play();
