--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -60,6 +60,8 @@
     /// The floor under which it is sent.
     floor: Option<Position>,
     tries: u32,
+    /// An earlier try may have been run.
+    doubt: Option<Unknown>,
 }
 
 /// A request at a holder.
@@ -183,11 +185,12 @@
         if let Some(bound) = caller.transaction.clone() {
             return self.go_on(turn, request, bound);
         }
-        let pending = Pending {
+        let mut pending = Pending {
             request,
             left: None,
             floor: None,
             tries: 0,
+            doubt: None,
         };
         if pending.request.kind == Kind::Continue {
             return self.not_run(turn, pending, Cause::RolledBack, Span::ZERO);
@@ -199,6 +202,9 @@
             return self.not_run(turn, pending, Cause::NoPool, Span::ZERO);
         }
         self.budget.deposit(turn.now);
+        let pool = turn.world.pool(&pending.request.pool);
+        let default = pool.and_then(|pool| pool.max_age);
+        pending.request.max_age = pending.request.max_age.or(default);
         self.dispatch(turn, pending);
     }
 
@@ -210,6 +216,7 @@
             left: None,
             floor: None,
             tries: 0,
+            doubt: None,
         };
         self.send(turn, pending, bound.vm, bound.database, false);
     }
@@ -303,6 +310,7 @@
             group: request.group.clone(),
             database: database.clone(),
             kind: request.kind,
+            primary,
             class: class(turn, request),
             floor: pending.floor,
             max_age: request.max_age,
@@ -326,7 +334,15 @@
     }
 
     /// Tells a caller what came of its request.
+    ///
+    /// Failure: a write under a key is tried again after an unknown outcome, and the second try
+    /// is not run. Symptom: its caller hears "not run" although the first try was. Enough,
+    /// because an earlier doubt outlives every later "not run".
     fn tell(&mut self, turn: &mut Turn, pending: Pending, outcome: Outcome) {
+        let outcome = match (pending.doubt, outcome) {
+            (Some(doubt), Outcome::NotRun(_)) => Outcome::Unknown(doubt),
+            (_, outcome) => outcome,
+        };
         let request = pending.request;
         let floor = self.shown_floor(&request);
         if let Some(caller) = self.links.get_mut(&request.link) {
