Confirm the primary by its own answers; count a log's end from its last term

Cause: the model checker's traces (docs/DESIGN.md, Traces). Change: the steward confirms its term by the primary's own probe too, passes the term that was handed over to the promotion, and raises by State::end, which counts the start of a term.

--- a/src/core/database.rs
+++ b/src/core/database.rs
@@ -98,6 +98,15 @@
     pub lineage: Lineage,
 }
 
+impl State {
+    /// What the log would bring to a promotion: the term that it was opened in last, also where
+    /// nothing has been written since, and its length.
+    pub fn end(&self) -> Position {
+        let opened = self.lineage.last().unwrap_or_default();
+        Position::new(opened.max(self.position.term), self.position.offset)
+    }
+}
+
 /// Why a database did not do what it was told. Nothing was run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
 #[serde(rename_all = "snake_case")]
--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -62,8 +62,8 @@
 struct Raising {
     promotion: Promotion,
     asked: BTreeMap<RequestId, DatabaseId>,
-    /// The former steward has stopped for good.
-    yielded: bool,
+    /// The term whose steward has stopped for good.
+    yielded: Option<Term>,
     /// Refused before for a stale idea of the term, which costs no more than another try.
     tries: u32,
     /// Databases that have not answered are waited for until then, once a majority has.
--- a/src/core/steward/election.rs
+++ b/src/core/steward/election.rs
@@ -115,7 +115,7 @@
             return;
         };
         if evidence.silent.len() >= majority(self.members.len()) {
-            self.raise(turn, self.term.next(), false, 0);
+            self.raise(turn, self.term.next(), None, 0);
         }
     }
 
@@ -128,7 +128,7 @@
     }
 
     /// Raises the term at every database of the group.
-    pub(super) fn raise(&mut self, turn: &mut Turn, term: Term, yielded: bool, tries: u32) {
+    pub(super) fn raise(&mut self, turn: &mut Turn, term: Term, yielded: Option<Term>, tries: u32) {
         let mut asked = BTreeMap::new();
         for id in &self.members {
             let request = self.order(turn, id, Order::Raise(term));
@@ -199,10 +199,10 @@
         let term = raising.promotion.term();
         match controlled.result {
             Some(Ok(state)) if state.term == term => {
-                let end = state.position;
+                let end = state.end();
                 raising.promotion.raised(&database, end, turn.now, window);
-                if raising.yielded {
-                    raising.promotion.yielded();
+                if let Some(former) = raising.yielded {
+                    raising.promotion.yielded(former);
                 }
                 if raising.choose_at == Time::default() && raising.promotion.settled().is_some() {
                     raising.choose_at = turn.now + turn.timing().probe;
@@ -232,7 +232,7 @@
             return self.rest(turn);
         }
         // A higher term than the one handed over may have confirmations of its own.
-        self.raise(turn, self.term.next(), false, tries);
+        self.raise(turn, self.term.next(), None, tries);
     }
 
     pub(super) fn tick_raise(&mut self, turn: &mut Turn) {
@@ -336,7 +336,7 @@
         }
         self.term = term;
         self.watch = Detector::new(turn.now, turn.timing().suspicion);
-        self.raise(turn, term.next(), true, 0);
+        self.raise(turn, term.next(), Some(term), 0);
     }
 
     /// A stream broke: what was asked over it is not waited for.
--- a/src/core/steward/handover.rs
+++ b/src/core/steward/handover.rs
@@ -108,7 +108,7 @@
 
     fn replace_primary(&mut self, turn: &mut Turn) {
         self.step_down(turn);
-        self.raise(turn, self.term.next(), false, 0);
+        self.raise(turn, self.term.next(), None, 0);
     }
 
     /// The planned stop, or a primary that is to leave, in steps.
@@ -153,8 +153,9 @@
 
     fn hand_over(&mut self, turn: &mut Turn) {
         if !turn.world.stopping {
+            let former = self.lead().map(|lead| lead.leader.term);
             self.step_down(turn);
-            return self.raise(turn, self.term.next(), true, 0);
+            return self.raise(turn, self.term.next(), former, 0);
         }
         match self.successor(turn) {
             Some(vm) => self.yield_to(turn, vm),
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -304,6 +304,7 @@
     }
 
     fn primary_controlled(&mut self, turn: &mut Turn, controlled: Controlled) {
+        let window = turn.timing().window;
         let Some(lead) = self.lead() else {
             return;
         };
@@ -316,12 +317,15 @@
         match controlled.result {
             Some(Ok(state)) if state.term == lead.leader.term && state.open => {
                 lead.primary_watch.heard(asked);
+                lead.confirmations
+                    .confirm(&controlled.database, asked, window);
                 lead.doubt = None;
                 lead.primary_log = Some(Log {
                     end: state.position,
                     asked,
                 });
                 self.note_service(turn);
+                self.flush(turn);
             }
             Some(Ok(state)) => {
                 self.term = self.term.max(state.term);
