--- a/src/core/steward/election.rs
+++ b/src/core/steward/election.rs
@@ -225,7 +225,7 @@
         let term = raising.promotion.term();
         match controlled.result {
             Some(Ok(state)) if state.term == term => {
-                let end = state.position;
+                let end = state.end();
                 raising.promotion.raised(&database, end, turn.now, window);
                 if let Some(former) = raising.yielded {
                     raising.promotion.yielded(former);
--- a/src/core/steward/handover.rs
+++ b/src/core/steward/handover.rs
@@ -153,8 +153,9 @@
 
     fn hand_over(&mut self, turn: &mut Turn) {
         if !turn.world.stopping {
+            let former = self.lead().map(|lead| lead.leader.term);
             self.step_down(turn);
-            return self.raise(turn, self.term.next(), Some(self.term), 0);
+            return self.raise(turn, self.term.next(), former, 0);
         }
         match self.successor(turn) {
             Some(vm) => self.yield_to(turn, vm),
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -321,6 +321,7 @@
                     asked,
                 });
                 self.note_service(turn);
+                self.flush(turn);
             }
             Some(Ok(state)) => {
                 self.term = self.term.max(state.term);
