--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod demo;
 pub mod dump;
 pub mod experiment;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,7 +12,9 @@
     check       check a configuration file
     apply       put a configuration file in force
     show        print the configuration in force
+    demo        run stand-in databases and proxies in one process
     dump        print a process's state
+    experiment  play patterns of load against the decisions
 
 `lentilspoke COMMAND --help` tells more about each.
 ";
@@ -40,7 +42,9 @@
         "check" => cmd::check::run(rest),
         "apply" => cmd::apply::run(rest),
         "show" => cmd::show::run(rest),
+        "demo" => cmd::demo::run(rest),
         "dump" => cmd::dump::run(rest),
+        "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
             println!("lentilspoke {}", env!("CARGO_PKG_VERSION"));
@@ -51,3 +55,12 @@
         ))),
     }
 }
+
+fn experiment(words: &[String]) -> Result<(), Error> {
+    match cmd::experiment::run(words, &mut std::io::stdout()) {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(Error::failed("an aim was missed")),
+        Err(error @ cmd::experiment::Error::Usage(_)) => Err(Error::usage(error)),
+        Err(error) => Err(Error::failed(error)),
+    }
+}
--- a/src/net/platform/apply.rs
+++ b/src/net/platform/apply.rs
@@ -200,12 +200,6 @@
     http::Reply::new(::http::StatusCode::OK, json)
 }
 
-/// Answers [`CONFIG_PATH`].
-pub fn show(in_force: Option<&Accepted>) -> http::Reply {
-    let json = serde_json::to_vec(&in_force).unwrap_or_default();
-    http::Reply::new(::http::StatusCode::OK, json)
-}
-
 fn refusal(error: &dyn std::fmt::Display) -> http::Reply {
     let text = format!("not a proposal: {error}; run the same version at both ends");
     http::Reply::new(::http::StatusCode::BAD_REQUEST, text)
