--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
     show        print the configuration in force
     demo        run stand-in databases and proxies in one process
     dump        print a process's state
+    serve       run one proxy
     experiment  play patterns of load against the decisions
 
 `lentilspoke COMMAND --help` tells more about each.
@@ -44,6 +45,7 @@
         "show" => cmd::show::run(rest),
         "demo" => cmd::demo::run(rest),
         "dump" => cmd::dump::run(rest),
+        "serve" => cmd::serve::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
