--- a/src/net/pg/caller.rs
+++ b/src/net/pg/caller.rs
@@ -196,11 +196,11 @@
 
     /// Answers the next batch, or waits for more of it.
     async fn step(&mut self) -> Result<(), End> {
-        if self.dismissed && self.status == Status::Idle {
-            return Err(End::Fault(Fault::Dismissed));
-        }
         match self.inbox.next()? {
             Next::Leave => Err(End::Gone),
+            Next::More if self.dismissed && self.status == Status::Idle => {
+                Err(End::Fault(Fault::Dismissed))
+            }
             Next::More => self.wait().await,
             Next::Batch(frames) => {
                 self.answer(&frames).await?;
@@ -264,9 +264,6 @@
     }
 
     async fn run(&mut self, batch: Batch) -> Result<(), End> {
-        if self.over.is_some() {
-            return self.run_over(batch).await;
-        }
         if batch.body.is_empty() {
             let answer = splice(&batch.steps, &[]).map_err(Fault::from)?;
             self.out.extend_from_slice(&answer);
@@ -275,6 +272,9 @@
             }
             return Ok(());
         }
+        if self.over.is_some() {
+            return self.run_over(batch).await;
+        }
         let request = match self.request(&batch) {
             Ok(request) => request,
             Err(fault) => {
