--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -39,7 +39,9 @@
     }
     let proxies = value(&matches, "proxies")?.unwrap_or(DEFAULT_PROXIES);
     if !(1..=MAX_PROXIES).contains(&proxies) {
-        return Err(Error::usage(format!("--proxies {proxies}: write 1 to {MAX_PROXIES}")));
+        return Err(Error::usage(format!(
+            "--proxies {proxies}: write 1 to {MAX_PROXIES}"
+        )));
     }
     Ok(Plan {
         listen: value(&matches, "listen")?.unwrap_or(DEFAULT_LISTEN),
@@ -52,6 +54,7 @@
 /// Runs the subcommand.
 pub fn run(words: &[String]) -> Result<(), Error> {
     let plan = plan(words)?;
+    crate::util::log(log::LevelFilter::Warn);
     actix_rt::System::new().block_on(async {
         let demo = demo::start(&plan).await.map_err(Error::failed)?;
         let callers: Vec<String> = demo.callers().iter().map(SocketAddr::to_string).collect();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,7 +1,9 @@
 //! One module for each subcommand, and the error at the command line's edge.
 
+pub mod demo;
 pub mod dump;
 pub mod experiment;
+pub mod serve;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
