Route by what holders say, not by what a read took; refusals are no failures

Cause: the time of a read holds its own caller's queue wait, so a greedy caller made replicas look slow, and its refusals made them look broken. Change: hints carry the time of short work in a slot (Hint::run, Gate::run); a router's cost is least way + run + wait + reads sent since the last hint; Router::refused beside failed; a replica that answers nothing for 250 ms is passed over. A holder's Behind costs no retry budget.

--- a/src/core/gate.rs
+++ b/src/core/gate.rs
@@ -245,6 +245,11 @@
         self.slots.wait(ahead, Class::Session, &self.costs)
     }
 
+    /// What short work takes of late, once it has a slot.
+    pub fn run(&self) -> Span {
+        self.costs.short()
+    }
+
     fn wait_of(&self, class: Class, caller: &CallerId) -> Span {
         let ahead = self.queue.ahead(class, caller, &self.costs);
         self.slots.wait(ahead, class, &self.costs)
--- a/src/core/gate/cost.rs
+++ b/src/core/gate/cost.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Clone, Serialize)]
 pub struct Costs {
     parts: [u64; CLASSES],
+    short: u64,
 }
 
 /// How many classes there are.
@@ -37,7 +38,10 @@
             Class::Long => UNKNOWN_LONG.0 * PARTS,
             _ => UNKNOWN.0 * PARTS,
         });
-        Self { parts }
+        Self {
+            parts,
+            short: UNKNOWN.0 * PARTS,
+        }
     }
 }
 
@@ -47,10 +51,21 @@
         Span(self.parts[class as usize] / PARTS)
     }
 
+    /// The mean time of all classes but long work.
+    pub fn short(&self) -> Span {
+        Span(self.short / PARTS)
+    }
+
     /// A statement of `class` took `took`.
     pub fn record(&mut self, class: Class, took: Span) {
-        let mean = &mut self.parts[class as usize];
-        let sample = took.0.saturating_mul(PARTS);
-        *mean = *mean - *mean / MEMORY + sample / MEMORY;
+        follow(&mut self.parts[class as usize], took);
+        if class != Class::Long {
+            follow(&mut self.short, took);
+        }
     }
 }
+
+fn follow(mean: &mut u64, took: Span) {
+    let sample = took.0.saturating_mul(PARTS);
+    *mean = *mean - *mean / MEMORY + sample / MEMORY;
+}
--- a/src/core/gate/fair.rs
+++ b/src/core/gate/fair.rs
@@ -74,15 +74,10 @@
     fn choose(&self) -> Option<Class> {
         let waits = |class: &Class| !self.queues[*class as usize].is_empty();
         let mut waiting = BY_URGENCY.into_iter().filter(waits);
-        let owed = waiting
-            .clone()
-            .find(|&class| self.passed[class as usize] + 1 >= OWED_ONE_IN[class as usize]);
-        match waiting.next() {
-            Some(first) if self.passed[first as usize] == 0 => owed
-                .filter(|&class| self.passed[class as usize] > 0)
-                .or(Some(first)),
-            first => owed.or(first),
-        }
+        let first = waiting.next();
+        waiting
+            .find(|&class| self.passed[class as usize] + 1 >= OWED_ONE_IN[class as usize])
+            .or(first)
     }
 
     fn pop(&mut self, class: Class) -> Option<RequestId> {
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -219,6 +219,7 @@
             position: self.applied().unwrap_or_default(),
             age: self.age(now),
             wait: self.gate.wait(now),
+            run: self.gate.run(),
             primary: primary.cloned(),
         }
     }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -138,6 +138,8 @@
     pub age: Option<Span>,
     /// How long newly queued work would wait.
     pub wait: Span,
+    /// What short work takes of late once it runs.
+    pub run: Span,
     /// The group's leader, where the holder knows of a later one than the entry did.
     pub primary: Option<Primary>,
 }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -21,12 +21,17 @@
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Inverse weight of a new time in the typical one: follows a change within tens of reads.
-const MEMORY: u64 = 16;
+/// The least time of a read rises by this part of itself with each answer, so that it follows a path
+/// that has become longer within a hundred reads.
+const RISE_PART: u64 = 64;
 
-/// A database's typical time before its first answer, and what it is forgotten towards.
+/// A database's time before its first answer, and what it is forgotten towards.
 const UNKNOWN: Span = Span::from_millis(5);
 
+/// A replica that was sent reads and has answered nothing for this long is passed over: long before
+/// the stream to it is known to be broken, and well over a read's time on a slow database.
+const SILENT: Span = Span::from_millis(250);
+
 /// A time that was not confirmed for this long counts half: a replica that was slow and is
 /// no longer asked is asked again within a few such spans.
 const FORGET: Span = Span::from_secs(2);
@@ -41,7 +46,7 @@
 /// Failures in a row after which a replica comes after all others.
 const MOST_FAILURES: u32 = 3;
 
-/// How long a replica that failed so often is left out before one read tries it again: as long as
+/// How long a replica that failed so often, or is silent, is left out before one read tries it again: as long as
 /// a lost connection takes to be noticed and opened again, several times over.
 const LEFT_OUT: Span = Span::from_millis(500);
 
@@ -52,7 +57,7 @@
 /// The primary takes spilled reads only while its own queue is this part of the replicas'.
 const SPILL_PERCENT: u64 = 25;
 
-/// A far replica's typical time before it was measured: a round trip between regions.
+/// A far replica's time before it was measured: a round trip between regions.
 const FAR: Span = Span::from_millis(20);
 
 /// What a read needs of its database.
@@ -109,9 +114,12 @@
 /// What is known of one database.
 #[derive(Debug, Clone, Serialize)]
 struct Seen {
-    typical: u64,
-    answered_at: Time,
-    in_flight: u32,
+    /// The least time of a read of late, in microseconds: the way there and back.
+    least: u64,
+    /// Reads sent since the last hint, which does not count them in.
+    unseen: u64,
+    /// When the first of those was sent.
+    unseen_since: Time,
     failures: u32,
     left_out_until: Time,
     share: Share,
@@ -195,28 +203,25 @@
 
     /// A read was sent to `database`.
     pub fn sent(&mut self, now: Time, database: &DatabaseId) {
-        self.entry(now, database).in_flight += 1;
+        let seen = self.entry(now, database);
+        if seen.unseen == 0 || now.since(seen.unseen_since) > SILENT + LEFT_OUT {
+            seen.unseen_since = now;
+        }
+        seen.unseen += 1;
     }
 
     /// `database` answered after `took`, and told `hint` in passing.
     pub fn answered(&mut self, now: Time, database: &DatabaseId, took: Span, hint: &Hint) {
         let seen = self.entry(now, database);
-        seen.in_flight = seen.in_flight.saturating_sub(1);
-        let returned = seen.failures >= MOST_FAILURES;
         seen.failures = 0;
-        seen.typical = if returned {
-            took.0
-        } else {
-            seen.typical - seen.typical / MEMORY + took.0 / MEMORY
-        };
-        seen.answered_at = now;
+        seen.least = took.0.min(seen.least + seen.least / RISE_PART + 1);
         seen.learn(now, hint);
     }
 
-    /// `database` turned a read away, or could not be reached.
+    /// `database` could not be reached, or broke off.
     pub fn failed(&mut self, now: Time, database: &DatabaseId) {
         let seen = self.entry(now, database);
-        seen.in_flight = seen.in_flight.saturating_sub(1);
+        seen.unseen = 0;
         seen.failures = seen.failures.saturating_add(1);
         if seen.failures >= MOST_FAILURES {
             seen.left_out_until = now + LEFT_OUT;
@@ -224,10 +229,11 @@
         }
     }
 
-    /// `database` was not new enough for a read; it says nothing about its health.
-    pub fn behind(&mut self, now: Time, database: &DatabaseId, hint: &Hint) {
+    /// The holder of `database` refused a read: it was not new enough, or too busy for this
+    /// caller. That says nothing about its health; counted as a failure, one greedy caller's
+    /// refusals would send everyone's reads to the primary.
+    pub fn refused(&mut self, now: Time, database: &DatabaseId, hint: &Hint) {
         let seen = self.entry(now, database);
-        seen.in_flight = seen.in_flight.saturating_sub(1);
         seen.failures = 0;
         seen.learn(now, hint);
     }
@@ -281,7 +287,7 @@
         let times: Vec<(&DatabaseId, u64)> = replicas
             .filter_map(|candidate| {
                 let seen = self.seen.get(&candidate.database)?;
-                Some((&candidate.database, seen.typical(now).max(1)))
+                Some((&candidate.database, seen.time(now).max(1)))
             })
             .collect();
         let Some(best) = times.iter().map(|(_, time)| *time).min() else {
@@ -345,9 +351,9 @@
 impl Seen {
     fn new(now: Time) -> Self {
         Self {
-            typical: UNKNOWN.0,
-            answered_at: now,
-            in_flight: 0,
+            least: UNKNOWN.0,
+            unseen: 0,
+            unseen_since: now,
             failures: 0,
             left_out_until: Time::default(),
             share: Share::full(now),
@@ -371,13 +377,15 @@
         }
         self.hint = hint.clone();
         self.hint_at = now;
+        self.unseen = 0;
     }
 
-    /// The typical time, forgotten towards [`UNKNOWN`] while no answer confirms it.
-    fn typical(&self, now: Time) -> u64 {
-        let halvings = now.since(self.answered_at).0 / FORGET.0;
-        let over = self.typical.saturating_sub(UNKNOWN.0);
-        self.typical - over + over.checked_shr(halvings as u32).unwrap_or(0)
+    /// What a read takes there without waiting, forgotten towards [`UNKNOWN`] while nothing is heard.
+    fn time(&self, now: Time) -> u64 {
+        let halvings = now.since(self.hint_at).0 / FORGET.0;
+        let known = self.least + self.hint.run.0;
+        let over = known.saturating_sub(UNKNOWN.0);
+        known - over + over.checked_shr(halvings as u32).unwrap_or(0)
     }
 
     /// How long newly queued work would wait, as last heard.
@@ -390,12 +398,14 @@
 
     /// The expected time of one more read.
     fn cost(&self, now: Time) -> u64 {
-        let typical = self.typical(now);
-        typical * (u64::from(self.in_flight) + 1) + self.wait(now).0
+        self.time(now) + self.hint.run.0 * self.unseen + self.wait(now).0
     }
 
     fn rank(&self, now: Time, need: &Need) -> Rank {
-        if self.failures >= MOST_FAILURES && now < self.left_out_until {
+        let failing = self.failures >= MOST_FAILURES && now < self.left_out_until;
+        let quiet = now.since(self.unseen_since);
+        let silent = self.unseen > 0 && quiet > SILENT && quiet <= SILENT + LEFT_OUT;
+        if failing || silent {
             return Rank::Failing;
         }
         if self.is_behind(now, need) {
--- a/src/experiment/aim.rs
+++ b/src/experiment/aim.rs
@@ -6,7 +6,7 @@
 use crate::experiment::deployment::Deployment;
 use crate::experiment::pattern::Pattern;
 use crate::experiment::policy::{Policy, Rule};
-use crate::experiment::report::{Report, Row};
+use crate::experiment::report::Report;
 use serde::Serialize;
 use std::fmt;
 
@@ -153,7 +153,10 @@
         let alone = self.pair(findings, pattern, 1.0, true);
         let beside = self.pair(findings, pattern, 1.0, false);
         for class in [Class::Confirm, Class::Session, Class::Aged] {
-            let p99 = |report: &Report| report.row(class).map(|row: &Row| row.answer_p99);
+            let p99 = |report: &Report| {
+                let row = report.row(class).filter(|row| row.goodput > 0.0)?;
+                Some(row.answer_p99)
+            };
             let ratio = beside.compare(&alone, p99);
             let name = format!("{class:?}").to_lowercase();
             let aim = format!("{}: {what} beside against alone, {name}", self.deployment);
--- a/src/experiment/engine.rs
+++ b/src/experiment/engine.rs
@@ -487,6 +487,7 @@
             position,
             age: Some(age),
             wait: holder.gate.wait(now),
+            run: holder.gate.run(),
             primary: None,
         }
     }
@@ -524,12 +525,8 @@
                 self.end(id, End::Done);
                 return;
             }
-            Reply::NotRun(told, hint) if told.cause == Cause::Behind => {
-                router.behind(now, name, &hint);
-                not_run = told;
-            }
-            Reply::NotRun(told, _) => {
-                router.failed(now, name);
+            Reply::NotRun(told, hint) => {
+                router.refused(now, name, &hint);
                 not_run = told;
             }
             Reply::Broken => {
@@ -541,7 +538,8 @@
             }
         }
         let again = not_run.cause != Cause::Expired && !work.order.is_empty();
-        if again && now < work.deadline && entry.budget.withdraw(now) {
+        let free = not_run.cause == Cause::Behind;
+        if again && now < work.deadline && (free || entry.budget.withdraw(now)) {
             self.dispatch(id);
             return;
         }
