Spill to the primary at 25 ms; a retry budget for a lost domain

Cause: a replica that carries two replicas' reads queued up to 100 ms before the primary's idle slots were used; ten saved retries did not cover the reads under way to a lost domain.

--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -19,8 +19,9 @@
 /// What one retry costs, in thousandths.
 const PRICE: u64 = 1_000;
 
-/// Ten retries at most are saved up: what is in flight on one database's slots, three times over.
-const MOST: u64 = 10 * PRICE;
+/// A hundred retries at most are saved up: about the reads that one entry has under way to a
+/// domain in the second until its loss is noticed.
+const MOST: u64 = 100 * PRICE;
 
 /// Time that pays for one retry: an idle proxy can afford one a second.
 const TRICKLE: Span = Span::from_secs(1);
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -50,9 +50,9 @@
 /// a lost connection takes to be noticed and opened again, several times over.
 const LEFT_OUT: Span = Span::from_millis(500);
 
-/// Replicas' queues longer than this may spill reads to the primary: far above the scatter of
+/// Replicas' queues longer than this may spill reads to the primary: above the scatter of
 /// a queue that empties, so that in ordinary load the primary keeps its slots for writes.
-const SPILL_WAIT: Span = Span::from_millis(100);
+const SPILL_WAIT: Span = Span::from_millis(25);
 
 /// The primary takes spilled reads only while its own queue is this part of the replicas'.
 const SPILL_PERCENT: u64 = 25;
