--- /dev/null
+++ b/src/standin/fake/link.rs
@@ -0,0 +1,111 @@
+//! Streams between two proxies, and cuts.
+
+use super::{Coming, LATENCY, NOTICE, System};
+use crate::core::message::Message;
+use crate::core::node::Input;
+use crate::types::VmId;
+
+/// The stream between two VMs. Messages of an earlier epoch are lost with their stream.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Stream {
+    epoch: u64,
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Down,
+    Up,
+    /// What is sent is lost; both ends are about to notice.
+    Dying,
+}
+
+impl System {
+    /// Cuts two names off from each other.
+    pub fn cut(&mut self, one: &str, other: &str) {
+        self.cuts.insert(pair(one.into(), other.into()));
+        if let (Some(one), Some(other)) = (super::name(one), super::name(other)) {
+            self.break_stream(&one, &other);
+        }
+    }
+
+    /// Ends every cut.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub(super) fn is_cut(&self, one: &str, other: &str) -> bool {
+        self.cuts.contains(&pair(one.into(), other.into()))
+    }
+
+    pub(super) fn break_stream(&mut self, one: &VmId, other: &VmId) {
+        let key = pair(one.clone(), other.clone());
+        let Some(stream) = self.streams.get_mut(&key) else {
+            return;
+        };
+        if stream.state != State::Up {
+            return;
+        }
+        stream.state = State::Dying;
+        let epoch = stream.epoch;
+        self.later(NOTICE, Coming::Broken(key.0, key.1, epoch));
+    }
+
+    pub(super) fn broken(&mut self, one: VmId, other: VmId, epoch: u64) {
+        let key = (one, other);
+        let Some(stream) = self.streams.get_mut(&key) else {
+            return;
+        };
+        if stream.epoch != epoch {
+            return;
+        }
+        stream.state = State::Down;
+        stream.epoch += 1;
+        let (one, other) = key;
+        self.input(
+            &one,
+            crate::clock::Span::ZERO,
+            Input::PeerDown(other.clone()),
+        );
+        self.input(&other, crate::clock::Span::ZERO, Input::PeerDown(one));
+    }
+
+    /// Sends a message, opening the stream if there is none.
+    pub(super) fn send(&mut self, from: &VmId, to: &VmId, message: Message) {
+        let reachable = self.machines.contains_key(to) && !self.is_cut(from.as_str(), to.as_str());
+        let key = pair(from.clone(), to.clone());
+        let stream = self.streams.entry(key).or_default();
+        match (stream.state, reachable) {
+            (State::Dying, _) => return,
+            (State::Up, true) => {}
+            (State::Up, false) => return self.break_stream(from, to),
+            (State::Down, false) => {
+                return self.input(from, NOTICE, Input::PeerDown(to.clone()));
+            }
+            (State::Down, true) => {
+                stream.state = State::Up;
+                stream.epoch += 1;
+                self.input(from, LATENCY, Input::PeerUp(to.clone()));
+                self.input(to, LATENCY, Input::PeerUp(from.clone()));
+            }
+        }
+        let key = pair(from.clone(), to.clone());
+        let epoch = self.streams.get(&key).map_or(0, |stream| stream.epoch);
+        let coming = Coming::Message(from.clone(), to.clone(), epoch, message);
+        self.later(LATENCY, coming);
+    }
+
+    pub(super) fn delivers(&self, from: &VmId, to: &VmId, epoch: u64) -> bool {
+        let stream = self.streams.get(&pair(from.clone(), to.clone()));
+        stream.is_some_and(|stream| stream.epoch == epoch && stream.state == State::Up)
+    }
+}
+
+fn pair<T: Ord>(one: T, other: T) -> (T, T) {
+    if one <= other {
+        (one, other)
+    } else {
+        (other, one)
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,4 +4,5 @@
 pub mod database;
 pub mod demo;
 pub mod deployment;
+pub mod fake;
 pub mod platform;
