--- a/src/core/holder/connection.rs
+++ b/src/core/holder/connection.rs
@@ -262,6 +262,11 @@
         };
         let silent = self.connections.iter().filter(|(_, c)| silent(&c.usage));
         let silent: Vec<ConnId> = silent.map(|(conn, _)| *conn).collect();
+        // Whatever lost track of one has as likely lost track of those that were idle beside it;
+        // each would cost the next caller its whole patience.
+        if !silent.is_empty() {
+            self.close_idle(turn);
+        }
         for conn in silent {
             turn.world.counters.silent_connections += 1;
             close(turn, conn);
--- a/src/standin/fake/link.rs
+++ b/src/standin/fake/link.rs
@@ -81,7 +81,10 @@
             (State::Up, true) => {}
             (State::Up, false) => return self.break_stream(from, to),
             (State::Down, false) => {
-                return self.input(from, NOTICE, Input::PeerDown(to.clone()));
+                stream.state = State::Dying;
+                let epoch = stream.epoch;
+                let key = pair(from.clone(), to.clone());
+                return self.later(NOTICE, Coming::Broken(key.0, key.1, epoch));
             }
             (State::Down, true) => {
                 stream.state = State::Up;
