Pause after any failed connection; tell unreachable databases apart from late work

Cause: with spare connections wanted, each failed attempt was replaced at once, so that work never saw the database as unreachable and waited out its deadline. Change: any failure pauses the pool, and waiting work ends as soon as nothing is open.

--- a/src/core/holder/connection.rs
+++ b/src/core/holder/connection.rs
@@ -128,21 +128,31 @@
         self.idle.push(conn);
     }
 
+    /// Whether any connection is open.
+    pub(super) fn is_connected(&self) -> bool {
+        let opening = |other: &Connection| matches!(other.usage, Usage::Opening { .. });
+        !self.connections.values().all(opening)
+    }
+
+    /// Why work is not run at a database that can't be connected to.
+    pub(super) fn unreachable(&self) -> Cause {
+        match self.role {
+            Role::Replica => Cause::Refused,
+            _ => Cause::NoPrimary,
+        }
+    }
+
     /// Failure: no connection can be opened. Symptom: work waits for one until its deadline and
-    /// its caller is told late. Enough, because without any connection open or opening nothing
-    /// has been run, so all that waits ends at once and can be tried elsewhere.
+    /// its caller is told late. Enough, because without any connection open nothing of
+    /// it has been run, so all that waits ends at once and can be tried elsewhere. The pool pauses
+    /// too, or its spare connections would be opened and fail in a tight loop.
     fn connect_failed(&mut self, turn: &mut Turn, conn: ConnId, full: bool) {
         self.connections.remove(&conn);
-        if full {
-            self.pool.refused(turn.now);
-        }
-        if full || !self.connections.is_empty() {
+        self.pool.refused(turn.now);
+        if full || self.is_connected() {
             return;
         }
-        let cause = match self.role {
-            Role::Replica => Cause::Refused,
-            _ => Cause::NoPrimary,
-        };
+        let cause = self.unreachable();
         while let Some(id) = self.starved.pop_front() {
             self.drop_job(turn, id, cause, None);
         }
--- a/src/core/holder/queue.rs
+++ b/src/core/holder/queue.rs
@@ -214,8 +214,13 @@
         let now = turn.now;
         let late = |id: &RequestId| self.jobs.get(id).is_none_or(|job| job.deadline <= now);
         let late: Vec<RequestId> = self.starved.iter().copied().filter(late).collect();
+        let cause = if self.is_connected() {
+            Cause::Expired
+        } else {
+            self.unreachable()
+        };
         for id in late {
-            self.drop_job(turn, id, Cause::Expired, None);
+            self.drop_job(turn, id, cause, None);
         }
         self.recheck(turn);
         self.tick_connections(turn);
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -130,7 +130,8 @@
         surplus
     }
 
-    /// The database refused a connection for want of room: another holder has it.
+    /// The database refused a connection for want of room, because another holder has it, or
+    /// could not be reached.
     pub fn refused(&mut self, now: Time) {
         if !self.policy.pauses {
             return;
