--- a/src/core/database.rs
+++ b/src/core/database.rs
@@ -38,7 +38,8 @@
         /// The connection.
         conn: ConnId,
     },
-    /// Carry out an order about terms, on a connection apart from those for work.
+    /// Carry out an order about terms, on a connection apart from those for work. It is always
+    /// answered by one `Event::Controlled`, after `timing.answer` at the latest.
     Control {
         /// Names the answer; never used twice in a process's life.
         id: RequestId,
--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -183,8 +183,9 @@
 
     /// The configuration changed: the group may have other databases.
     ///
-    /// A group's majority is that of the document in force; the change is refused by `check`
-    /// where old and new majorities might not meet.
+    /// A group's majority is that of the document in force. A change that adds or removes more
+    /// than one database at once may leave old and new majorities that do not meet; a checker of
+    /// documents has to refuse it.
     pub fn configure(&mut self, turn: &mut Turn) {
         let found = turn.world.group(&self.group);
         let members: BTreeSet<DatabaseId> = found
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -26,6 +26,10 @@
 /// little.
 const SUSPECT_VM: Span = Span::from_secs(2);
 
+/// Orders to databases that may be under way. A database that answers nothing gets a probe each
+/// quarter of a second until its connections are given up; this is room for hundreds of such.
+const ERRANDS_LIMIT: usize = 8_192;
+
 /// What is known of another VM beside the platform's list.
 #[derive(Debug, Default)]
 pub(crate) struct Peer {
@@ -321,8 +325,11 @@
         });
     }
 
-    /// Orders something of a database, for the sake of `errand`.
+    /// Orders something of a database, for the sake of `errand`. Tells whether it did.
     pub fn order(&mut self, database: &DatabaseId, order: Order, errand: Errand) -> bool {
+        if self.world.errands.len() >= ERRANDS_LIMIT {
+            return false;
+        }
         let Some(address) = self.world.database(database).map(|found| found.address) else {
             return false;
         };
