--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -16,6 +16,11 @@
 use serde::Serialize;
 use std::collections::HashMap;
 
+/// How long after a request's deadline its holder's answer is still waited for: the holder ends
+/// what has not started at the same deadline and says so, which takes a round trip between
+/// regions (20 ms) and its tick to arrive. Without it, that work would be told "outcome unknown".
+const ANSWER_GRACE: Span = Span::from_millis(100);
+
 /// Leases on sessions' floors that an entry remembers, about 200 bytes each. A forgotten one
 /// is asked for again.
 const LEASES_KEPT: usize = 16_384;
@@ -417,7 +422,7 @@
         let now = turn.now;
         let late = self
             .sent
-            .extract_if(|_, sent| sent.pending.request.deadline <= now);
+            .extract_if(|_, sent| sent.pending.request.deadline + ANSWER_GRACE <= now);
         let mut late: Vec<(RequestId, Sent)> = late.collect();
         late.sort_unstable_by_key(|(id, _)| *id);
         for (id, sent) in late {
--- a/src/core/entry/answer.rs
+++ b/src/core/entry/answer.rs
@@ -118,6 +118,10 @@
         if current.is_some_and(|leader| leader.steward == sent.vm) {
             self.doubt(turn, &group);
         }
+        if sent.pending.request.deadline <= turn.now {
+            let gap = turn.timing().probe;
+            return self.not_run(turn, sent.pending, Cause::NoPrimary, gap);
+        }
         self.dispatch(turn, sent.pending);
     }
 
