--- a/src/core/holder/connection.rs
+++ b/src/core/holder/connection.rs
@@ -59,6 +59,9 @@
             self.connections.insert(conn, Connection::new(usage));
             turn.connect(conn, &self.database, self.address);
         }
+        if self.connections.is_empty() {
+            self.give_up_starved(turn);
+        }
     }
 
     fn demand(&self) -> Demand {
@@ -98,7 +101,7 @@
     pub fn event(&mut self, turn: &mut Turn, event: Event) {
         match event {
             Event::Connected { conn } => self.connected(turn, conn),
-            Event::ConnectFailed { conn, full } => self.connect_failed(turn, conn, full),
+            Event::ConnectFailed { conn, .. } => self.connect_failed(turn, conn),
             Event::Answered { conn, reply } => self.answered(turn, conn, reply),
             Event::Refused {
                 conn,
@@ -128,17 +131,16 @@
         self.idle.push(conn);
     }
 
+    fn connect_failed(&mut self, turn: &mut Turn, conn: ConnId) {
+        self.connections.remove(&conn);
+        // A database that is down is not to be asked in a tight loop either.
+        self.pool.refused(turn.now);
+    }
+
     /// Failure: no connection can be opened. Symptom: work waits for one until its deadline and
     /// its caller is told late. Enough, because without any connection open or opening nothing
     /// has been run, so all that waits ends at once and can be tried elsewhere.
-    fn connect_failed(&mut self, turn: &mut Turn, conn: ConnId, full: bool) {
-        self.connections.remove(&conn);
-        if full {
-            self.pool.refused(turn.now);
-        }
-        if full || !self.connections.is_empty() {
-            return;
-        }
+    fn give_up_starved(&mut self, turn: &mut Turn) {
         let cause = match self.role {
             Role::Replica => Cause::Refused,
             _ => Cause::NoPrimary,
@@ -262,6 +264,11 @@
         };
         let silent = self.connections.iter().filter(|(_, c)| silent(&c.usage));
         let silent: Vec<ConnId> = silent.map(|(conn, _)| *conn).collect();
+        // Whatever lost track of one has as likely lost track of those that were idle beside it;
+        // each would cost the next caller its whole patience.
+        if !silent.is_empty() {
+            self.close_idle(turn);
+        }
         for conn in silent {
             turn.world.counters.silent_connections += 1;
             close(turn, conn);
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -184,6 +184,16 @@
         Some(next.max(self.ticked + LEAST_WAIT))
     }
 
+    /// The configuration in force, once there is one.
+    pub fn accepted(&self) -> Option<&Accepted> {
+        self.world.config.as_deref()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_some()
+    }
+
     /// What it has done since it started.
     pub fn counters(&self) -> &Counters {
         &self.world.counters
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -117,7 +117,7 @@
 
     /// Whether writes are acknowledged just now.
     pub fn serves(&self, now: Time) -> bool {
-        now < self.confirmations.floor_deadline() && !self.primary_watch.suspects(now)
+        now < self.confirmations.deadline() && !self.primary_watch.suspects(now)
     }
 
     pub fn wake(&self) -> Time {
@@ -321,6 +321,7 @@
                     asked,
                 });
                 self.note_service(turn);
+                self.flush(turn);
             }
             Some(Ok(state)) => {
                 self.term = self.term.max(state.term);
--- a/src/core/steward/lease.rs
+++ b/src/core/steward/lease.rs
@@ -58,7 +58,7 @@
 impl Lead {
     /// Until when a lease given now may be used; `None` if none may be given.
     pub(super) fn lease_end(&self, now: Time) -> Option<Time> {
-        let end = self.confirmations.floor_deadline();
+        let end = self.confirmations.deadline();
         if self.handover.is_some() || end <= now {
             return None;
         }
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,78 @@
+//! What operators and scrapers ask of a process.
+
+use crate::net::http::{self, Call, Reply};
+use crate::net::metrics::{self, Gauges};
+use crate::net::platform::{Client, apply};
+use crate::net::proxy;
+use crate::net::shell::Shell;
+use ::http::{Method, StatusCode};
+use serde::Serialize;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// How long an operator who applies a configuration waits for other proxies to have it too.
+const SPREAD: Duration = Duration::from_secs(1);
+
+/// Serves `/metrics`, `/dump`, `/config` and `/ready` until it is dropped.
+pub async fn serve(listener: TcpListener, shell: Rc<Shell>, platform: Rc<Client>) {
+    http::serve(listener, move |call| {
+        let (shell, platform) = (Rc::clone(&shell), Rc::clone(&platform));
+        async move {
+            match (&call.method, &*call.path) {
+                (&Method::POST, apply::PATH) => propose(&shell, &platform, &call).await,
+                _ => answer(&shell, &call),
+            }
+        }
+    })
+    .await;
+}
+
+/// Applies an operator's document, and has told other proxies when it answers.
+async fn propose(shell: &Shell, platform: &Client, call: &Call) -> Reply {
+    apply::serve(platform, &call.body, |accepted| async move {
+        proxy::enforce(shell, accepted);
+        shell.peers().flushed(SPREAD).await;
+    })
+    .await
+}
+
+fn answer(shell: &Shell, call: &Call) -> Reply {
+    match (&call.method, &*call.path) {
+        (&Method::GET, "/metrics") => Reply::new(StatusCode::OK, text(shell).into_string()),
+        (&Method::GET, "/dump") => shell.inspect(|node| json(&node.state())),
+        (&Method::GET, "/config") => shell.inspect(|node| json(&node.accepted())),
+        (&Method::GET, "/ready") => ready(shell),
+        _ => Reply::new(
+            StatusCode::NOT_FOUND,
+            "ask for /metrics, /dump, /config or /ready\n",
+        ),
+    }
+}
+
+/// Ready means that a caller who connects now finds a configuration: the platform's balancer
+/// sends nobody here before that.
+fn ready(shell: &Shell) -> Reply {
+    if shell.inspect(|node| node.accepted().is_some()) {
+        Reply::new(StatusCode::OK, "ready\n")
+    } else {
+        Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
+    }
+}
+
+fn text(shell: &Shell) -> Box<str> {
+    let version = shell.inspect(|node| node.accepted().map_or(0, |accepted| accepted.version.0));
+    let gauges = Gauges {
+        callers: shell.callers() as u64,
+        peers: shell.peers().open() as u64,
+        version,
+    };
+    metrics::text(shell.inspect(|node| node.counters().clone()), gauges)
+}
+
+fn json(value: &impl Serialize) -> Reply {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => Reply::new(StatusCode::OK, text),
+        Err(error) => Reply::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/standin/demo.rs
@@ -0,0 +1,288 @@
+//! A whole deployment in one process: groups of databases, and proxies on threads of their own.
+
+use crate::config::Document;
+use crate::core::member::Member;
+use crate::core::node::Identity;
+use crate::net::pg;
+use crate::net::platform::Client;
+use crate::net::platform::apply::{Proposal, Verdict, settle};
+use crate::net::proxy::{self, Setup};
+use crate::standin::database::{Group, Handle, Lag, Spec};
+use crate::standin::deployment::{APPLY_LAG, CONNECT, Deployment, GROUPS, RECEIVE_LAG, SERVICE};
+use crate::standin::platform::{self, Platform};
+use crate::types::{ApplyId, GroupId, Invalid, Life, Version, VmId};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// How long a demo may take until it serves.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+const START_CHECK: Duration = Duration::from_millis(50);
+
+/// What a demo is to be.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Where the first proxy listens for callers; port 0 takes free ports.
+    pub listen: SocketAddr,
+    /// How many proxies.
+    pub proxies: u8,
+    /// Which deployment.
+    pub deployment: Deployment,
+    /// When to kill the primary of the first group, in seconds from the start.
+    pub kill_primary_after: Option<u64>,
+}
+
+/// A running demo.
+#[derive(Debug)]
+pub struct Demo {
+    groups: BTreeMap<GroupId, Handle>,
+    platform: platform::Handle,
+    proxies: Vec<Option<Proxy>>,
+    kill_primary_after: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Proxy {
+    callers: SocketAddr,
+    admin: SocketAddr,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+/// Why a demo does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be bound, or a thread not be started.
+    #[error("{0}; another demo may be running: stop it or choose another --listen")]
+    Io(#[from] io::Error),
+    /// The deployment's configuration was not accepted.
+    #[error("the configuration was not accepted: {0}")]
+    Config(Box<str>),
+    /// A name of the deployment is not valid.
+    #[error(transparent)]
+    Name(#[from] Invalid),
+}
+
+/// Starts the databases and proxies of `plan`.
+pub async fn start(plan: &Plan) -> Result<Demo, Error> {
+    let mut document = plan.deployment.document()?;
+    let groups = start_groups(plan.deployment, &mut document)?;
+    let platform = Platform::start(SocketAddr::new(plan.listen.ip(), 0))?;
+    let proposal = Proposal {
+        id: ApplyId(rand::random()),
+        base: Version(0),
+        document,
+    };
+    let client = Client::new([platform.address()]);
+    let verdict = settle(&client, &proposal, Instant::now() + START_LIMIT).await;
+    if !matches!(verdict, Verdict::Accepted(_)) {
+        return Err(Error::Config(format!("{verdict:?}").into()));
+    }
+    let mut proxies = Vec::new();
+    for index in 0..plan.proxies {
+        let (member, proxy) = start_proxy(plan, index, platform.address())?;
+        platform.join(member);
+        proxies.push(Some(proxy));
+    }
+    let demo = Demo {
+        groups,
+        platform,
+        proxies,
+        kill_primary_after: plan.kill_primary_after,
+    };
+    demo.wait_until_served().await;
+    Ok(demo)
+}
+
+fn start_groups(
+    deployment: Deployment,
+    document: &mut Document,
+) -> Result<BTreeMap<GroupId, Handle>, Error> {
+    let mut handles = BTreeMap::new();
+    for (id, group) in &mut document.groups {
+        let mut spec = Spec::new(group.clone());
+        spec.lag = Lag {
+            receive: RECEIVE_LAG,
+            apply: APPLY_LAG,
+        };
+        spec.service = SERVICE;
+        spec.connect = CONNECT;
+        spec.latency = Arc::new(move |peer, domain| deployment.latency_to(peer, domain));
+        let handle = Group::start(spec)?;
+        *group = handle.group().clone();
+        handles.insert(id.clone(), handle);
+    }
+    Ok(handles)
+}
+
+fn start_proxy(plan: &Plan, index: u8, platform: SocketAddr) -> Result<(Member, Proxy), Error> {
+    let place = usize::from(index) % GROUPS;
+    let source = Deployment::address(place, index + 1);
+    let bind = |address: SocketAddr| -> io::Result<(std::net::TcpListener, SocketAddr)> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    };
+    let mut listen = plan.listen;
+    if listen.port() != 0 {
+        listen.set_port(listen.port() + u16::from(index));
+    }
+    let (callers, callers_address) = bind(listen)?;
+    let (peers, peers_address) = bind(SocketAddr::new(source, 0))?;
+    let (admin, admin_address) = bind(SocketAddr::new(listen.ip(), 0))?;
+    let vm: VmId = format!("vm{}", index + 1).parse()?;
+    let domain = plan.deployment.places()[place].domain.parse()?;
+    let identity = Identity {
+        vm: vm.clone(),
+        domain,
+        life: Life(rand::random()),
+    };
+    let member = Member {
+        vm,
+        address: peers_address,
+        domain: identity.domain.clone(),
+        leaving: false,
+    };
+    let (stop, stopped) = oneshot::channel();
+    let thread = std::thread::Builder::new()
+        .name(member.vm.to_string())
+        .spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let listeners = (
+                    tokio::net::TcpListener::from_std(callers),
+                    tokio::net::TcpListener::from_std(peers),
+                    tokio::net::TcpListener::from_std(admin),
+                );
+                let (Ok(callers), Ok(peers), Ok(admin)) = listeners else {
+                    log::error!("a listener can't be used: free its port");
+                    return;
+                };
+                let setup = Setup {
+                    identity,
+                    source,
+                    callers,
+                    peers,
+                    admin,
+                    platform: Client::new([platform]),
+                    rules: pg::Rules::default(),
+                };
+                // A demo that is dropped ends its proxies too.
+                proxy::run(setup, async { stopped.await.unwrap_or_default() }).await;
+            });
+        })?;
+    Ok((
+        member,
+        Proxy {
+            callers: callers_address,
+            admin: admin_address,
+            stop,
+            thread,
+        },
+    ))
+}
+
+impl Demo {
+    /// Where the proxies listen for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.running().map(|proxy| proxy.callers).collect()
+    }
+
+    /// Where the proxies listen for operators.
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.running().map(|proxy| proxy.admin).collect()
+    }
+
+    /// The databases, for faults.
+    pub fn groups(&self) -> &BTreeMap<GroupId, Handle> {
+        &self.groups
+    }
+
+    /// The platform, for faults.
+    pub fn platform(&self) -> &platform::Handle {
+        &self.platform
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Proxy> {
+        self.proxies.iter().flatten()
+    }
+
+    async fn wait_until_served(&self) {
+        let deadline = Instant::now() + START_LIMIT;
+        for address in self.callers() {
+            for group in self.groups.keys() {
+                while Instant::now() < deadline && !served(address, group).await {
+                    tokio::time::sleep(START_CHECK).await;
+                }
+            }
+        }
+    }
+
+    /// Asks one proxy to stop, counted from 0, and returns its thread; the proxy finishes what is
+    /// in flight.
+    pub fn stop_proxy(&mut self, index: usize) -> Option<JoinHandle<()>> {
+        let proxy = self.proxies.get_mut(index)?.take()?;
+        // One that ended already needs no telling.
+        let _ = proxy.stop.send(());
+        Some(proxy.thread)
+    }
+
+    /// Runs until SIGTERM or SIGINT, then stops the proxies.
+    pub async fn run_until_signal(self) -> io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            () = self.kill_in_time() => {}
+        }
+        self.stop();
+        Ok(())
+    }
+
+    async fn kill_in_time(&self) {
+        if let Some(secs) = self.kill_primary_after {
+            tokio::time::sleep(Duration::from_secs(secs)).await;
+            if let Some((group, handle)) = self.groups.iter().next()
+                && let Some(primary) = handle.primary()
+            {
+                println!("killed {primary}, the primary of {group}");
+                handle.kill(&primary);
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Stops the proxies and waits for them.
+    pub fn stop(mut self) {
+        let indexes = 0..self.proxies.len();
+        let threads: Vec<_> = indexes.filter_map(|index| self.stop_proxy(index)).collect();
+        for thread in threads {
+            if thread.join().is_err() {
+                log::error!("a proxy's thread panicked: report its backtrace");
+            }
+        }
+    }
+}
+
+/// Whether the primary of `group` takes a transaction through the proxy at `address`.
+async fn served(address: SocketAddr, group: &GroupId) -> bool {
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port());
+    config.user("demo").dbname(group.as_str());
+    let Ok((client, connection)) = config.connect(tokio_postgres::NoTls).await else {
+        return false;
+    };
+    let connection = actix_rt::spawn(connection);
+    let served = client.batch_execute("BEGIN").await.is_ok()
+        && client.batch_execute("ROLLBACK").await.is_ok();
+    connection.abort();
+    served
+}
