--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,8 @@
 pub mod demo;
 pub mod dump;
 pub mod experiment;
+pub mod model;
+pub mod schedules;
 pub mod serve;
 pub mod show;
 
--- /dev/null
+++ b/src/cmd/model.rs
@@ -0,0 +1,77 @@
+//! `lentilspoke model`: the exhaustive search of the core protocol.
+
+use crate::cmd::{Error, parse, value};
+use crate::model::suite::{self, Case};
+use std::time::Instant;
+
+const USAGE: &str = "\
+Search all states of the core protocol's specifications, breadth first, for a broken
+property. Then take out one safeguard at a time; each such search has to find how a
+property breaks, and prints the shortest way to it.
+
+Usage: lentilspoke model [--depth N] [--sound]
+
+Options:
+    --depth N     the most events from the start; by default a bound for each search
+                  that fits a continuous integration run
+    --sound       only search the protocol as it stands
+    -h, --help    print this text
+";
+
+struct Args {
+    depth: Option<usize>,
+    sound: bool,
+}
+
+impl Args {
+    fn parse(words: &[String]) -> Result<Self, Error> {
+        let mut options = getopts::Options::new();
+        options.optopt("", "depth", "", "N");
+        options.optflag("", "sound", "");
+        let matches = parse(&mut options, USAGE, words)?;
+        Ok(Self {
+            depth: value(&matches, "depth")?,
+            sound: matches.opt_present("sound"),
+        })
+    }
+}
+
+/// Runs the subcommand.
+pub fn run(words: &[String]) -> Result<(), Error> {
+    let args = Args::parse(words)?;
+    let mut wrong = 0;
+    for case in suite::sound().map_err(Error::failed)? {
+        wrong += u32::from(search(&case, args.depth));
+    }
+    if !args.sound {
+        for case in suite::unsound().map_err(Error::failed)? {
+            wrong += u32::from(!search(&case, None));
+        }
+    }
+    match wrong {
+        0 => Ok(()),
+        _ => Err(Error::failed(format!("{wrong} searches ended wrongly"))),
+    }
+}
+
+/// Searches one case and prints what came of it; whether a property broke.
+fn search(case: &Case, depth: Option<usize>) -> bool {
+    let begun = Instant::now();
+    let report = case.search(depth.unwrap_or(case.bound));
+    let end = match (&report.trace, report.complete) {
+        (Some(_), _) => "BROKEN",
+        (None, true) => "complete",
+        (None, false) => "to this depth",
+    };
+    println!(
+        "{}: {} states, depth {}, {end}, {:.1} s",
+        case.name,
+        report.states,
+        report.depth,
+        begun.elapsed().as_secs_f64()
+    );
+    if let Some(trace) = &report.trace {
+        println!("{trace}\n");
+    }
+    report.trace.is_some()
+}
--- /dev/null
+++ b/src/cmd/schedules.rs
@@ -0,0 +1,84 @@
+//! `lentilspoke schedules`: random faults over small fakes, from seeds.
+
+use crate::cmd::{Error, parse, value};
+use crate::schedule;
+use std::time::Instant;
+
+const USAGE: &str = "\
+Play random schedules of callers and faults on virtual time, one a seed, and check
+what callers were told against what is left. A failing seed is printed with its
+script, which can be kept as a scenario.
+
+Usage: lentilspoke schedules [--seeds FIRST..LAST] [--script]
+
+Options:
+    --seeds FIRST..LAST    the seeds to play, both included; 1..100 by default
+    --script               print the script of each seed
+    -h, --help             print this text
+";
+
+const DEFAULT_SEEDS: &str = "1..100";
+
+struct Args {
+    seeds: std::ops::RangeInclusive<u64>,
+    script: bool,
+}
+
+impl Args {
+    fn parse(words: &[String]) -> Result<Self, Error> {
+        let mut options = getopts::Options::new();
+        options.optopt("", "seeds", "", "FIRST..LAST");
+        options.optflag("", "script", "");
+        let matches = parse(&mut options, USAGE, words)?;
+        let text: Option<String> = value(&matches, "seeds")?;
+        let text = text.unwrap_or_else(|| DEFAULT_SEEDS.into());
+        let wrong = || {
+            Error::usage(format!(
+                "--seeds {text}: write FIRST..LAST, such as 1..5000"
+            ))
+        };
+        let (first, last) = text.split_once("..").ok_or_else(wrong)?;
+        let first = first.parse().map_err(|_| wrong())?;
+        let last = last.parse().map_err(|_| wrong())?;
+        Ok(Self {
+            seeds: first..=last,
+            script: matches.opt_present("script"),
+        })
+    }
+}
+
+/// Runs the subcommand.
+pub fn run(words: &[String]) -> Result<(), Error> {
+    let args = Args::parse(words)?;
+    let begun = Instant::now();
+    let (mut played, mut failed, mut told) = (0, 0, schedule::Told::default());
+    for seed in args.seeds {
+        let report = schedule::play(seed).map_err(Error::failed)?;
+        played += 1;
+        told.done += report.told.done;
+        told.not_run += report.told.not_run;
+        told.unknown += report.told.unknown;
+        let fails = !report.broken.is_empty();
+        failed += u64::from(fails);
+        if fails || args.script {
+            println!("{report}");
+            for line in &report.script {
+                println!("    {line}");
+            }
+        }
+    }
+    let schedule::Told {
+        done,
+        not_run,
+        unknown,
+    } = told;
+    println!(
+        "{played} seeds, {failed} failed; requests: {done} done, {not_run} not run, \
+         {unknown} unknown; {:.1} s",
+        begun.elapsed().as_secs_f64()
+    );
+    match failed {
+        0 => Ok(()),
+        _ => Err(Error::failed(format!("{failed} seeds broke a property"))),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod jsonc;
 pub mod model;
 pub mod net;
+pub mod schedule;
 pub mod settings;
 pub mod sql;
 pub mod standin;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,8 @@
     dump        print a process's state
     demo        run stand-in databases and proxies in one process
     experiment  play patterns of load against the decisions
+    model       search the core protocol's states
+    schedules   play random faults and check what callers are told
 
 `lentilspoke COMMAND --help` tells more about each.
 ";
@@ -45,6 +47,8 @@
         "apply" => cmd::apply::run(rest),
         "show" => cmd::show::run(rest),
         "dump" => cmd::dump::run(rest),
+        "model" => cmd::model::run(rest),
+        "schedules" => cmd::schedules::run(rest),
         "serve" => cmd::serve::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
--- a/src/standin/fake/mod.rs
+++ b/src/standin/fake/mod.rs
@@ -69,7 +69,6 @@
     life: Life,
     paused: bool,
     held: VecDeque<Input>,
-    stopped: bool,
     /// The highest version that was in force in this life.
     version: Version,
 }
@@ -263,6 +262,22 @@
         self.bases.values().flat_map(|base| &base.ran)
     }
 
+    /// Whether a database's process runs.
+    pub fn database_is_up(&self, text: &str) -> bool {
+        let mut found = self.bases.values().filter(|base| base.id.as_str() == text);
+        found.any(|base| base.up)
+    }
+
+    /// The databases' logs.
+    pub fn logs(&self) -> impl Iterator<Item = &[Row]> {
+        self.bases.values().map(|base| base.log.as_slice())
+    }
+
+    /// Whether a VM's process runs and is not paused.
+    pub fn serves(&self, vm: &VmId) -> bool {
+        self.machines.get(vm).is_some_and(|m| !m.paused)
+    }
+
     /// The version in force at a VM.
     pub fn version(&self, vm: &VmId) -> Option<Version> {
         let accepted = self.machines.get(vm)?.node.accepted()?;
@@ -299,7 +314,6 @@
             life,
             paused: false,
             held: VecDeque::new(),
-            stopped: false,
             version: Version::default(),
         };
         self.machines.insert(vm.clone(), machine);
@@ -449,10 +463,7 @@
     }
 
     fn step(&mut self, until: Time) -> bool {
-        let live = self
-            .machines
-            .iter()
-            .filter(|(_, m)| !m.paused && !m.stopped);
+        let live = self.machines.iter().filter(|(_, m)| !m.paused);
         let wake = live.filter_map(|(vm, m)| Some((m.node.wake()?, vm, m.life)));
         let wake = wake.min().map(|(at, vm, life)| (at, vm.clone(), life));
         let next = self.queue.first_key_value().map(|(key, _)| key.0);
@@ -511,11 +522,7 @@
             Output::Database(command) => {
                 self.later(LATENCY, Coming::Command(vm.clone(), life, command));
             }
-            Output::Stopped => {
-                if let Some(machine) = self.machines.get_mut(vm) {
-                    machine.stopped = true;
-                }
-            }
+            Output::Stopped => self.kill(vm),
         }
     }
 
--- a/src/standin/fake/script.rs
+++ b/src/standin/fake/script.rs
@@ -6,7 +6,7 @@
 //! Faults: `cut NAME from NAME`, `heal`, `freeze VM|DATABASE for SPAN`, `kill VM|DATABASE`,
 //! `start VM|DATABASE`, `silence DATABASE`, `lag DATABASE SPAN`, `stall DATABASE`,
 //! `flow DATABASE`, `limit DATABASE N`, `lose DATABASE`, `store down|up|loses`,
-//! `list lags SPAN`, `leave VM`, `stop VM`, `apply VERSION leaving DATABASE`. To look:
+//! `list lags SPAN`, `leave VM`, `stop VM`, `apply VERSION leaving|staying DATABASE`. To look:
 //! `log`, `versions`, `primary`. `DATABASE` may be `primary`, and `VM` may be `steward`.
 
 use super::{Answer, Applied, Ask, System, name};
@@ -25,6 +25,7 @@
 pub struct Player {
     system: System,
     told: Vec<bool>,
+    wrong: usize,
     text: String,
 }
 
@@ -36,10 +37,16 @@
         Some(Self {
             system,
             told: Vec::new(),
+            wrong: 0,
             text: String::new(),
         })
     }
 
+    /// The system that it is played on.
+    pub fn system(&self) -> &System {
+        &self.system
+    }
+
     /// Plays the steps, and tells what callers got meanwhile.
     pub fn play(&mut self, steps: &str) -> Result<String, Unclear> {
         for line in steps.lines().map(str::trim) {
@@ -85,7 +92,8 @@
             ["store", "up"] => self.system.store_down(false),
             ["store", "loses"] => self.system.store_loses_answer(),
             ["list", "lags", span] => self.system.lag_list(span.parse().ok()?),
-            ["apply", version, "leaving", id] => self.apply(version.parse().ok()?, id)?,
+            ["apply", version, "leaving", id] => self.apply(version.parse().ok()?, id, true)?,
+            ["apply", version, "staying", id] => self.apply(version.parse().ok()?, id, false)?,
             ["log"] => self.log(),
             ["versions"] => self.versions(),
             ["primary"] => self.primary(),
@@ -178,7 +186,7 @@
         Some(())
     }
 
-    fn apply(&mut self, base: Version, id: &str) -> Option<()> {
+    fn apply(&mut self, base: Version, id: &str, leaving: bool) -> Option<()> {
         let id = self.database(id)?;
         let applied = self.system.apply(base, |document| {
             for group in document.groups.values_mut() {
@@ -187,7 +195,7 @@
                     .iter_mut()
                     .filter(|(known, _)| **known == id)
                 {
-                    database.leaving = true;
+                    database.leaving = leaving;
                 }
             }
         });
@@ -240,9 +248,10 @@
                 );
             }
         }
-        for wrong in std::mem::take(&mut self.system.wrong) {
+        for wrong in self.system.wrong.iter().skip(self.wrong) {
             let _ = writeln!(self.text, "WRONG: {wrong}");
         }
+        self.wrong = self.system.wrong.len();
     }
 
     fn say(&mut self, text: &str) {
@@ -251,8 +260,11 @@
     }
 
     fn resolve(&self, text: &str) -> Option<String> {
-        let vm = self.vm(text).map(|vm| vm.to_string());
-        vm.or_else(|| self.database(text).map(|id| id.to_string()))
+        match text {
+            "steward" => self.vm(text).map(|vm| vm.to_string()),
+            "primary" => self.database(text).map(|id| id.to_string()),
+            _ => Some(text.into()),
+        }
     }
 
     fn vm(&self, text: &str) -> Option<VmId> {
--- a/src/standin/fake/wire.rs
+++ b/src/standin/fake/wire.rs
@@ -39,7 +39,7 @@
         let Some(machine) = self.machines.get_mut(vm) else {
             return;
         };
-        if machine.life != life || machine.stopped {
+        if machine.life != life {
             return;
         }
         if machine.paused {
