--- a/src/standin/fake/mod.rs
+++ b/src/standin/fake/mod.rs
@@ -88,6 +88,8 @@
     pub asked: Time,
     /// What it was told, and when; `None` while it waits.
     pub told: Option<(Time, Answer)>,
+    /// The floor in the token that it was shown with the answer.
+    floor: Option<Position>,
     link: Link,
 }
 
@@ -408,6 +410,13 @@
     /// A caller asks; the answer comes to the ticket of the number returned.
     pub fn ask(&mut self, ask: Ask) -> usize {
         let link = self.link_of(&ask);
+        // Only where a write may be lost does a caller need its token, to hear of that.
+        let last = self
+            .tickets
+            .iter()
+            .rev()
+            .filter(|t| t.session == ask.session);
+        let shown = last.filter(|_| ask.fast).find_map(|ticket| ticket.floor);
         let number = self.tickets.len();
         let gone = !self.machines.contains_key(&ask.vm);
         self.tickets.push(Ticket {
@@ -417,6 +426,7 @@
             fast: ask.fast,
             asked: self.now,
             told: gone.then_some((self.now, Answer::Cut)),
+            floor: None,
             link,
         });
         let names = (name::<GroupId>("ledger"), name::<CallerId>("broker"));
@@ -433,7 +443,7 @@
             kind: ask.kind,
             max_age: ask.max_age,
             key: ask.key,
-            shown: None,
+            shown,
             deadline: self.now + PATIENCE,
             body: ask.body.to_string().into(),
         };
@@ -516,7 +526,11 @@
 
     fn output(&mut self, vm: &VmId, life: Life, output: Output) {
         match output {
-            Output::Reply { link, outcome, .. } => self.reply(vm, link, outcome),
+            Output::Reply {
+                link,
+                outcome,
+                floor,
+            } => self.reply(vm, link, outcome, floor),
             Output::Dismiss(_) => {}
             Output::Send { to, message } => self.send(vm, &to, message),
             Output::Database(command) => {
@@ -526,11 +540,14 @@
         }
     }
 
-    fn reply(&mut self, vm: &VmId, link: Link, outcome: Outcome) {
+    fn reply(&mut self, vm: &VmId, link: Link, outcome: Outcome, floor: Option<Position>) {
         let now = self.now;
         let waits = |t: &&mut Ticket| t.link == link && t.vm == *vm && t.told.is_none();
         match self.tickets.iter_mut().rev().find(waits) {
-            Some(ticket) => ticket.told = Some((now, Answer::Outcome(outcome))),
+            Some(ticket) => {
+                ticket.told = Some((now, Answer::Outcome(outcome)));
+                ticket.floor = floor;
+            }
             None => self.wrong.push("an answer that nobody waits for".into()),
         }
     }
