Add the load command, which checks callers' answers against what they read back

Each caller is a named session that roams; each write has a number of its own in its row's body, so lost, doubled, stale and run-though-refused writes show. tests/load.rs feeds the checker each fault.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod dump;
 pub mod experiment;
+pub mod load;
 pub mod serve;
 
 /// How a command ends if it does not end well.
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
     apply       put a configuration file in force
     show        print the configuration in force
     demo        run stand-in databases and proxies in one process
+    load        put load on proxies, and check what callers are told
     dump        print a process's state
     serve       run one proxy
     experiment  play patterns of load against the decisions
@@ -44,6 +45,7 @@
         "apply" => cmd::apply::run(rest),
         "show" => cmd::show::run(rest),
         "demo" => cmd::demo::run(rest),
+        "load" => cmd::load::run(rest),
         "dump" => cmd::dump::run(rest),
         "serve" => cmd::serve::run(rest),
         "experiment" => experiment(rest),
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,108 @@
+//! `lentilspoke load`: its checker finds what it is for, and a small run against the demo is
+//! clean.
+
+mod command;
+
+use command::lentilspoke;
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::load::record::{Fault, Row, Told};
+use lentilspoke::load::{self, Mix, Plan};
+use lentilspoke::standin::demo;
+use lentilspoke::standin::deployment::Deployment;
+
+fn row() -> Row {
+    let told = vec![
+        Told::Done(Time(10)),
+        Told::NotRun,
+        Told::Unknown,
+        Told::Done(Time(20)),
+    ];
+    Row {
+        id: "r".into(),
+        told,
+    }
+}
+
+#[test]
+fn a_body_that_fits_what_was_told_is_clean() {
+    for body in [";0;3", ";0;2;3"] {
+        assert_eq!(row().check(Some(body), Time(u64::MAX)), Fault::default());
+    }
+    let before_the_last = row().check(Some(";0"), Time(20));
+    assert!(!before_the_last.any());
+}
+
+#[test]
+fn each_fault_is_found() {
+    let bodies = [
+        None,
+        Some(";0"),
+        Some(";0;0;3"),
+        Some(";0;1;3"),
+        Some(";0;3;9"),
+        Some(";0;3;x"),
+    ];
+    let lines = bodies.map(|body| format!("{body:?}: {:?}", row().check(body, Time(u64::MAX))));
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    None: Fault { missing: 2, doubled: 0, not_run_but_there: 0, foreign: 0 }
+    Some(";0"): Fault { missing: 1, doubled: 0, not_run_but_there: 0, foreign: 0 }
+    Some(";0;0;3"): Fault { missing: 0, doubled: 1, not_run_but_there: 0, foreign: 0 }
+    Some(";0;1;3"): Fault { missing: 0, doubled: 0, not_run_but_there: 1, foreign: 0 }
+    Some(";0;3;9"): Fault { missing: 0, doubled: 0, not_run_but_there: 0, foreign: 1 }
+    Some(";0;3;x"): Fault { missing: 0, doubled: 0, not_run_but_there: 0, foreign: 1 }
+    "#);
+}
+
+fn plan(demo: &demo::Demo) -> Plan {
+    Plan {
+        addresses: demo.callers(),
+        admins: demo.admins(),
+        groups: vec!["ledger1".parse().unwrap(), "ledger2".parse().unwrap()],
+        callers: 4,
+        mix: Mix {
+            writes: 40,
+            session_reads: 30,
+            aged_reads: 30,
+        },
+        max_age: Span::from_secs(5),
+        roam: 30,
+        rate: None,
+        duration: Span::from_secs(1),
+        seed: 7,
+        timeout: Span::from_secs(10),
+    }
+}
+
+/// Sessions write and read through two proxies, moving between them: what they are told is so.
+#[actix_rt::test]
+async fn a_small_run_against_the_demo_is_clean() {
+    let demo = demo::start(&demo::Plan {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        proxies: 2,
+        deployment: Deployment::Association,
+        kill_primary_after: None,
+    })
+    .await
+    .unwrap();
+    let report = load::run(&plan(&demo), |_| ()).await;
+    assert!(report.is_clean(), "{report}");
+    assert_eq!(report.kinds.len(), 3, "{report}");
+    assert!(report.kinds.values().all(|line| line.done > 0), "{report}");
+    assert!(report.replica_share.is_some(), "{report}");
+}
+
+#[test]
+fn a_wrong_use_ends_with_2() {
+    insta::assert_snapshot!(lentilspoke(&["load"]), @r#"
+    exit 2
+    lentilspoke: ADDRESS is missing: write a proxy's IP:PORT
+    "#);
+    insta::assert_snapshot!(lentilspoke(&["load", "--mix", "50/50/50", "127.0.0.1:1"]), @r#"
+    exit 2
+    lentilspoke: --mix 50/50/50: write three percentages that make 100, such as 20/30/50
+    "#);
+    insta::assert_snapshot!(lentilspoke(&["load", "localhost:6432"]), @r#"
+    exit 2
+    lentilspoke: ADDRESS `localhost:6432`: invalid socket address syntax
+    "#);
+}
