--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod experiment;
 pub mod load;
 pub mod serve;
+pub mod show;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
@@ -82,4 +83,3 @@
         .map_err(|error| Error::usage(format!("--{name} {text}: {error}")));
     parsed.map(Some)
 }
-pub mod show;
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -25,6 +25,9 @@
 /// than looking at all of them this often.
 const GRAIN: Span = Span::from_millis(10);
 
+/// The least time between two ticks, so that a timer that stands in the past can't spin.
+const LEAST_WAIT: Span = Span::from_millis(1);
+
 /// Between two sweeps for databases and groups that this VM has nothing to do with any more.
 const SWEEP: Span = Span::from_secs(1);
 
@@ -51,11 +54,15 @@
         /// What it says.
         message: Message,
     },
-    /// The stream to another proxy is open.
+    /// The stream to another proxy is open. `PeerUp` and `PeerDown` of one proxy come in the
+    /// order in which its streams opened and broke, each once.
     PeerUp(VmId),
     /// The stream to another proxy broke, or could not be opened. What was sent since the last
     /// `PeerUp` may have arrived; without a `PeerUp` since the last `PeerDown`, nothing has.
-    /// No message of the old stream follows.
+    ///
+    /// No message of the old stream follows. From the moment at which the stream is found
+    /// broken until this input has been handled, what is sent to that proxy is discarded, not
+    /// sent over a new stream: the node takes it for never sent, and sends it again.
     PeerDown(VmId),
     /// A database or a connection to it did something.
     Database(Event),
@@ -119,6 +126,9 @@
     led: BTreeMap<GroupId, DatabaseId>,
     spread: Spread,
     sweep_at: Time,
+    /// When the last tick was. The next one counts from it, so that a proxy to which something
+    /// comes all the time still looks at its deadlines.
+    ticked: Time,
     stopping: Option<Stopping>,
 }
 
@@ -144,6 +154,7 @@
             led: BTreeMap::new(),
             spread: Spread::default(),
             sweep_at: now + SWEEP,
+            ticked: now,
             stopping: None,
         }
     }
@@ -166,10 +177,11 @@
     /// When it next wants an [`Input::Tick`].
     pub fn wake(&self) -> Option<Time> {
         let busy = self.entry.is_busy() || self.holders.values().any(Holder::is_busy);
-        let grain = (busy || self.stopping.is_some()).then(|| self.now + GRAIN);
+        let grain = (busy || self.stopping.is_some()).then(|| self.ticked + GRAIN);
         let stewards = self.stewards.values().map(Steward::wake);
         let timers = [self.sweep_at, self.spread.wake()];
-        timers.into_iter().chain(stewards).chain(grain).min()
+        let next = timers.into_iter().chain(stewards).chain(grain).min()?;
+        Some(next.max(self.ticked + LEAST_WAIT))
     }
 
     /// The configuration in force, once there is one.
@@ -231,6 +243,7 @@
     }
 
     fn tick(&mut self, out: &mut Vec<Output>) {
+        self.ticked = self.now;
         let (mut turn, parts) = self.turn(out);
         parts.entry.tick(&mut turn);
         parts.spread.tick(&mut turn);
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,13 +9,13 @@
 Usage: lentilspoke COMMAND [ARGUMENTS]
 
 Commands:
+    serve       run one proxy
     check       check a configuration file
     apply       put a configuration file in force
     show        print the configuration in force
-    demo        run stand-in databases and proxies in one process
     load        put load on proxies, and check what callers are told
     dump        print a process's state
-    serve       run one proxy
+    demo        run stand-in databases and proxies in one process
     experiment  play patterns of load against the decisions
 
 `lentilspoke COMMAND --help` tells more about each.
@@ -41,10 +41,10 @@
         return Err(Error::usage("no command: see lentilspoke --help"));
     };
     match command.as_str() {
+        "demo" => cmd::demo::run(rest),
         "check" => cmd::check::run(rest),
         "apply" => cmd::apply::run(rest),
         "show" => cmd::show::run(rest),
-        "demo" => cmd::demo::run(rest),
         "load" => cmd::load::run(rest),
         "dump" => cmd::dump::run(rest),
         "serve" => cmd::serve::run(rest),
