Let a stand-in connection wait for faults only

Each commit woke every connection of the group to look for faults. Cause found by counting wakers; the two reasons to wake now have a channel each. demo with load of 20 callers, 10 s, release: the groups' threads took 2.35 s for 15,515 operations before, 2.12 s for 15,279 after.

--- a/src/standin/database/link.rs
+++ b/src/standin/database/link.rs
@@ -59,7 +59,7 @@
 
     /// Waits until bytes pass; false if they never will.
     async fn pass(&self, shared: &Shared) -> bool {
-        let mut changed = shared.changed.subscribe();
+        let mut changed = shared.faulted.subscribe();
         loop {
             match self.passage(shared) {
                 Passage::Open => return true,
@@ -75,7 +75,7 @@
 
     /// Returns once the database has lost the connection: true if its peer is told.
     pub(super) async fn ends(&self, shared: &Shared) -> bool {
-        let mut changed = shared.changed.subscribe();
+        let mut changed = shared.faulted.subscribe();
         let mut lost_since = None;
         loop {
             let passage = self.passage(shared);
@@ -172,7 +172,7 @@
             return;
         }
     }
-    let mut changed = shared.changed.subscribe();
+    let mut changed = shared.faulted.subscribe();
     while peer.passage(&shared) == Passage::Lost && write.writable().await.is_ok() {
         if changed.changed().await.is_err() {
             return;
--- a/src/standin/database/mod.rs
+++ b/src/standin/database/mod.rs
@@ -88,7 +88,10 @@
 /// What the sessions and the handle share.
 pub(crate) struct Shared {
     world: Mutex<World>,
+    /// Counts changes of logs and terms.
     changed: watch::Sender<u64>,
+    /// Counts changes of faults, for which each connection waits.
+    faulted: watch::Sender<u64>,
     latency: Latency,
 }
 
@@ -102,10 +105,16 @@
         self.lock().nodes.get_mut(id).map(act)
     }
 
-    /// Wakes whoever waits for a change of the world.
+    /// Wakes whoever waits for a log or a term.
     fn wake(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
+
+    /// Wakes the connections, too.
+    fn wake_all(&self) {
+        self.faulted.send_modify(|count| *count += 1);
+        self.wake();
+    }
 }
 
 /// Starts groups.
@@ -128,6 +137,7 @@
         let shared = Arc::new(Shared {
             world: Mutex::new(world),
             changed: watch::Sender::new(0),
+            faulted: watch::Sender::new(0),
             latency: spec.latency.clone(),
         });
         let (stop, stopped) = watch::channel(false);
@@ -267,7 +277,7 @@
 
     fn change(&self, id: &DatabaseId, act: impl FnOnce(&mut Node)) {
         self.shared.node(id, act);
-        self.shared.wake();
+        self.shared.wake_all();
     }
 }
 
--- a/src/standin/database/serve.rs
+++ b/src/standin/database/serve.rs
@@ -53,8 +53,11 @@
 async fn replicate(shared: Arc<Shared>) {
     let mut changed = shared.changed.subscribe();
     loop {
-        let before = positions(&shared);
+        let (before, lives) = (positions(&shared), lives(&shared));
         let next = shared.lock().replicate(Instant::now());
+        if self::lives(&shared) != lives {
+            shared.wake_all();
+        }
         if positions(&shared) != before {
             shared.wake();
             changed.mark_unchanged();
@@ -78,13 +81,19 @@
     stores.map(|store| [store.end(), store.applied()]).collect()
 }
 
+/// Raised where a database stopped because its log could not be applied.
+fn lives(shared: &Shared) -> Vec<u64> {
+    let world = shared.lock();
+    world.nodes.values().map(|node| node.faults.life).collect()
+}
+
 /// Accepts while the database is up, and listens again once it is restarted.
 async fn listen(shared: Arc<Shared>, id: DatabaseId, first: StdListener, sessions: Sessions) {
     let Ok(address) = first.local_addr() else {
         return;
     };
     let mut listener = TcpListener::from_std(first).ok();
-    let mut changed = shared.changed.subscribe();
+    let mut changed = shared.faulted.subscribe();
     loop {
         let down = shared.node(&id, |node| node.faults.down).unwrap_or(true);
         if down {
