Test that an accepted configuration outlives the platform, and races have one winner

Through the demo's three proxies: the platform falls silent right after acceptance and the version still reaches every proxy; two operators race through two proxies; an apply during an outage changes nothing and claims nothing.

--- /dev/null
+++ b/tests/config_outage.rs
@@ -0,0 +1,114 @@
+//! A configuration that was accepted is in force on every proxy, whatever becomes of the
+//! platform, and never reverts.
+
+use lentilspoke::config::Accepted;
+use lentilspoke::net::http;
+use lentilspoke::net::platform::Client;
+use lentilspoke::net::platform::apply::{CONFIG_PATH, Proposal, Verdict, propose};
+use lentilspoke::standin::demo::{self, Demo};
+use lentilspoke::standin::deployment::Deployment;
+use lentilspoke::standin::platform::Health;
+use lentilspoke::types::{ApplyId, Version};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+async fn start() -> Demo {
+    let plan = demo::Plan {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        proxies: 3,
+        deployment: Deployment::Association,
+        kill_primary_after: None,
+    };
+    demo::start(&plan).await.unwrap()
+}
+
+async fn in_force(admin: SocketAddr) -> Accepted {
+    let reply = http::get(admin, CONFIG_PATH).await.unwrap();
+    let accepted: Option<Accepted> = serde_json::from_slice(&reply.body).unwrap();
+    accepted.unwrap()
+}
+
+/// Waits until a proxy has `version`; a proxy that shows an earlier one than before fails.
+async fn reaches(admin: SocketAddr, version: Version) -> Accepted {
+    let mut before = Version(0);
+    loop {
+        let accepted = in_force(admin).await;
+        assert!(accepted.version >= before, "{admin} went back");
+        if accepted.version >= version {
+            return accepted;
+        }
+        before = accepted.version;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn proposal(id: u64, base: &Accepted, slots: u32) -> Proposal {
+    let mut document = base.document.clone();
+    let groups = document.groups.values_mut();
+    for database in groups.flat_map(|group| group.databases.values_mut()) {
+        database.slots = slots;
+    }
+    Proposal {
+        id: ApplyId(id),
+        base: base.version,
+        document,
+    }
+}
+
+/// An operator applies through one proxy and hears "accepted". From that moment on the platform
+/// answers nobody. The other proxies get the version from their peers.
+#[actix_rt::test]
+async fn an_accepted_version_spreads_without_the_platform() {
+    let demo = start().await;
+    let admins = demo.admins();
+    let first = reaches(admins[0], Version(1)).await;
+    let proposal = proposal(7, &first, 5);
+    let verdict = propose(admins[0], &proposal).await.unwrap();
+    demo.platform().set_health(Health::Silent);
+    assert_eq!(verdict, Verdict::Accepted(Version(2)));
+    for admin in admins {
+        let accepted = reaches(admin, Version(2)).await;
+        assert_eq!(accepted.document, proposal.document);
+    }
+}
+
+/// Two operators race through two proxies. One is accepted; the other hears what won; every
+/// proxy has the winner's document, and the platform holds the same.
+#[actix_rt::test]
+async fn a_race_has_one_winner_everywhere() {
+    let demo = start().await;
+    let admins = demo.admins();
+    let first = reaches(admins[0], Version(1)).await;
+    let (a, b) = (proposal(1, &first, 4), proposal(2, &first, 6));
+    let (told_a, told_b) = futures_util::join!(propose(admins[0], &a), propose(admins[1], &b));
+    let (winner, loser) = match (told_a.unwrap(), told_b.unwrap()) {
+        (Verdict::Accepted(Version(2)), loser) => (a, loser),
+        (loser, Verdict::Accepted(Version(2))) => (b, loser),
+        neither => panic!("{neither:?}"),
+    };
+    assert!(matches!(loser, Verdict::Outrun(_)), "{loser:?}");
+    for admin in admins {
+        assert_eq!(reaches(admin, Version(2)).await.document, winner.document);
+    }
+    let stored = Client::new([demo.platform().address()])
+        .config(Version(0))
+        .await;
+    assert_eq!(stored.unwrap().unwrap().document, winner.document);
+}
+
+/// The platform is down when an operator applies: nothing is claimed and nothing changes, and
+/// after the outage the same file is accepted.
+#[actix_rt::test]
+async fn nothing_changes_while_the_platform_is_down() {
+    let demo = start().await;
+    let admin = demo.admins()[0];
+    let first = reaches(admin, Version(1)).await;
+    let proposal = proposal(9, &first, 4);
+    demo.platform().set_health(Health::Down);
+    let refused = propose(admin, &proposal).await.unwrap();
+    assert!(matches!(refused, Verdict::NotApplied(_)), "{refused:?}");
+    assert_eq!(in_force(admin).await, first);
+    demo.platform().set_health(Health::Well);
+    let accepted = propose(admin, &proposal).await.unwrap();
+    assert_eq!(accepted, Verdict::Accepted(Version(2)));
+}
