--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod experiment;
 pub mod model;
 pub mod schedules;
+pub mod load;
 pub mod serve;
 pub mod show;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod core;
 pub mod experiment;
 pub mod jsonc;
+pub mod load;
 pub mod model;
 pub mod net;
 pub mod schedule;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
     check       check a configuration file
     apply       put a configuration file in force
     show        print the configuration in force
+    load        put load on proxies, and check what callers are told
     dump        print a process's state
     demo        run stand-in databases and proxies in one process
     experiment  play patterns of load against the decisions
@@ -46,6 +47,7 @@
         "check" => cmd::check::run(rest),
         "apply" => cmd::apply::run(rest),
         "show" => cmd::show::run(rest),
+        "load" => cmd::load::run(rest),
         "dump" => cmd::dump::run(rest),
         "model" => cmd::model::run(rest),
         "schedules" => cmd::schedules::run(rest),
