--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,147 @@
+//! The cost of one decision, and how it grows with callers, waiting requests, databases and VMs.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::core::gate::{Gate, Item, Policy};
+use lentilspoke::core::member::{self, Member};
+use lentilspoke::core::message::Hint;
+use lentilspoke::core::request::Class;
+use lentilspoke::core::route::{Candidate, Need, Router};
+use lentilspoke::types::{CallerId, DatabaseId, RequestId};
+use std::hint::black_box;
+
+const FAR: Time = Time(u64::MAX / 2);
+const RUN: Span = Span::from_millis(4);
+
+fn callers(count: u64) -> Vec<CallerId> {
+    let names = (0..count).map(|number| format!("caller-{number}"));
+    names.filter_map(|name| name.parse().ok()).collect()
+}
+
+fn item(request: u64, caller: &CallerId) -> Item {
+    Item {
+        request: RequestId(request),
+        caller: caller.clone(),
+        class: Class::Session,
+        deadline: FAR,
+    }
+}
+
+/// One request through a gate (offer, next, finish) in which `waiting` others of `callers` wait.
+fn through(c: &mut Criterion, name: &str, sizes: &[(u64, u64)], policy: Policy) {
+    let mut group = c.benchmark_group(name);
+    for &(count, waiting) in sizes {
+        let callers = callers(count);
+        let mut gate = Gate::with(3, policy);
+        let mut request = 0;
+        let mut now = Time(1);
+        let mut offer = |gate: &mut Gate, now| {
+            request += 1;
+            let caller = &callers[(request % count) as usize];
+            let _ = gate.offer(now, item(request, caller));
+        };
+        for _ in 0..waiting {
+            offer(&mut gate, now);
+        }
+        let label = format!("{count} callers, {} waiting", gate.waiting());
+        group.bench_function(BenchmarkId::from_parameter(label), |b| {
+            b.iter(|| {
+                now = now + RUN;
+                offer(&mut gate, now);
+                if let Some(next) = gate.next(now) {
+                    gate.finish(now + RUN, next.request);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+fn gates(c: &mut Criterion) {
+    let by_callers = [
+        (10, 1_000),
+        (100, 1_000),
+        (1_000, 1_000),
+        (10_000, 10_000),
+        (100_000, 16_000),
+    ];
+    through(c, "gate by callers", &by_callers, Policy::full());
+    let by_queue = [(100, 10), (100, 100), (100, 1_000), (100, 10_000)];
+    through(c, "gate by queue", &by_queue, Policy::full());
+    through(c, "naive gate by queue", &by_queue, Policy::naive());
+}
+
+/// Turning a request away, as a saturated gate does with most.
+fn refusal(c: &mut Criterion) {
+    let callers = callers(100);
+    let mut gate = Gate::new(1);
+    let soon = Time(1) + Span::from_secs(1);
+    for request in 0..10_000 {
+        let mut offered = item(request, &callers[(request % 100) as usize]);
+        offered.deadline = soon;
+        let _ = gate.offer(Time(1), offered);
+    }
+    let mut refused = item(1_000_000, &callers[0]);
+    refused.deadline = soon;
+    c.bench_function("gate refusal", |b| {
+        b.iter(|| black_box(gate.offer(Time(1), refused.clone())));
+    });
+}
+
+/// A choice of database, with what it learns from the answer.
+fn routes(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route by databases");
+    for count in [2, 3, 5, 9, 33] {
+        let databases: Vec<DatabaseId> = (0..count)
+            .filter_map(|number| format!("database-{number}").parse().ok())
+            .collect();
+        let candidates: Vec<Candidate> = databases
+            .iter()
+            .enumerate()
+            .map(|(index, database)| Candidate {
+                database: database.clone(),
+                primary: index == 0,
+                near: true,
+            })
+            .collect();
+        let mut router = Router::default();
+        let mut now = Time(1);
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| {
+                now = now + RUN;
+                let order = router.order(now, &Need::default(), &candidates);
+                router.sent(now, &order[0]);
+                router.answered(now, &order[0], RUN, &Hint::default());
+            });
+        });
+    }
+    group.finish();
+}
+
+/// The order of VMs that may hold a database.
+fn members(c: &mut Criterion) {
+    let mut group = c.benchmark_group("member order by nodes");
+    let Ok(database) = "ledger1-a".parse::<DatabaseId>() else {
+        return;
+    };
+    for count in [8, 64, 580] {
+        let members: Vec<Member> = (0..count)
+            .filter_map(|number| {
+                Some(Member {
+                    vm: format!("vm-{number}").parse().ok()?,
+                    address: ([127, 0, 0, 1], 1).into(),
+                    domain: format!("domain-{}", number % 7).parse().ok()?,
+                    leaving: false,
+                })
+            })
+            .collect();
+        let domain = members[0].domain.clone();
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| black_box(member::order(&members, &database, &domain).len()));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, gates, refusal, routes, members);
+criterion_main!(benches);
--- a/src/core/entry/answer.rs
+++ b/src/core/entry/answer.rs
@@ -82,7 +82,12 @@
             return self.tell(turn, sent.pending, Outcome::NotRun(not_run));
         }
         if let Some(view) = self.groups.get_mut(&sent.pending.request.group) {
-            view.router.failed(turn.now, &sent.database);
+            match not_run.cause {
+                Cause::Busy | Cause::Behind | Cause::Expired => {
+                    view.router.refused(turn.now, &sent.database, hint);
+                }
+                _ => view.router.failed(turn.now, &sent.database),
+            }
         }
         let reads = matches!(kind, Kind::Read | Kind::BeginRead);
         match (not_run.cause, refused) {
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -60,6 +60,11 @@
 /// A far replica's time before it was measured: a round trip between regions.
 const FAR: Span = Span::from_millis(20);
 
+/// The second draw is taken only if its time is below this part of the first one's. All entries
+/// see the same small differences; if these counted, one of two equal replicas would get three
+/// quarters of the reads.
+const CLEARLY_PERCENT: u64 = 75;
+
 /// What a read needs of its database.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Need {
@@ -307,7 +312,8 @@
         }
     }
 
-    /// Puts the cheaper of two that were drawn by share in front; the others stay in order.
+    /// Puts the first of two that were drawn by share in front, or the second if it is clearly
+    /// better; the others stay in order.
     fn draw_first(&self, fit: &mut [Choice]) {
         if fit.len() < 2 {
             return;
@@ -315,7 +321,8 @@
         let total: f64 = fit.iter().map(|choice| choice.share).sum();
         let first = draw(fit, self.random(1) * total);
         let second = draw(fit, self.random(2) * total);
-        let index = first.min(second);
+        let better = fit[second].cost < fit[first].cost * CLEARLY_PERCENT / 100;
+        let index = if better { second } else { first };
         fit[..=index].rotate_right(1);
     }
 
