--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,12 @@
 //! One module for each subcommand, and the error at the command line's edge.
 
+pub mod apply;
+pub mod check;
 pub mod demo;
 pub mod dump;
 pub mod experiment;
 pub mod serve;
+pub mod show;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -94,6 +94,8 @@
     pub database: DatabaseId,
     /// What it does.
     pub kind: Kind,
+    /// Only the group's primary may run it, under its steward's confirmations.
+    pub primary: bool,
     /// Its place among other work.
     pub class: Class,
     /// The database has to hold this, for a read that must see it.
@@ -138,6 +140,8 @@
     pub age: Option<Span>,
     /// How long newly queued work would wait.
     pub wait: Span,
+    /// What short work takes of late once it runs.
+    pub run: Span,
     /// The group's leader, where the holder knows of a later one than the entry did.
     pub primary: Option<Primary>,
 }
--- a/src/core/steward/election.rs
+++ b/src/core/steward/election.rs
@@ -11,6 +11,10 @@
 use crate::types::{DatabaseId, RequestId, Term, VmId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How many times longer than usual the steward is missed before a VM that hears from no
+/// other one takes its group over.
+const ALONE: u64 = 3;
+
 /// Tries with ever higher terms before the field is left to another VM.
 const TRIES: u32 = 3;
 
@@ -56,6 +60,7 @@
     fn gather(&mut self, turn: &mut Turn) {
         let mut silent = BTreeSet::new();
         let mut asked = BTreeMap::new();
+        let leader = self.leader(turn);
         for (vm, databases) in self.holders(turn) {
             if vm == turn.world.me.vm {
                 silent.extend(databases);
@@ -65,18 +70,38 @@
             let suspect = Suspect {
                 request,
                 group: self.group.clone(),
-                primary: self.leader(turn),
+                primary: leader.clone(),
             };
             turn.send(&vm, Message::Suspect(suspect));
             asked.insert(request, vm);
         }
         let until = turn.now + turn.timing().probe;
+        let alone = asked.is_empty();
         self.phase = Phase::Gather(Evidence {
             silent,
+            witnesses: 0,
             asked,
             until,
         });
-        self.weigh(turn);
+        if alone {
+            self.decide_alone(turn);
+        }
+    }
+
+    /// Nobody else has answered. This VM goes on alone once the steward was missed for several
+    /// times as long: it may be the last one, and the list of VMs lags.
+    pub(super) fn decide_alone(&mut self, turn: &mut Turn) {
+        let suspicion = turn.timing().suspicion;
+        let alone_at = self.watch.suspects_at() + Span(suspicion.0 * (ALONE - 1));
+        let Phase::Gather(evidence) = &self.phase else {
+            return;
+        };
+        let enough = evidence.silent.len() >= majority(self.members.len());
+        let others = turn.world.members.len() > 1;
+        if enough && (turn.now >= alone_at || !others) {
+            return self.raise(turn, self.term.next(), None, 0);
+        }
+        self.rest(turn);
     }
 
     fn holders(&self, turn: &mut Turn) -> BTreeMap<VmId, Vec<DatabaseId>> {
@@ -106,6 +131,7 @@
         let theirs = self.holders(turn).remove(from).unwrap_or_default();
         if let Phase::Gather(evidence) = &mut self.phase {
             evidence.silent.extend(theirs);
+            evidence.witnesses += 1;
         }
         self.weigh(turn);
     }
@@ -114,8 +140,8 @@
         let Phase::Gather(evidence) = &self.phase else {
             return;
         };
-        if evidence.silent.len() >= majority(self.members.len()) {
-            self.raise(turn, self.term.next(), false, 0);
+        if evidence.witnesses > 0 && evidence.silent.len() >= majority(self.members.len()) {
+            self.raise(turn, self.term.next(), None, 0);
         }
     }
 
@@ -128,7 +154,7 @@
     }
 
     /// Raises the term at every database of the group.
-    pub(super) fn raise(&mut self, turn: &mut Turn, term: Term, yielded: bool, tries: u32) {
+    pub(super) fn raise(&mut self, turn: &mut Turn, term: Term, yielded: Option<Term>, tries: u32) {
         let mut asked = BTreeMap::new();
         for id in &self.members {
             let request = self.order(turn, id, Order::Raise(term));
@@ -199,10 +225,10 @@
         let term = raising.promotion.term();
         match controlled.result {
             Some(Ok(state)) if state.term == term => {
-                let end = state.position;
+                let end = state.end();
                 raising.promotion.raised(&database, end, turn.now, window);
-                if raising.yielded {
-                    raising.promotion.yielded();
+                if let Some(former) = raising.yielded {
+                    raising.promotion.yielded(former);
                 }
                 if raising.choose_at == Time::default() && raising.promotion.settled().is_some() {
                     raising.choose_at = turn.now + turn.timing().probe;
@@ -232,7 +258,7 @@
             return self.rest(turn);
         }
         // A higher term than the one handed over may have confirmations of its own.
-        self.raise(turn, self.term.next(), false, tries);
+        self.raise(turn, self.term.next(), None, tries);
     }
 
     pub(super) fn tick_raise(&mut self, turn: &mut Turn) {
@@ -336,7 +362,7 @@
         }
         self.term = term;
         self.watch = Detector::new(turn.now, turn.timing().suspicion);
-        self.raise(turn, term.next(), true, 0);
+        self.raise(turn, term.next(), Some(term), 0);
     }
 
     /// A stream broke: what was asked over it is not waited for.
@@ -346,7 +372,7 @@
         };
         evidence.asked.retain(|_, asked| asked != vm);
         if evidence.asked.is_empty() {
-            self.rest(turn);
+            self.decide_alone(turn);
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,9 +9,12 @@
 Usage: lentilspoke COMMAND [ARGUMENTS]
 
 Commands:
-    demo        run stand-in databases and proxies in one process
-    dump        print a process's state
     serve       run one proxy
+    check       check a configuration file
+    apply       put a configuration file in force
+    show        print the configuration in force
+    dump        print a process's state
+    demo        run stand-in databases and proxies in one process
     experiment  play patterns of load against the decisions
 
 `lentilspoke COMMAND --help` tells more about each.
@@ -38,6 +41,9 @@
     };
     match command.as_str() {
         "demo" => cmd::demo::run(rest),
+        "check" => cmd::check::run(rest),
+        "apply" => cmd::apply::run(rest),
+        "show" => cmd::show::run(rest),
         "dump" => cmd::dump::run(rest),
         "serve" => cmd::serve::run(rest),
         "experiment" => experiment(rest),
