Test callers through whole proxies to stand-in databases

Prepared statements on any connection, a session at two proxies, a transaction that ends with its caller, a booking whose answer is lost, errors inside pipelines and transactions. Also count OPERATOR(...) and COLLATE as grammar, so that psql's own queries are reads.

--- a/src/sql/query.rs
+++ b/src/sql/query.rs
@@ -200,6 +200,8 @@
     "NOT",
     "NUMERIC",
     "OFFSET",
+    "OPERATOR",
+    "COLLATE",
     "ON",
     "OR",
     "OVER",
--- /dev/null
+++ b/tests/callers.rs
@@ -0,0 +1,180 @@
+//! Callers through whole proxies to stand-in databases, over sockets.
+
+use lentilspoke::standin::demo::{self, Demo, Plan};
+use lentilspoke::standin::deployment::Deployment;
+use lentilspoke::types::GroupId;
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
+
+async fn start() -> Demo {
+    let plan = Plan {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        proxies: 2,
+        deployment: Deployment::Association,
+        kill_primary_after: None,
+    };
+    let demo = demo::start(&plan).await.unwrap();
+    for proxy in 0..2 {
+        ready(&demo, proxy).await;
+    }
+    demo
+}
+
+/// Writes until a proxy serves: until then it says that nothing was run.
+async fn ready(demo: &Demo, proxy: usize) {
+    loop {
+        let Ok(client) = try_connect(demo, proxy, "").await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let text = format!("INSERT INTO ledger VALUES ('ready-{proxy}', '')");
+        match client.batch_execute(&text).await {
+            Ok(()) => return,
+            Err(error) if code(&error).starts_with("LS1") => {}
+            Err(error) if code(&error) == "23505" => return,
+            Err(_) => {}
+        }
+    }
+}
+
+async fn try_connect(
+    demo: &Demo,
+    proxy: usize,
+    session: &str,
+) -> Result<Client, tokio_postgres::Error> {
+    let address = demo.callers()[proxy];
+    let mut config = Config::new();
+    config.host(address.ip().to_string()).port(address.port());
+    config.user("broker").dbname("ledger1");
+    if !session.is_empty() {
+        config.options(format!("-c lentilspoke.session={session}"));
+    }
+    let (client, connection) = config.connect(NoTls).await?;
+    actix_rt::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(client)
+}
+
+async fn connect(demo: &Demo, proxy: usize, session: &str) -> Client {
+    try_connect(demo, proxy, session).await.unwrap()
+}
+
+fn code(error: &tokio_postgres::Error) -> String {
+    let code = error.code().map(|code| code.code().to_owned());
+    code.unwrap_or_else(|| error.to_string())
+}
+
+async fn count(client: &Client, id: &str) -> usize {
+    let text = format!("SELECT body FROM ledger WHERE id LIKE '{id}'");
+    let messages = client.simple_query(&text).await.unwrap();
+    let rows = messages
+        .iter()
+        .filter(|message| matches!(message, SimpleQueryMessage::Row(_)));
+    rows.count()
+}
+
+/// Six callers use the same prepared statements at once, and their transactions meet whichever
+/// connections are free. Each gets its own rows.
+#[actix_rt::test]
+async fn prepared_statements_meet_any_connection() {
+    let demo = start().await;
+    let one = |number: usize| {
+        let demo = &demo;
+        async move {
+            let client = connect(demo, number % 2, "").await;
+            let insert = "INSERT INTO ledger (id, body) VALUES ($1, $2)";
+            let insert = client.prepare(insert).await.unwrap();
+            let select = "SELECT body FROM ledger WHERE id = $1";
+            let select = client.prepare(select).await.unwrap();
+            for round in 0..10 {
+                let id = format!("p-{number}-{round}");
+                let body = format!("of {number}");
+                let written = client.execute(&insert, &[&id, &body]).await.unwrap();
+                assert_eq!(written, 1);
+                let row = client.query_one(&select, &[&id]).await.unwrap();
+                assert_eq!(row.get::<_, String>(0), body);
+            }
+        }
+    };
+    futures_util::future::join_all((0..6).map(one)).await;
+    demo.stop();
+}
+
+/// A broker writes at one proxy and looks at once at the other, while replicas lag. It sees
+/// each of its writes.
+#[actix_rt::test]
+async fn a_session_reads_its_writes_on_the_other_proxy() {
+    let demo = start().await;
+    let clients = [
+        connect(&demo, 0, "broker-17").await,
+        connect(&demo, 1, "broker-17").await,
+    ];
+    for round in 0..20 {
+        let text = format!("INSERT INTO ledger VALUES ('s-{round}', '')");
+        clients[round % 2].batch_execute(&text).await.unwrap();
+        let seen = count(&clients[(round + 1) % 2], "s-%").await;
+        assert_eq!(seen, round + 1);
+    }
+    demo.stop();
+}
+
+/// A caller's connection goes away in the middle of its transaction. What the transaction wrote
+/// is rolled back, and nobody else's work joins it.
+#[actix_rt::test]
+async fn a_transaction_ends_with_its_caller() {
+    let demo = start().await;
+    let leaver = connect(&demo, 0, "").await;
+    leaver.batch_execute("BEGIN").await.unwrap();
+    let text = "INSERT INTO ledger VALUES ('gone', '')";
+    leaver.batch_execute(text).await.unwrap();
+    drop(leaver);
+    let other = connect(&demo, 0, "").await;
+    // The other caller waits for the lock that the transaction held until it is rolled back.
+    other.batch_execute(text).await.unwrap();
+    assert_eq!(count(&other, "gone").await, 1);
+    demo.stop();
+}
+
+/// The answer to a booking is lost after the booking took effect. The caller books again under
+/// the same key until it is told a result, and there is one booking.
+#[actix_rt::test]
+async fn a_booking_under_a_key_is_made_once() {
+    let demo = start().await;
+    let group: GroupId = "ledger1".parse().unwrap();
+    let handle = &demo.groups()[&group];
+    let client = connect(&demo, 0, "broker-9").await;
+    for round in 0..5 {
+        let set = format!("SET lentilspoke.request = 'lot-{round}'");
+        client.batch_execute(&set).await.unwrap();
+        handle.lose_answers(&handle.primary().unwrap(), 1);
+        let text = format!("INSERT INTO ledger VALUES ('k-{round}', '')");
+        while let Err(error) = client.batch_execute(&text).await {
+            assert!(code(&error).starts_with("LS"), "{error:?}");
+        }
+        assert_eq!(count(&client, &format!("k-{round}")).await, 1);
+    }
+    demo.stop();
+}
+
+/// Statements of the extended protocol fail inside a pipeline and inside a transaction: only
+/// their own batch fails, and the transaction is aborted until it is rolled back.
+#[actix_rt::test]
+async fn errors_do_not_leak() {
+    let demo = start().await;
+    let mut client = connect(&demo, 1, "").await;
+    let (bad, good) = futures_util::join!(
+        client.query("SELECT nothing FROM nowhere", &[]),
+        client.query("SELECT 1", &[])
+    );
+    assert!(bad.is_err());
+    assert_eq!(good.unwrap().len(), 1);
+    let transaction = client.transaction().await.unwrap();
+    let text = "INSERT INTO ledger VALUES ('half', '')";
+    transaction.batch_execute(text).await.unwrap();
+    assert!(transaction.query("SELECT nothing", &[]).await.is_err());
+    let aborted = transaction.query("SELECT 1", &[]).await.unwrap_err();
+    assert_eq!(code(&aborted), "25P02");
+    transaction.rollback().await.unwrap();
+    assert_eq!(count(&client, "half").await, 0);
+    demo.stop();
+}
