Bound what short messages and long answers cost, and deliver last words

Cause: a batch of the shortest messages took about twenty times its size in memory, and a row above 16 MiB closed the database's connection, so that its caller heard "outcome unknown" for work that had run. Messages are charged with what they take; a message that is too long is dropped as it arrives and the caller told so. A caller that is closed with bytes unread now gets the error before the reset.

--- a/src/net/pg/caller.rs
+++ b/src/net/pg/caller.rs
@@ -16,12 +16,15 @@
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::startup::ParameterStatus;
 use std::rc::Rc;
-use tokio::io::AsyncWriteExt;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, sink};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Answers larger than this are sent before the next batch is looked at, in bytes.
 const COALESCE: usize = 16 * 1024;
+/// How long a caller that is closed may take to notice.
+const LINGER: Duration = Duration::from_secs(1);
 /// The answer to a request for encryption: no.
 const NO_ENCRYPTION: &[u8] = b"N";
 
@@ -95,6 +98,8 @@
         let message = frame::encode(&fault.response(true));
         let _ = send(stream, &message).await;
         let _ = stream.shutdown().await;
+        // A close with bytes unread resets the connection, and the caller would lose the message.
+        let _ = tokio::time::timeout(LINGER, tokio::io::copy(stream, &mut sink())).await;
     }
 }
 
--- a/src/net/pg/gather.rs
+++ b/src/net/pg/gather.rs
@@ -12,12 +12,16 @@
 /// How much room is made at most beyond what has arrived: a stated length alone gets no memory.
 const GROWTH: usize = 64 * 1024;
 
+/// What is charged for a message beside its bytes: a flood of the shortest ones would otherwise
+/// take twenty times their size in memory.
+const MESSAGE_COST: usize = 96;
+
 /// Bytes that have arrived and are not yet answered.
 #[derive(Debug, Default)]
 pub struct Inbox {
     buffer: BytesMut,
     frames: Vec<Frame>,
-    /// The size of `frames`.
+    /// What is charged for `frames`, in bytes.
     held: usize,
 }
 
@@ -64,7 +68,7 @@
                     return Ok(Next::Batch(std::mem::take(&mut self.frames)));
                 }
                 kind::PARSE | kind::BIND | kind::DESCRIBE | kind::EXECUTE | kind::CLOSE => {
-                    self.held += frame.bytes().len();
+                    self.held += frame.bytes().len() + MESSAGE_COST;
                     self.frames.push(frame);
                 }
                 _ => return Err(Malformed::Order.into()),
--- a/src/net/target/wire.rs
+++ b/src/net/target/wire.rs
@@ -4,7 +4,7 @@
 use crate::net::dialect::{self, Garbled, Mark};
 use crate::net::frame::{Fields, Frame, Malformed, encode, kind, put_raw, take};
 use crate::types::{DatabaseId, Position};
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::startup::{SecretKey, Startup};
 use std::io;
@@ -133,7 +133,7 @@
             kind::PARAMETER => self.mark(frame.fields())?,
             kind::NOTIFICATION => {}
             _ => {
-                self.size += frame.bytes().len();
+                self.size += frame.bytes().len() + size_of::<Frame>();
                 self.cut |= self.size > ANSWER_LIMIT;
                 if !self.cut {
                     self.frames.push(frame);
@@ -170,6 +170,10 @@
     buffer: BytesMut,
     /// What is still to be sent.
     outbox: BytesMut,
+    /// How much of a message that is too long is still to be dropped.
+    skip: usize,
+    /// A message that was too long has been dropped.
+    dropped: bool,
     /// What a cancel request has to show, if the database told.
     pub key: Option<Key>,
 }
@@ -185,6 +189,8 @@
             stream: dial(end.source, end.address).await?,
             buffer: BytesMut::new(),
             outbox: BytesMut::new(),
+            skip: 0,
+            dropped: false,
             key: None,
         };
         let mut startup = Startup::new();
@@ -230,7 +236,7 @@
     /// Receives the next message. Nothing is lost if the future is dropped.
     pub async fn frame(&mut self) -> Result<Frame, Broken> {
         loop {
-            if let Some(frame) = take(&mut self.buffer, ANSWER_LIMIT)? {
+            if let Some(frame) = self.take()? {
                 return Ok(frame);
             }
             self.buffer.reserve(READ);
@@ -248,11 +254,31 @@
         }
     }
 
+    /// Takes a message out of what has arrived. One that is too long is dropped as it arrives,
+    /// so that the connection stays in sync without the memory.
+    fn take(&mut self) -> Result<Option<Frame>, Broken> {
+        let skipped = self.skip.min(self.buffer.len());
+        self.buffer.advance(skipped);
+        self.skip -= skipped;
+        if self.skip > 0 {
+            return Ok(None);
+        }
+        match take(&mut self.buffer, ANSWER_LIMIT) {
+            Err(Malformed::Long(stated)) => {
+                self.skip = stated + 1;
+                self.dropped = true;
+                self.take()
+            }
+            other => Ok(other?),
+        }
+    }
+
     /// Receives an answer up to ReadyForQuery.
     pub async fn answer(&mut self) -> Result<Answer, Broken> {
         let mut answer = Answer::default();
         loop {
             if answer.take(self.frame().await?)? {
+                answer.cut |= std::mem::take(&mut self.dropped);
                 return Ok(answer);
             }
         }
--- a/tests/pg.rs
+++ b/tests/pg.rs
@@ -434,6 +434,10 @@
             "bind cut short",
             after(&[b'B', 0, 0, 0, 5, 0, b'S', 0, 0, 0, 4]),
         ),
+        (
+            "flood of short messages",
+            after(&[b'E', 0, 0, 0, 9, 0, 0, 0, 0, 0].repeat(50_000)),
+        ),
         (
             "query in a batch",
             after(&[b'P', 0, 0, 0, 8, 0, 0, 0, 0, b'Q', 0, 0, 0, 5, 0]),
@@ -454,6 +458,7 @@
 unknown type: 08P01
 query without end: 08P01
 bind cut short: 08P01
+flood of short messages: 54000
 query in a batch: 08P01
 ");
     assert!(world.requests.borrow().is_empty());
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -119,6 +119,20 @@
     out.freeze()
 }
 
+/// A batch that runs one statement several times.
+fn extended_rows(text: &str, times: usize) -> Bytes {
+    let mut out = BytesMut::new();
+    let zero: &[u8] = &[0];
+    let parse = [zero, text.as_bytes(), zero, &[0, 0]];
+    put_raw(&mut out, kind::PARSE, &parse);
+    for _ in 0..times {
+        put_raw(&mut out, kind::BIND, &[zero, zero, &[0; 6]]);
+        put_raw(&mut out, kind::EXECUTE, &[zero, &[0; 4]]);
+    }
+    put_raw(&mut out, kind::SYNC, &[]);
+    out.freeze()
+}
+
 #[actix_rt::test]
 async fn work_is_answered_with_positions() {
     let mut world = World::connected().await;
@@ -263,6 +277,23 @@
     while world.event().await != (Event::Closed { conn: CONN }) {}
 }
 
+/// An answer is longer than is kept, in one row or in many. The caller hears that its work was
+/// run and the answer dropped; the connection is in sync and goes on.
+#[actix_rt::test]
+async fn an_answer_too_long_is_dropped() {
+    let mut world = World::connected().await;
+    let row = format!("SELECT {}", "x".repeat(1 << 20));
+    let rows = extended_rows(&row, 17);
+    for body in [query(&"SELECT ".repeat(3 << 20)), rows] {
+        let reply = world.answer(body).await;
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        assert!(text.contains("54000") && text.contains("The work was run."));
+        assert_eq!(kinds(&reply.body), "E");
+    }
+    let reply = world.answer(query("SELECT 1")).await;
+    assert_eq!(kinds(&reply.body), "TDC");
+}
+
 #[actix_rt::test]
 async fn a_full_database_says_so() {
     let mut world = World::start().await;
