--- a/tests/load.rs
+++ b/tests/load.rs
@@ -6,9 +6,11 @@
 use command::lentilspoke;
 use lentilspoke::clock::{Span, Time};
 use lentilspoke::load::record::{Fault, Row, Told};
-use lentilspoke::load::{self, Mix, Plan};
+use lentilspoke::load::{self, Kind, Mix, Plan};
+use lentilspoke::standin::database::Handle;
 use lentilspoke::standin::demo;
 use lentilspoke::standin::deployment::Deployment;
+use std::time::Duration;
 
 fn row() -> Row {
     let told = vec![
@@ -53,6 +55,20 @@
     "#);
 }
 
+async fn start() -> demo::Demo {
+    let plan = demo::Plan {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        proxies: 2,
+        deployment: Deployment::Association,
+        kill_primary_after: None,
+    };
+    demo::start(&plan).await.unwrap()
+}
+
+fn group<'d>(demo: &'d demo::Demo, name: &str) -> &'d Handle {
+    &demo.groups()[&name.parse().unwrap()]
+}
+
 fn plan(demo: &demo::Demo) -> Plan {
     Plan {
         addresses: demo.callers(),
@@ -76,14 +92,7 @@
 /// Sessions write and read through two proxies, moving between them: what they are told is so.
 #[actix_rt::test]
 async fn a_small_run_against_the_demo_is_clean() {
-    let demo = demo::start(&demo::Plan {
-        listen: "127.0.0.1:0".parse().unwrap(),
-        proxies: 2,
-        deployment: Deployment::Association,
-        kill_primary_after: None,
-    })
-    .await
-    .unwrap();
+    let demo = start().await;
     let report = load::run(&plan(&demo), |_| ()).await;
     assert!(report.is_clean(), "{report}");
     assert_eq!(report.kinds.len(), 3, "{report}");
@@ -91,6 +100,30 @@
     assert!(report.replica_share.is_some(), "{report}");
 }
 
+/// While callers write and read, the primary of one group is killed; another group's primary loses
+/// answers after their effect; connections to a replica of it fall silent for good. Callers may
+/// hear "not run" or "outcome unknown", and nothing that they were told turns out otherwise.
+#[actix_rt::test]
+async fn a_run_under_faults_is_clean() {
+    let demo = start().await;
+    let (first, second) = (group(&demo, "ledger1"), group(&demo, "ledger2"));
+    let mut plan = plan(&demo);
+    plan.duration = Span::from_secs(6);
+    plan.callers = 6;
+    let faults = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let primary = second.primary().unwrap();
+        second.lose_answers(&primary, 3);
+        let replica = second.group().databases.keys().find(|id| **id != primary);
+        second.silence(replica.unwrap());
+        first.kill(&first.primary().unwrap());
+    };
+    let (report, ()) = futures_util::join!(load::run(&plan, |_| ()), faults);
+    assert!(report.is_clean(), "{report}");
+    assert!(report.kinds[&Kind::Write].unknown >= 1, "{report}");
+    assert!(first.primary().is_some());
+}
+
 #[test]
 fn a_wrong_use_ends_with_2() {
     insta::assert_snapshot!(lentilspoke(&["load"]), @r#"
