--- a/benches/wire.rs
+++ b/benches/wire.rs
@@ -2,18 +2,27 @@
 
 use bytes::{Bytes, BytesMut};
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::core::request::{Done, Outcome, Status};
 use lentilspoke::net::frame::{Frame, encode, kind, put, put_raw, split};
 use lentilspoke::net::pg::prepared::{Library, Names};
+use lentilspoke::net::pg::{Core, Pool, Rules, Told, serve};
 use lentilspoke::net::pg::{Session, Settings, build};
 use lentilspoke::net::splice::{Expect, Step, splice};
 use lentilspoke::net::target::{Names as Held, rewrite};
 use lentilspoke::sql::Script;
 use lentilspoke::token::{Key, Token};
+use lentilspoke::types::Link;
 use lentilspoke::types::{GroupId, Offset, Position, Term};
 use pgwire::messages::data::DataRow;
 use pgwire::messages::extendedquery::{BindComplete, ParseComplete};
 use pgwire::messages::response::CommandComplete;
+use std::cell::RefCell;
 use std::hint::black_box;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use tokio::sync::mpsc::unbounded_channel;
 
 const READ: &str = "SELECT id, body FROM ledger WHERE id = 'lot-17' ORDER BY id LIMIT 10";
 const WRITE: &str = "INSERT INTO ledger (id, body) VALUES ('lot-17', 'confirmed by broker 9')";
@@ -140,5 +149,115 @@
     group.finish();
 }
 
-criterion_group!(benches, classify, batch, answers, tokens);
+/// A core that answers everything at once with the same rows.
+fn echo() -> Core {
+    let mut body = BytesMut::new();
+    put(&mut body, &DataRow::new(BytesMut::from(&[0; 64][..]), 2));
+    body.extend_from_slice(&encode(&CommandComplete::new("SELECT 1".into())));
+    let body = body.freeze();
+    let told = Rc::new(RefCell::new(None));
+    let teller = Rc::clone(&told);
+    Core {
+        open: Box::new(move || {
+            let (sender, receiver) = unbounded_channel();
+            told.replace(Some(sender));
+            (Link(1), receiver)
+        }),
+        submit: Box::new(move |_| {
+            let outcome = Outcome::Done(Done {
+                body: body.clone(),
+                status: Status::Idle,
+                wrote: None,
+                replica: true,
+            });
+            if let Some(told) = teller.borrow().as_ref() {
+                let _ = told.send(Told::Outcome {
+                    outcome,
+                    floor: None,
+                });
+            }
+        }),
+        depart: Box::new(|_| {}),
+        cancel: Box::new(|_| {}),
+        now: Box::new(|| Time(0)),
+        pool: Box::new(|_, _| {
+            Some(Pool {
+                id: "desk".parse().unwrap(),
+                max_age: None,
+                patience: Span::from_secs(5),
+            })
+        }),
+    }
+}
+
+fn proxy() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+            serve(listener, echo(), Rules::default()).await;
+        });
+    });
+    address
+}
+
+/// Answers each piece of bytes that arrives with a fixed number of bytes.
+fn plain(length: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            use tokio::io::{AsyncReadExt, AsyncWriteExt};
+            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.set_nodelay(true).unwrap();
+            let mut buffer = [0; 4096];
+            while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                stream.write_all(&vec![0; length]).await.unwrap();
+            }
+        });
+    });
+    address
+}
+
+fn round_trip(stream: &mut TcpStream, query: &[u8], length: usize) {
+    stream.write_all(query).unwrap();
+    let mut answer = [0; 4096];
+    stream.read_exact(&mut answer[..length]).unwrap();
+}
+
+/// A round trip over loopback through the callers' side, against one that does nothing.
+fn loopback(criterion: &mut Criterion) {
+    let mut query = BytesMut::new();
+    put_raw(&mut query, kind::QUERY, &[READ.as_bytes(), ZERO]);
+    let mut stream = TcpStream::connect(proxy()).unwrap();
+    stream.set_nodelay(true).unwrap();
+    let login = [&[0, 3, 0, 0], b"user\0broker\0\0".as_slice()].concat();
+    let length = u32::try_from(login.len() + 4).unwrap().to_be_bytes();
+    stream
+        .write_all(&[&length, login.as_slice()].concat())
+        .unwrap();
+    let mut welcome = [0; 4096];
+    let mut arrived = 0;
+    while !welcome[..arrived].ends_with(b"Z\0\0\0\x05I") {
+        arrived += stream.read(&mut welcome[arrived..]).unwrap();
+    }
+    stream.write_all(&query).unwrap();
+    let length = stream.read(&mut welcome).unwrap();
+    let mut group = criterion.benchmark_group("loopback");
+    group.bench_function("through_pg", |b| {
+        b.iter(|| round_trip(&mut stream, &query, length));
+    });
+    let mut stream = TcpStream::connect(plain(length)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    group.bench_function("baseline", |b| {
+        b.iter(|| round_trip(&mut stream, &query, length));
+    });
+    group.finish();
+}
+
+criterion_group!(benches, classify, batch, answers, tokens, loopback);
 criterion_main!(benches);
