Tell every caller of a planned stop, also one that never sent a statement

Cause: the core knows a link from its first request on, so a caller that had only logged in was never told to connect elsewhere: it kept its connection until the stop's limit (60 s) and was cut off then, together with a transaction that waited on it in the test. Found by the new test, which failed after 62 s and passes in 7 s with the others. Ruled out: the caller's own task, which ends at once when told. Also tested: bookings under a key while the primary is killed.

--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -50,6 +50,7 @@
     }
     log::info!("stopping: no new callers, what is in flight finishes");
     door.abort();
+    shell.dismiss();
     shell.stopped().await;
     tasks.iter().for_each(|task| task.abort());
     log::info!("stopped");
--- a/src/net/shell.rs
+++ b/src/net/shell.rs
@@ -21,6 +21,7 @@
     node: RefCell<Node>,
     links: RefCell<HashMap<Link, mpsc::UnboundedSender<Told>>>,
     last_link: Cell<u64>,
+    dismissing: Cell<bool>,
     targets: Targets,
     peers: Rc<Peers>,
     armed: Cell<Option<Time>>,
@@ -43,6 +44,7 @@
             node: RefCell::new(Node::new(identity, Time::default())),
             links: RefCell::default(),
             last_link: Cell::new(0),
+            dismissing: Cell::new(false),
             targets: Targets::new(source, target_events),
             peers: Peers::new(peer_identity, peer_events),
             armed: Cell::new(None),
@@ -75,10 +77,27 @@
         let link = Link(self.last_link.get() + 1);
         self.last_link.set(link.0);
         let (sender, receiver) = mpsc::unbounded_channel();
+        if self.dismissing.get() {
+            // The receiver is at hand.
+            let _ = sender.send(Told::Dismiss);
+        }
         self.links.borrow_mut().insert(link, sender);
         (link, receiver)
     }
 
+    /// Tells every caller, now and from now on, to connect elsewhere as soon as it is idle.
+    ///
+    /// Failure: a caller that never sent a statement is unknown to the core. Symptom: it stays
+    /// connected to a proxy that stops, and is cut off in its first statement. Enough, because
+    /// every connection is told here, and ends only between its transactions.
+    pub fn dismiss(&self) {
+        self.dismissing.set(true);
+        let links: Vec<Link> = self.links.borrow().keys().copied().collect();
+        for link in links {
+            self.tell(link, Told::Dismiss);
+        }
+    }
+
     /// A caller's connection is gone.
     fn depart(&self, link: Link) {
         self.links.borrow_mut().remove(&link);
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -178,3 +178,56 @@
     assert_eq!(count(&client, "half").await, 0);
     demo.stop();
 }
+
+/// A proxy is asked to stop while a caller is in the middle of a transaction. The caller
+/// finishes it there, is then told to connect again, and sees its write on the other proxy.
+#[actix_rt::test]
+async fn a_planned_stop_lets_a_transaction_end() {
+    let mut demo = start().await;
+    let client = connect(&demo, 0, "clerk-3").await;
+    let idle = connect(&demo, 0, "").await;
+    client.batch_execute("BEGIN").await.unwrap();
+    demo.stop_proxy(0);
+    while !idle.is_closed() {
+        tokio::task::yield_now().await;
+    }
+    let text = "INSERT INTO ledger VALUES ('last', '')";
+    client.batch_execute(text).await.unwrap();
+    client.batch_execute("COMMIT").await.unwrap();
+    while let Err(error) = client.batch_execute("SELECT 1").await {
+        if error.is_closed() || code(&error) == "57P01" {
+            break;
+        }
+        assert_eq!(code(&error), "LS105");
+    }
+    // The demo counts the proxies that are left.
+    let other = connect(&demo, 0, "clerk-3").await;
+    while let Err(error) = other.batch_execute("SELECT 1").await {
+        assert!(code(&error).starts_with("LS1"), "{error:?}");
+    }
+    assert_eq!(count(&other, "last").await, 1);
+    demo.stop();
+}
+
+/// A primary is killed while a broker books. It hears for each booking an answer, "not run", or
+/// "unknown outcome"; under a key it asks again until it is told, and each booking is there once.
+#[actix_rt::test]
+async fn bookings_go_on_after_a_primary_is_killed() {
+    let demo = start().await;
+    let group: GroupId = "ledger1".parse().unwrap();
+    let handle = &demo.groups()[&group];
+    let client = connect(&demo, 1, "broker-4").await;
+    for round in 0..20 {
+        if round == 5 {
+            handle.kill(&handle.primary().unwrap());
+        }
+        let set = format!("SET lentilspoke.request = 'f-{round}'");
+        client.batch_execute(&set).await.unwrap();
+        let text = format!("INSERT INTO ledger VALUES ('f-{round}', '')");
+        while let Err(error) = client.batch_execute(&text).await {
+            assert!(code(&error).starts_with("LS"), "{error:?}");
+        }
+    }
+    assert_eq!(count(&client, "f-%").await, 20);
+    demo.stop();
+}
