Measure control over a fleet of real cores

Change: slopes runs every node's core on one virtual clock and measures messages, bytes, processor time, streams, spread of a configuration and recovery from losses.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub mod schedules;
 pub mod serve;
 pub mod show;
+pub mod slopes;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod net;
 pub mod schedule;
 pub mod settings;
+pub mod slopes;
 pub mod sql;
 pub mod standin;
 pub mod token;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
     load        put load on proxies, and check what callers are told
     dump        print a process's state
     demo        run stand-in databases and proxies in one process
+    slopes      measure what control costs as nodes and databases grow
     experiment  play patterns of load against the decisions
     model       search the core protocol's states
     schedules   play random faults and check what callers are told
@@ -52,6 +53,7 @@
         "model" => cmd::model::run(rest),
         "schedules" => cmd::schedules::run(rest),
         "serve" => cmd::serve::run(rest),
+        "slopes" => cmd::slopes::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
--- /dev/null
+++ b/src/slopes/report.rs
@@ -0,0 +1,32 @@
+//! Straight lines through measured points.
+
+use serde::Serialize;
+
+/// The line through points by least squares, with the largest distance of a point from it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Fit {
+    /// What each unit adds.
+    pub slope: f64,
+    /// What there is without any unit.
+    pub base: f64,
+    /// The largest distance of a point from the line, in the measured unit.
+    pub error: f64,
+}
+
+impl Fit {
+    /// The line through `points`; `None` with fewer than two different units.
+    pub fn of(points: &[(f64, f64)]) -> Option<Self> {
+        let count = points.len() as f64;
+        let mean = |pick: fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
+        let (x, y) = (mean(|point| point.0), mean(|point| point.1));
+        let spread: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
+        if points.len() < 2 || spread == 0.0 {
+            return None;
+        }
+        let slope = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum::<f64>() / spread;
+        let base = y - slope * x;
+        let distance = |point: &(f64, f64)| (point.1 - base - slope * point.0).abs();
+        let error = points.iter().map(distance).fold(0.0, f64::max);
+        Some(Self { slope, base, error })
+    }
+}
