Model-check floors and leases; end a lease only by a later revocation

Cause: the search of one session on two proxies found that a late answer to an earlier revocation ends the lease that was granted since, so that the next write does not wait for it. Change: src/model/floors.rs runs the real session memory (core::session) between two stewards and an entry, to the end of its states; a lease keeps the floor under which it was granted and ends only by the answer to a later write's revocation. Ruled out: reordering on one stream, which keeps the order; the rule holds without it now.

--- a/src/core/acknowledge.rs
+++ b/src/core/acknowledge.rs
@@ -6,7 +6,7 @@
 use crate::core::request::Unknown;
 use crate::core::session::Holding;
 use crate::core::term::{Confirmations, majority};
-use crate::types::{DatabaseId, Offset, SessionId, VmId};
+use crate::types::{DatabaseId, Offset, Position, SessionId, VmId};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -79,11 +79,11 @@
         (reached < furthest).then_some(furthest)
     }
 
-    /// `vm` uses its lease on the floor of `session` no more.
-    pub fn released(&mut self, session: &SessionId, vm: &VmId) {
+    /// `vm` gave up the lease on `session` that a write up to `floor` revoked.
+    pub fn released(&mut self, session: &SessionId, vm: &VmId, floor: Position) {
         for waiting in &mut self.waiting {
             if waiting.job.work.session.as_ref() == Some(session) {
-                waiting.leases.retain(|lease| lease.vm.as_ref() != Some(vm));
+                waiting.leases.retain(|lease| !lease.ends_by(vm, floor));
             }
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,7 +22,7 @@
 pub mod request;
 pub mod retry;
 pub mod route;
-mod session;
+pub(crate) mod session;
 mod spread;
 mod steward;
 pub mod term;
--- a/src/core/session.rs
+++ b/src/core/session.rs
@@ -33,6 +33,19 @@
     pub vm: Option<VmId>,
     /// When it lapses by itself.
     pub until: Time,
+    /// The session's floor when it was granted.
+    pub floor: Position,
+}
+
+impl Holding {
+    /// Whether the lease ends when `vm` says that it gave up what a write up to `floor` revoked.
+    ///
+    /// Failure: the word arrives late, after `vm` asked anew and was granted another lease.
+    /// Symptom: the next write does not wait for that lease, and the session reads what was
+    /// before it. Enough, because a lease that was granted after a write has that write's floor.
+    pub fn ends_by(&self, vm: &VmId, floor: Position) -> bool {
+        self.vm.as_ref() == Some(vm) && self.floor.offset < floor.offset
+    }
 }
 
 impl Sessions {
@@ -67,10 +80,14 @@
         let seat = self.seat(session);
         seat.leases.retain(|lease| lease.until > now);
         match seat.leases.iter_mut().find(|l| l.vm.as_ref() == Some(vm)) {
-            Some(lease) => lease.until = lease.until.max(until),
+            Some(lease) => {
+                lease.until = lease.until.max(until);
+                lease.floor = seat.floor;
+            }
             None => seat.leases.push(Holding {
                 vm: Some(vm.clone()),
                 until,
+                floor: seat.floor,
             }),
         }
         seat.floor
@@ -93,10 +110,10 @@
         seat.leases.iter().filter(other).cloned().collect()
     }
 
-    /// `vm` gave its lease up.
-    pub fn released(&mut self, session: &SessionId, vm: &VmId) {
+    /// `vm` gave up the lease that a write up to `floor` revoked.
+    pub fn released(&mut self, session: &SessionId, vm: &VmId, floor: Position) {
         if let Some(seat) = self.seats.get_mut(session) {
-            seat.leases.retain(|lease| lease.vm.as_ref() != Some(vm));
+            seat.leases.retain(|lease| !lease.ends_by(vm, floor));
         }
     }
 
@@ -115,6 +132,7 @@
         let forgotten = Holding {
             vm: None,
             until: self.forgotten_until,
+            floor: horizon,
         };
         let make = || Seat {
             floor: horizon,
--- a/src/core/steward/lease.rs
+++ b/src/core/steward/lease.rs
@@ -49,8 +49,8 @@
         let Some(lead) = self.lead() else {
             return;
         };
-        lead.sessions.released(&revoke.session, from);
-        lead.acks.released(&revoke.session, from);
+        lead.sessions.released(&revoke.session, from, revoke.floor);
+        lead.acks.released(&revoke.session, from, revoke.floor);
         self.flush(turn);
     }
 }
--- a/src/model/suite.rs
+++ b/src/model/suite.rs
@@ -1,7 +1,7 @@
 //! Every search there is: the protocol as it stands, and with each safeguard taken out.
 
 use crate::model::search::Report;
-use crate::model::terms;
+use crate::model::{floors, terms};
 use crate::types::Invalid;
 use std::fmt;
 
@@ -88,6 +88,7 @@
             12,
         )?,
         of_terms("divided databases, repeated keys", DIVIDED, None, 9)?,
+        of_floors("one session on two proxies", None)?,
     ])
 }
 
@@ -101,7 +102,8 @@
     };
     let later = terms::Scope { terms: 3, ..CLOCK };
     let restart = terms::Scope { restarts: 1, ..LOG };
-    [
+    let mut cases = Vec::new();
+    for (out, scope) in [
         (Out::StrictRaise, CLOCK),
         (Out::MajorityRaised, LOG),
         (Out::WaitOut, CLOCK),
@@ -119,10 +121,38 @@
         (Out::NoOlderLog, LOG),
         (Out::StartCounts, DIVIDED),
         (Out::OwnTerm, DIVIDED),
-    ]
-    .into_iter()
-    .map(|(out, scope)| of_terms(&format!("terms without {out:?}"), scope, Some(out), 40))
-    .collect()
+    ] {
+        let name = format!("terms without {out:?}");
+        cases.push(of_terms(&name, scope, Some(out), DEEP)?);
+    }
+    use floors::Safeguard as Floor;
+    for out in [
+        Floor::Revoke,
+        Floor::WithinConfirmations,
+        Floor::FromQuestion,
+        Floor::StaleGrant,
+        Floor::LateRelease,
+        Floor::LeasesBeforeYield,
+        Floor::Horizon,
+    ] {
+        cases.push(of_floors(&format!("floors without {out:?}"), Some(out))?);
+    }
+    Ok(cases)
+}
+
+/// Deeper than any search here gets.
+const DEEP: usize = 60;
+
+/// Writes of the session whose floor is followed.
+const SESSION_WRITES: u8 = 2;
+
+fn of_floors(name: &str, out: Option<floors::Safeguard>) -> Result<Case, Invalid> {
+    let spec = floors::Spec::new(SESSION_WRITES, out)?;
+    Ok(Case {
+        name: name.into(),
+        bound: DEEP,
+        run: Box::new(move |limit| spec.search(limit)),
+    })
 }
 
 fn of_terms(
