--- a/src/model/suite.rs
+++ b/src/model/suite.rs
@@ -1,7 +1,7 @@
 //! Every search there is: the protocol as it stands, and with each safeguard taken out.
 
 use crate::model::search::Report;
-use crate::model::{floors, terms};
+use crate::model::{floors, outcomes, terms};
 use crate::types::Invalid;
 use std::fmt;
 
@@ -89,6 +89,8 @@
         )?,
         of_terms("divided databases, repeated keys", DIVIDED, None, 9)?,
         of_floors("one session on two proxies", None)?,
+        of_outcomes("a booking without a key", false, None),
+        of_outcomes("a booking under a key", true, None),
     ])
 }
 
@@ -137,9 +139,31 @@
     ] {
         cases.push(of_floors(&format!("floors without {out:?}"), Some(out))?);
     }
+    use outcomes::Safeguard as Rule;
+    for (out, keyed) in [
+        (Rule::UnknownOnceSent, false),
+        (Rule::KeyForRetry, false),
+        (Rule::OneTransaction, true),
+        (Rule::TurnedAwayIsGone, false),
+    ] {
+        let name = format!("outcomes without {out:?}");
+        cases.push(of_outcomes(&name, keyed, Some(out)));
+    }
     Ok(cases)
 }
 
+/// How often a booking is sent at most.
+const TRIES: u8 = 3;
+
+fn of_outcomes(name: &str, keyed: bool, out: Option<outcomes::Safeguard>) -> Case {
+    let spec = outcomes::Spec::new(keyed, TRIES, out);
+    Case {
+        name: name.into(),
+        bound: DEEP,
+        run: Box::new(move |limit| spec.search(limit)),
+    }
+}
+
 /// Deeper than any search here gets.
 const DEEP: usize = 60;
 
