--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,8 @@
 pub mod dump;
 pub mod experiment;
 pub mod load;
+pub mod model;
+pub mod schedules;
 pub mod serve;
 pub mod show;
 
--- a/src/core/holder/connection.rs
+++ b/src/core/holder/connection.rs
@@ -59,6 +59,9 @@
             self.connections.insert(conn, Connection::new(usage));
             turn.connect(conn, &self.database, self.address);
         }
+        if self.connections.is_empty() {
+            self.give_up_starved(turn);
+        }
     }
 
     fn demand(&self) -> Demand {
@@ -98,7 +101,7 @@
     pub fn event(&mut self, turn: &mut Turn, event: Event) {
         match event {
             Event::Connected { conn } => self.connected(turn, conn),
-            Event::ConnectFailed { conn, full } => self.connect_failed(turn, conn, full),
+            Event::ConnectFailed { conn, .. } => self.connect_failed(turn, conn),
             Event::Answered { conn, reply } => self.answered(turn, conn, reply),
             Event::Refused {
                 conn,
@@ -128,31 +131,20 @@
         self.idle.push(conn);
     }
 
-    /// Whether any connection is open.
-    pub(super) fn is_connected(&self) -> bool {
-        let opening = |other: &Connection| matches!(other.usage, Usage::Opening { .. });
-        !self.connections.values().all(opening)
+    fn connect_failed(&mut self, turn: &mut Turn, conn: ConnId) {
+        self.connections.remove(&conn);
+        // A database that is down is not to be asked in a tight loop either.
+        self.pool.refused(turn.now);
     }
 
-    /// Why work is not run at a database that can't be connected to.
-    pub(super) fn unreachable(&self) -> Cause {
-        match self.role {
+    /// Failure: no connection can be opened. Symptom: work waits for one until its deadline and
+    /// its caller is told late. Enough, because without any connection open or opening nothing
+    /// has been run, so all that waits ends at once and can be tried elsewhere.
+    fn give_up_starved(&mut self, turn: &mut Turn) {
+        let cause = match self.role {
             Role::Replica => Cause::Refused,
             _ => Cause::NoPrimary,
-        }
-    }
-
-    /// Failure: no connection can be opened. Symptom: work waits for one until its deadline and
-    /// its caller is told late. Enough, because without any connection open nothing of
-    /// it has been run, so all that waits ends at once and can be tried elsewhere. The pool pauses
-    /// too, or its spare connections would be opened and fail in a tight loop.
-    fn connect_failed(&mut self, turn: &mut Turn, conn: ConnId, full: bool) {
-        self.connections.remove(&conn);
-        self.pool.refused(turn.now);
-        if full || self.is_connected() {
-            return;
-        }
-        let cause = self.unreachable();
+        };
         while let Some(id) = self.starved.pop_front() {
             self.drop_job(turn, id, cause, None);
         }
--- a/src/standin/fake/mod.rs
+++ b/src/standin/fake/mod.rs
@@ -69,7 +69,6 @@
     life: Life,
     paused: bool,
     held: VecDeque<Input>,
-    stopped: bool,
     /// The highest version that was in force in this life.
     version: Version,
 }
@@ -89,6 +88,8 @@
     pub asked: Time,
     /// What it was told, and when; `None` while it waits.
     pub told: Option<(Time, Answer)>,
+    /// The floor in the token that it was shown with the answer.
+    floor: Option<Position>,
     link: Link,
 }
 
@@ -263,6 +264,22 @@
         self.bases.values().flat_map(|base| &base.ran)
     }
 
+    /// Whether a database's process runs.
+    pub fn database_is_up(&self, text: &str) -> bool {
+        let mut found = self.bases.values().filter(|base| base.id.as_str() == text);
+        found.any(|base| base.up)
+    }
+
+    /// The databases' logs.
+    pub fn logs(&self) -> impl Iterator<Item = &[Row]> {
+        self.bases.values().map(|base| base.log.as_slice())
+    }
+
+    /// Whether a VM's process runs and is not paused.
+    pub fn serves(&self, vm: &VmId) -> bool {
+        self.machines.get(vm).is_some_and(|m| !m.paused)
+    }
+
     /// The version in force at a VM.
     pub fn version(&self, vm: &VmId) -> Option<Version> {
         let accepted = self.machines.get(vm)?.node.accepted()?;
@@ -299,7 +316,6 @@
             life,
             paused: false,
             held: VecDeque::new(),
-            stopped: false,
             version: Version::default(),
         };
         self.machines.insert(vm.clone(), machine);
@@ -394,6 +410,13 @@
     /// A caller asks; the answer comes to the ticket of the number returned.
     pub fn ask(&mut self, ask: Ask) -> usize {
         let link = self.link_of(&ask);
+        // Only where a write may be lost does a caller need its token, to hear of that.
+        let last = self
+            .tickets
+            .iter()
+            .rev()
+            .filter(|t| t.session == ask.session);
+        let shown = last.filter(|_| ask.fast).find_map(|ticket| ticket.floor);
         let number = self.tickets.len();
         let gone = !self.machines.contains_key(&ask.vm);
         self.tickets.push(Ticket {
@@ -403,6 +426,7 @@
             fast: ask.fast,
             asked: self.now,
             told: gone.then_some((self.now, Answer::Cut)),
+            floor: None,
             link,
         });
         let names = (name::<GroupId>("ledger"), name::<CallerId>("broker"));
@@ -419,7 +443,7 @@
             kind: ask.kind,
             max_age: ask.max_age,
             key: ask.key,
-            shown: None,
+            shown,
             deadline: self.now + PATIENCE,
             body: ask.body.to_string().into(),
         };
@@ -449,10 +473,7 @@
     }
 
     fn step(&mut self, until: Time) -> bool {
-        let live = self
-            .machines
-            .iter()
-            .filter(|(_, m)| !m.paused && !m.stopped);
+        let live = self.machines.iter().filter(|(_, m)| !m.paused);
         let wake = live.filter_map(|(vm, m)| Some((m.node.wake()?, vm, m.life)));
         let wake = wake.min().map(|(at, vm, life)| (at, vm.clone(), life));
         let next = self.queue.first_key_value().map(|(key, _)| key.0);
@@ -505,25 +526,28 @@
 
     fn output(&mut self, vm: &VmId, life: Life, output: Output) {
         match output {
-            Output::Reply { link, outcome, .. } => self.reply(vm, link, outcome),
+            Output::Reply {
+                link,
+                outcome,
+                floor,
+            } => self.reply(vm, link, outcome, floor),
             Output::Dismiss(_) => {}
             Output::Send { to, message } => self.send(vm, &to, message),
             Output::Database(command) => {
                 self.later(LATENCY, Coming::Command(vm.clone(), life, command));
             }
-            Output::Stopped => {
-                if let Some(machine) = self.machines.get_mut(vm) {
-                    machine.stopped = true;
-                }
-            }
+            Output::Stopped => self.kill(vm),
         }
     }
 
-    fn reply(&mut self, vm: &VmId, link: Link, outcome: Outcome) {
+    fn reply(&mut self, vm: &VmId, link: Link, outcome: Outcome, floor: Option<Position>) {
         let now = self.now;
         let waits = |t: &&mut Ticket| t.link == link && t.vm == *vm && t.told.is_none();
         match self.tickets.iter_mut().rev().find(waits) {
-            Some(ticket) => ticket.told = Some((now, Answer::Outcome(outcome))),
+            Some(ticket) => {
+                ticket.told = Some((now, Answer::Outcome(outcome)));
+                ticket.floor = floor;
+            }
             None => self.wrong.push("an answer that nobody waits for".into()),
         }
     }
