--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod core;
 pub mod server;
 
 use bytes::{Bytes, BytesMut};
--- a/tests/pg.rs
+++ b/tests/pg.rs
@@ -3,122 +3,17 @@
 mod fake;
 
 use bytes::Bytes;
-use lentilspoke::clock::{Span, Time};
-use lentilspoke::core::request::{Cause, Done, Kind, NotRun, Outcome, Request, Status, Unknown};
-use lentilspoke::net::pg::{Core, Pool, Rules, Told, serve};
+use fake::core::{World, listen, not_run};
+use lentilspoke::clock::Span;
+use lentilspoke::core::request::{Cause, Kind, Outcome, Unknown};
+use lentilspoke::net::pg::{Rules, Told};
 use lentilspoke::types::{Link, Offset, Position, Term};
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::net::TcpStream;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
-/// Answers every request at once, each from a fresh connection unless a transaction is open.
-#[derive(Default)]
-struct World {
-    told: RefCell<HashMap<Link, UnboundedSender<Told>>>,
-    transactions: RefCell<HashMap<Link, fake::Session>>,
-    requests: RefCell<Vec<Request>>,
-    /// Outcomes for the next requests, in place of answers.
-    script: RefCell<Vec<Outcome>>,
-    /// Requests are left without an outcome.
-    silent: Cell<bool>,
-    cancelled: RefCell<Vec<Link>>,
-    departed: RefCell<Vec<Link>>,
-    links: Cell<u64>,
-}
-
-impl World {
-    fn submit(&self, request: Request) {
-        let link = request.link;
-        let kind = request.kind;
-        let body = request.body.clone();
-        self.requests.borrow_mut().push(request);
-        if self.silent.get() {
-            return;
-        }
-        let scripted = self.script.borrow_mut().pop();
-        let outcome = scripted.unwrap_or_else(|| self.run(link, kind, body));
-        let floor = Some(Position::new(Term(1), Offset(7)));
-        let _ = self.told.borrow()[&link].send(Told::Outcome { outcome, floor });
-    }
-
-    fn run(&self, link: Link, kind: Kind, body: Bytes) -> Outcome {
-        let mut transactions = self.transactions.borrow_mut();
-        let mut session = transactions.remove(&link).unwrap_or_default();
-        let body = session.answer(body);
-        let status = session.status;
-        if status != Status::Idle {
-            transactions.insert(link, session);
-        }
-        Outcome::Done(Done {
-            body,
-            status,
-            wrote: (kind == Kind::Write).then(|| Position::new(Term(1), Offset(7))),
-            replica: kind == Kind::Read,
-        })
-    }
-
-    fn kinds(&self) -> Vec<Kind> {
-        self.requests.borrow().iter().map(|r| r.kind).collect()
-    }
-
-    fn tell_all(&self, told: fn() -> Told) {
-        for sender in self.told.borrow().values() {
-            let _ = sender.send(told());
-        }
-    }
-}
-
-fn core(world: &Rc<World>) -> Core {
-    let [opened, submitted, departed, cancelled] = [(); 4].map(|()| Rc::clone(world));
-    Core {
-        open: Box::new(move || {
-            let (sender, receiver) = unbounded_channel();
-            opened.links.set(opened.links.get() + 1);
-            let link = Link(opened.links.get());
-            opened.told.borrow_mut().insert(link, sender);
-            (link, receiver)
-        }),
-        submit: Box::new(move |request| submitted.submit(request)),
-        depart: Box::new(move |link| departed.departed.borrow_mut().push(link)),
-        cancel: Box::new(move |link| {
-            cancelled.cancelled.borrow_mut().push(link);
-            let outcome = Outcome::NotRun(not_run(Cause::Expired));
-            let _ = cancelled.told.borrow()[&link].send(Told::Outcome {
-                outcome,
-                floor: None,
-            });
-        }),
-        now: Box::new(|| Time(0)),
-        pool: Box::new(|_, group| {
-            (group.as_str() == "ledger1").then(|| Pool {
-                id: "desk".parse().unwrap(),
-                max_age: None,
-                patience: Span::from_secs(5),
-            })
-        }),
-    }
-}
-
-fn not_run(cause: Cause) -> NotRun {
-    NotRun {
-        cause,
-        retry_after: Span::from_millis(250),
-    }
-}
-
-async fn listen(rules: Rules) -> (Rc<World>, SocketAddr) {
-    let world = Rc::new(World::default());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    actix_rt::spawn(serve(listener, core(&world), rules));
-    (world, address)
-}
-
 async fn connect(address: SocketAddr, options: &str) -> Result<Client, tokio_postgres::Error> {
     let mut config = tokio_postgres::Config::new();
     config.host("127.0.0.1").port(address.port());
