Refuse a request key that is set inside a transaction

Cause: SET lentilspoke.request after BEGIN was taken, and what followed ran without the key, so that a caller would have repeated it as safe.

--- a/src/net/pg/batch.rs
+++ b/src/net/pg/batch.rs
@@ -7,7 +7,7 @@
 use crate::core::request::Kind;
 use crate::net::frame::{Fields, Frame, Malformed, kind, put_raw};
 use crate::net::splice::{Expect, Step};
-use crate::sql::{Script, Statement};
+use crate::sql::{Script, Setting, Statement};
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -67,7 +67,7 @@
     if let [query] = frames
         && query.kind() == kind::QUERY
     {
-        return simple(query, session);
+        return simple(query, session, idle);
     }
     let mut builder = Builder {
         session,
@@ -89,7 +89,7 @@
     builder.finish(last)
 }
 
-fn simple(query: &Frame, session: &mut Session) -> Result<Batch, Fault> {
+fn simple(query: &Frame, session: &mut Session, idle: bool) -> Result<Batch, Fault> {
     let mut fields = query.fields();
     let script = Script::read(fields.text()?);
     if !fields.0.is_empty() {
@@ -108,6 +108,7 @@
         ready: true,
     };
     if local {
+        check_key(&batch.statements, idle)?;
         let answer = reply::simple(&batch.statements, &mut session.settings)?;
         batch.body = Bytes::new();
         batch.steps = vec![Step::Insert(answer)];
@@ -115,6 +116,16 @@
     Ok(batch)
 }
 
+/// Refuses a request key that is set inside a transaction: what follows would run without it,
+/// and its caller would think it safe to repeat.
+fn check_key(statements: &[Statement], idle: bool) -> Result<(), Fault> {
+    let key = |statement| matches!(statement, &Statement::Set(Setting::Request, Some(_)));
+    if !idle && statements.iter().any(key) {
+        return Err(Fault::KeyInTransaction);
+    }
+    Ok(())
+}
+
 /// Whether the proxy answers for the whole text itself; it must not be a mixture.
 fn unmixed(script: &Script) -> Result<bool, Fault> {
     let local = script.local();
@@ -215,6 +226,7 @@
         match prepared {
             Some(prepared) if local(&prepared) => {
                 let statements = &prepared.script.statements;
+                check_key(statements, self.idle)?;
                 let answer = reply::execute(statements, &mut self.session.settings)?;
                 self.insert(answer);
             }
--- a/tests/pg.rs
+++ b/tests/pg.rs
@@ -128,6 +128,34 @@
     assert_eq!(requests[1].session.as_ref().unwrap().as_str(), "broker-17");
 }
 
+/// A caller sets a request key and then does what one key can't cover. Were that run without
+/// the key, or with a COMMIT that ends the key's transaction early, repeating it would double it.
+#[actix_rt::test]
+async fn a_key_covers_no_transaction() {
+    let (world, client) = desk().await;
+    let set = "SET lentilspoke.request = 'lot-9'";
+    client.batch_execute(set).await.unwrap();
+    for text in [
+        "BEGIN",
+        "BEGIN; INSERT x; COMMIT",
+        "INSERT x; COMMIT; INSERT y",
+    ] {
+        let error = client.simple_query(text).await.unwrap_err();
+        assert_eq!(code(&error), "0A000", "{text}");
+    }
+    assert!(world.requests.borrow().is_empty());
+    client
+        .batch_execute("RESET lentilspoke.request")
+        .await
+        .unwrap();
+    client.batch_execute("BEGIN").await.unwrap();
+    let error = client.execute(set, &[]).await.unwrap_err();
+    assert_eq!(code(&error), "0A000");
+    client.batch_execute("ROLLBACK").await.unwrap();
+    client.batch_execute("INSERT x").await.unwrap();
+    assert_eq!(world.requests.borrow().last().unwrap().key, None);
+}
+
 /// A caller asks for things that a pooled connection can't keep, and for values that make no
 /// sense. It hears why and what to do, and its connection goes on.
 #[actix_rt::test]
