--- a/src/core/limit.rs
+++ b/src/core/limit.rs
@@ -19,6 +19,10 @@
 /// seconds. A busy database has 256 samples in half a second.
 const SAMPLE_WEIGHT: f64 = 1.0 / 256.0;
 
+/// As many samples as [`SAMPLE_WEIGHT`] averages over. Until then the typical time is the plain
+/// mean: one very short first statement would pass for the best time, and the limit would fall.
+const FULL_MEMORY: u32 = 256;
+
 /// Samples between two changes of the limit, so that a change shows before the next is made.
 const STEP_SAMPLES: u32 = 128;
 
@@ -45,7 +49,8 @@
     slots: u32,
     allowed: f64,
     samples: u32,
-    typical: Option<f64>,
+    seen: u32,
+    typical: f64,
     best: f64,
     former: f64,
     window_ends: Time,
@@ -58,7 +63,8 @@
             slots,
             allowed: f64::from(slots),
             samples: 0,
-            typical: None,
+            seen: 0,
+            typical: 0.0,
             best: f64::INFINITY,
             former: f64::INFINITY,
             window_ends: Time::default(),
@@ -81,31 +87,29 @@
         // The mean of logarithms: a few statements that run a hundred times longer than the rest
         // don't move it the way that a crowded database does.
         let sample = (took.0.max(1) as f64).ln();
-        let typical = match self.typical {
-            Some(typical) => typical + (sample - typical) * SAMPLE_WEIGHT,
-            None => sample,
-        };
-        self.typical = Some(typical);
+        self.seen = (self.seen + 1).min(FULL_MEMORY);
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.seen));
+        self.typical += (sample - self.typical) * weight;
         self.samples += 1;
-        if self.samples < STEP_SAMPLES {
+        if self.samples < STEP_SAMPLES || self.seen < FULL_MEMORY {
             return;
         }
         self.samples = 0;
-        self.turn_window(now, typical);
-        self.step(typical, full);
+        self.turn_window(now);
+        self.step(full);
     }
 
-    fn turn_window(&mut self, now: Time, typical: f64) {
+    fn turn_window(&mut self, now: Time) {
         if now >= self.window_ends {
             self.former = self.best;
-            self.best = typical;
+            self.best = self.typical;
             self.window_ends = now + WINDOW;
         }
-        self.best = self.best.min(typical);
+        self.best = self.best.min(self.typical);
     }
 
-    fn step(&mut self, typical: f64, full: bool) {
-        let ratio = (typical - self.best.min(self.former)).exp();
+    fn step(&mut self, full: bool) {
+        let ratio = (self.typical - self.best.min(self.former)).exp();
         if ratio > CROWDED && full {
             self.allowed = (self.allowed * CUT).max(self.least());
         } else if ratio < CALM {
--- a/tests/decisions_pool.rs
+++ b/tests/decisions_pool.rs
@@ -107,6 +107,18 @@
     assert_eq!(limit.get(), 4);
 }
 
+// The first statement is a hundred times shorter than the others: it doesn't pass for the best time.
+#[test]
+fn the_limit_is_not_misled_by_a_first_statement() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut limit = Limit::new(4);
+    limit.record(at(0), Span(10), true);
+    for second in 0..20 {
+        load(&mut limit, &mut random, second, 1, 1.0);
+        assert_eq!(limit.get(), 4);
+    }
+}
+
 // A database that is slow for good, not crowded, has all of its slots back after two windows.
 #[test]
 fn the_limit_learns_a_new_normal() {
