--- a/src/core/gate/slot.rs
+++ b/src/core/gate/slot.rs
@@ -5,8 +5,8 @@
 //! waits for as long as the long ones run, a thousand times its own time.
 //!
 //! Long work may take half of the slots, rounded down, and at least one where there is only one.
-//! With the 2 or 3 slots of today that is one: short work keeps the rest, and long work never
-//! waits for short work as long as its own slot is free.
+//! With the 2 or 3 slots of today that is one, and short work keeps the rest. When long work may
+//! take its slot while short work waits is weighed in [`super::queue`].
 
 use crate::clock::{Span, Time};
 use crate::core::gate::cost::Costs;
--- a/src/core/ramp.rs
+++ b/src/core/ramp.rs
@@ -29,7 +29,7 @@
 /// its slowness to reach the p95 of callers.
 const RETURN: f64 = 0.05;
 
-/// The part of its fair load that a database gets, between [`LEAST`] and 1.
+/// The part of its fair load that a database gets, between `LEAST` and 1.
 #[derive(Debug, Clone, Serialize)]
 pub struct Share {
     value: f64,
--- a/src/experiment/policy.rs
+++ b/src/experiment/policy.rs
@@ -19,7 +19,7 @@
     pub pool: pool::Policy,
     /// Retries.
     pub budget: Budget,
-    /// Whether a session's reads go to the primary for [`STICKY`] after its write, instead of
+    /// Whether a session's reads go to the primary for [`crate::experiment::engine::STICKY`] after its write, instead of
     /// anywhere that has the write.
     pub sticky: bool,
 }
