--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,16 @@
 //! One module for each subcommand, and the error at the command line's edge.
 
+pub mod apply;
+pub mod check;
 pub mod demo;
 pub mod dump;
 pub mod experiment;
+pub mod load;
+pub mod model;
+pub mod schedules;
+pub mod serve;
+pub mod show;
+pub mod slopes;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
--- a/src/core/database.rs
+++ b/src/core/database.rs
@@ -38,7 +38,8 @@
         /// The connection.
         conn: ConnId,
     },
-    /// Carry out an order about terms, on a connection apart from those for work.
+    /// Carry out an order about terms, on a connection apart from those for work. It is always
+    /// answered by one `Event::Controlled`, after `timing.answer` at the latest.
     Control {
         /// Names the answer; never used twice in a process's life.
         id: RequestId,
@@ -98,6 +99,15 @@
     pub lineage: Lineage,
 }
 
+impl State {
+    /// What the log would bring to a promotion: the term that it was opened in last, also where
+    /// nothing has been written since, and its length.
+    pub fn end(&self) -> Position {
+        let opened = self.lineage.last().unwrap_or_default();
+        Position::new(opened.max(self.position.term), self.position.offset)
+    }
+}
+
 /// Why a database did not do what it was told. Nothing was run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
 #[serde(rename_all = "snake_case")]
--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -4,6 +4,8 @@
 mod election;
 mod handover;
 mod lead;
+mod lease;
+mod pass;
 
 use crate::clock::Time;
 use crate::core::detect::{Damper, Detector};
@@ -53,6 +55,8 @@
 #[derive(Debug)]
 struct Evidence {
     silent: BTreeSet<DatabaseId>,
+    /// Other VMs that miss the steward too.
+    witnesses: usize,
     asked: BTreeMap<RequestId, VmId>,
     until: Time,
 }
@@ -62,8 +66,8 @@
 struct Raising {
     promotion: Promotion,
     asked: BTreeMap<RequestId, DatabaseId>,
-    /// The former steward has stopped for good.
-    yielded: bool,
+    /// The term whose steward has stopped for good, if it was handed over.
+    yielded: Option<Term>,
     /// Refused before for a stale idea of the term, which costs no more than another try.
     tries: u32,
     /// Databases that have not answered are waited for until then, once a majority has.
@@ -179,8 +183,9 @@
 
     /// The configuration changed: the group may have other databases.
     ///
-    /// A group's majority is that of the document in force; the change is refused by `check`
-    /// where old and new majorities might not meet.
+    /// A group's majority is that of the document in force. A change that adds or removes more
+    /// than one database at once may leave old and new majorities that do not meet; a checker of
+    /// documents has to refuse it.
     pub fn configure(&mut self, turn: &mut Turn) {
         let found = turn.world.group(&self.group);
         let members: BTreeSet<DatabaseId> = found
@@ -200,7 +205,7 @@
     pub fn tick(&mut self, turn: &mut Turn, quiet: Quiet) {
         match &self.phase {
             Phase::Follow => self.watch_steward(turn),
-            Phase::Gather(evidence) if evidence.until <= turn.now => self.rest(turn),
+            Phase::Gather(evidence) if evidence.until <= turn.now => self.decide_alone(turn),
             Phase::Gather(_) => {}
             Phase::Raise(_) => self.tick_raise(turn),
             Phase::Open(_) => self.tick_open(turn),
@@ -233,6 +238,23 @@
         }
     }
 
+    /// A database was raised to `term` by way of this VM: somebody is taking the group over.
+    ///
+    /// Failure: a VM waits out the former term's window after its raise, and another one, still
+    /// without a sign of life, raises again. Symptom: terms rise without end and nobody leads.
+    /// Enough, because a raise counts as a sign of life for as long as the wait takes, and a
+    /// raiser that dies meanwhile costs no more than that.
+    pub fn saw_raise(&mut self, turn: &Turn, term: Term) {
+        if term <= self.term {
+            return;
+        }
+        if matches!(self.phase, Phase::Follow | Phase::Gather(_)) {
+            self.term = term;
+            self.phase = Phase::Follow;
+            self.watch.heard(turn.now + turn.timing().window);
+        }
+    }
+
     /// Another holder asks whether the steward was heard; a steward asks whether its primary
     /// can be reached from here, which `reached` answers.
     pub fn suspected(
@@ -244,6 +266,7 @@
     ) {
         let heard = match &self.phase {
             Phase::Lead(lead) => lead.serves(turn.now),
+            Phase::Raise(_) | Phase::Open(_) => true,
             _ => !self.watch.suspects(turn.now),
         };
         let answer = Suspected {
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,9 +9,17 @@
 Usage: lentilspoke COMMAND [ARGUMENTS]
 
 Commands:
-    demo        run stand-in databases and proxies in one process
+    serve       run one proxy
+    check       check a configuration file
+    apply       put a configuration file in force
+    show        print the configuration in force
+    load        put load on proxies, and check what callers are told
     dump        print a process's state
+    demo        run stand-in databases and proxies in one process
+    slopes      measure what control costs as nodes and databases grow
     experiment  play patterns of load against the decisions
+    model       search the core protocol's states
+    schedules   play random faults and check what callers are told
 
 `lentilspoke COMMAND --help` tells more about each.
 ";
@@ -37,7 +45,15 @@
     };
     match command.as_str() {
         "demo" => cmd::demo::run(rest),
+        "check" => cmd::check::run(rest),
+        "apply" => cmd::apply::run(rest),
+        "show" => cmd::show::run(rest),
+        "load" => cmd::load::run(rest),
         "dump" => cmd::dump::run(rest),
+        "model" => cmd::model::run(rest),
+        "schedules" => cmd::schedules::run(rest),
+        "serve" => cmd::serve::run(rest),
+        "slopes" => cmd::slopes::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
--- a/src/net/pg/caller.rs
+++ b/src/net/pg/caller.rs
@@ -16,12 +16,15 @@
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::startup::ParameterStatus;
 use std::rc::Rc;
-use tokio::io::AsyncWriteExt;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, sink};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Answers larger than this are sent before the next batch is looked at, in bytes.
 const COALESCE: usize = 16 * 1024;
+/// How long a caller that is closed may take to notice.
+const LINGER: Duration = Duration::from_secs(1);
 /// The answer to a request for encryption: no.
 const NO_ENCRYPTION: &[u8] = b"N";
 
@@ -95,6 +98,8 @@
         let message = frame::encode(&fault.response(true));
         let _ = send(stream, &message).await;
         let _ = stream.shutdown().await;
+        // A close with bytes unread resets the connection, and the caller would lose the message.
+        let _ = tokio::time::timeout(LINGER, tokio::io::copy(stream, &mut sink())).await;
     }
 }
 
@@ -196,11 +201,11 @@
 
     /// Answers the next batch, or waits for more of it.
     async fn step(&mut self) -> Result<(), End> {
-        if self.dismissed && self.status == Status::Idle {
-            return Err(End::Fault(Fault::Dismissed));
-        }
         match self.inbox.next()? {
             Next::Leave => Err(End::Gone),
+            Next::More if self.dismissed && self.status == Status::Idle => {
+                Err(End::Fault(Fault::Dismissed))
+            }
             Next::More => self.wait().await,
             Next::Batch(frames) => {
                 self.answer(&frames).await?;
@@ -264,9 +269,6 @@
     }
 
     async fn run(&mut self, batch: Batch) -> Result<(), End> {
-        if self.over.is_some() {
-            return self.run_over(batch).await;
-        }
         if batch.body.is_empty() {
             let answer = splice(&batch.steps, &[]).map_err(Fault::from)?;
             self.out.extend_from_slice(&answer);
@@ -275,6 +277,9 @@
             }
             return Ok(());
         }
+        if self.over.is_some() {
+            return self.run_over(batch).await;
+        }
         let request = match self.request(&batch) {
             Ok(request) => request,
             Err(fault) => {
--- a/src/net/platform/apply.rs
+++ b/src/net/platform/apply.rs
@@ -19,6 +19,9 @@
 /// The path of the admin address that takes a [`Proposal`] as JSON.
 pub const PATH: &str = "/apply";
 
+/// The path of the admin address that tells what is in force, as JSON of [`Accepted`] or `null`.
+pub const CONFIG_PATH: &str = "/config";
+
 /// A document to apply.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
