Count each life's requests from elsewhere; drop what a lost entry waited for

Change: ids start at a place drawn from the life, and a lost entry's answers are dropped at the steward. Before: both asserts of a_replaced_entry_gets_no_answer_of_its_predecessor fail.

--- a/src/core/acknowledge.rs
+++ b/src/core/acknowledge.rs
@@ -6,7 +6,7 @@
 use crate::core::request::Unknown;
 use crate::core::session::Holding;
 use crate::core::term::{Confirmations, majority};
-use crate::types::{DatabaseId, Offset, SessionId, VmId};
+use crate::types::{DatabaseId, Link, Offset, SessionId, VmId};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -79,6 +79,14 @@
         (reached < furthest).then_some(furthest)
     }
 
+    /// The entry `vm` is gone, or with a `link` one of its callers: nobody is to be told.
+    pub fn depart(&mut self, vm: &VmId, link: Option<Link>) {
+        self.waiting.retain(|waiting| {
+            let job = &waiting.job;
+            job.origin != *vm || link.is_some_and(|link| link != job.work.link)
+        });
+    }
+
     /// `vm` uses its lease on the floor of `session` no more.
     pub fn released(&mut self, session: &SessionId, vm: &VmId) {
         for waiting in &mut self.waiting {
--- a/src/core/node/peer.rs
+++ b/src/core/node/peer.rs
@@ -9,7 +9,7 @@
 use crate::core::request::{Cause, NotRun, Outcome};
 use crate::core::spread;
 use crate::core::world::Errand;
-use crate::types::{DatabaseId, Term, VmId};
+use crate::types::{DatabaseId, Link, Term, VmId};
 use std::sync::Arc;
 
 impl Node {
@@ -22,7 +22,7 @@
                 self.each_holder(out, |holder, turn| holder.cancel(turn, &from, request));
             }
             Message::Depart(link) => {
-                self.each_holder(out, |holder, turn| holder.depart(turn, &from, Some(link)));
+                self.departed(&from, Some(link), out);
             }
             Message::Ask(ask) => {
                 let (group, request) = (ask.group.clone(), ask.request);
@@ -102,6 +102,14 @@
         }
     }
 
+    /// A VM, or one caller at it, is gone: what it has under way here is dropped.
+    fn departed(&mut self, vm: &VmId, link: Option<Link>, out: &mut Vec<Output>) {
+        for steward in self.stewards.values_mut() {
+            steward.departed(vm, link);
+        }
+        self.each_holder(out, |holder, turn| holder.depart(turn, vm, link));
+    }
+
     fn work(&mut self, from: VmId, work: Work, out: &mut Vec<Output>) {
         let (database, request) = (work.database.clone(), work.request);
         let to = from.clone();
@@ -307,7 +315,7 @@
     fn peer_lost(&mut self, vm: &VmId, left: bool, out: &mut Vec<Output>) {
         let (mut turn, parts) = self.turn(out);
         parts.entry.peer_down(&mut turn, vm, left);
-        self.each_holder(out, |holder, turn| holder.depart(turn, vm, None));
+        self.departed(vm, None, out);
         let groups: Vec<_> = self.stewards.keys().cloned().collect();
         for group in groups {
             self.with_steward(&group, out, |steward, turn| steward.peer_down(turn, vm));
--- a/src/core/steward/pass.rs
+++ b/src/core/steward/pass.rs
@@ -12,7 +12,7 @@
 use crate::core::message::{Control, Message};
 use crate::core::request::{Done, Outcome, Unknown};
 use crate::core::world::Turn;
-use crate::types::{Position, Term};
+use crate::types::{Link, Position, Term, VmId};
 
 impl Steward {
     /// The primary answered `job`, which ran under `term`.
@@ -44,6 +44,13 @@
         self.flush(turn);
     }
 
+    /// An entry is gone, or one of its callers: what would be told to it is dropped.
+    pub fn departed(&mut self, vm: &VmId, link: Option<Link>) {
+        if let Some(lead) = self.lead() {
+            lead.acks.depart(vm, link);
+        }
+    }
+
     /// Passes on what may be, ends what waited too long, and asks the replicas for the rest.
     pub(super) fn flush(&mut self, turn: &mut Turn) {
         let now = turn.now;
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -89,7 +89,8 @@
 
 impl World {
     pub fn new(me: Identity) -> Self {
-        let rng = ChaCha8Rng::seed_from_u64(me.life.0);
+        let mut rng = ChaCha8Rng::seed_from_u64(me.life.0);
+        let last_id = first_id(&mut rng);
         Self {
             me,
             config: None,
@@ -106,7 +107,7 @@
             groups: HashMap::new(),
             orders: HashMap::new(),
             mine: None,
-            last_id: 0,
+            last_id,
         }
     }
 
@@ -287,6 +288,16 @@
     }
 }
 
+/// Where a process's ids start.
+///
+/// Failure: a VM is replaced under its name, and an answer to its predecessor's request comes
+/// late. Symptom: a caller gets the answer to another's request, because both processes gave
+/// the same number. Enough, because the lives count from starts drawn from 2^32, a million ids
+/// apart; ids stay short enough that they cost eight bytes on the wire.
+fn first_id(rng: &mut ChaCha8Rng) -> u64 {
+    (rng.next_u64() >> 32) << 20
+}
+
 impl Turn<'_> {
     pub fn id(&mut self) -> RequestId {
         RequestId(self.world.id())
--- a/tests/node_outcome.rs
+++ b/tests/node_outcome.rs
@@ -164,3 +164,40 @@
     }
     assert_eq!(world.told(1)[1], "unknown: Broken");
 }
+
+/// An entry dies while its bookings wait for a majority, and is replaced under its name. The
+/// newcomer counts its requests from elsewhere, and nothing of the old ones is sent to it, so
+/// no caller of its hears an answer to another's request.
+#[test]
+fn a_replaced_entry_gets_no_answer_of_its_predecessor() {
+    let mut world = World::ready(4);
+    let steward = world.steward().unwrap().to_string();
+    let entry: lentilspoke::types::VmId = id(if steward == "vm1" { "vm2" } else { "vm1" });
+    for replica in ["b", "c"] {
+        world.cut("a", replica);
+    }
+    world.write(entry.as_str(), 1, "old");
+    world.run(Span::from_millis(50));
+    world.kill(entry.as_str());
+    world.run(Span::from_millis(300));
+    let before = world.sent.len();
+    world.start(&entry);
+    world.heal();
+    world.run(Span::from_secs(1));
+    world.write(entry.as_str(), 2, "new");
+    world.wait(2, 1);
+    let to_entry = world.sent[before..]
+        .iter()
+        .filter(|(_, _, to, _)| *to == entry);
+    let answers = to_entry.filter(|(_, _, _, message)| matches!(message, Message::Answer(_)));
+    assert_eq!(answers.count(), 1);
+    let mut ids = world
+        .sent
+        .iter()
+        .filter_map(|(_, from, _, message)| match message {
+            Message::Work(work) if *from == entry => Some(work.request.0),
+            _ => None,
+        });
+    let (old, new) = (ids.next().unwrap(), ids.last().unwrap());
+    assert!(old.abs_diff(new) > 1 << 19, "{old} and {new}");
+}
--- a/tests/node_session.rs
+++ b/tests/node_session.rs
@@ -170,3 +170,31 @@
     assert_eq!(world.told(2)[0], "not run: NoPrimary");
     assert!(world.now.since(asked) < Span::from_millis(5));
 }
+
+/// A broker books at two proxies at the same time, and both bookings wait for the replicas. The
+/// second has taken the first proxy's lease back by then. Once both are acknowledged, the first
+/// proxy must not read under the floor of the first booking alone.
+#[test]
+fn an_earlier_booking_renews_no_lease() {
+    let mut world = World::ready(3);
+    world.write_as("vm1", 1, "broker", "lot-0");
+    world.wait(1, 1);
+    for replica in ["b", "c"] {
+        world.cut("a", replica);
+        world.database(replica).lag = Span::from_secs(20);
+    }
+    world.write_as("vm1", 1, "broker", "lot-1");
+    world.run(Span::from_millis(10));
+    world.write_as("vm2", 2, "broker", "lot-2");
+    world.run(Span::from_millis(10));
+    world.heal();
+    world.write("vm0", 3, "lot-3");
+    world.wait(1, 2);
+    world.wait(2, 1);
+    for replica in ["b", "c"] {
+        world.database(replica).applied = 2;
+    }
+    world.read_as("vm1", 1, "broker");
+    world.wait(1, 3);
+    assert_eq!(world.told(1)[2], "done by primary: lot-0,lot-1,lot-2,lot-3");
+}
