--- a/src/standin/fake/mod.rs
+++ b/src/standin/fake/mod.rs
@@ -5,25 +5,25 @@
 //! calls give the same run, so that a failing run can be kept as a test.
 
 mod base;
+mod caller;
 mod link;
+mod platform;
 pub mod script;
 mod wire;
 
 use crate::clock::{Span, Time};
-use crate::config::{Accepted, Document};
+use crate::config::Document;
 use crate::core::database::{Command, Event};
 use crate::core::member::Member;
 use crate::core::message::Message;
 use crate::core::node::{Identity, Input, Node, Output};
-use crate::core::request::{Kind, Outcome, Request};
-use crate::types::{
-    CallerId, ConnId, DatabaseId, Domain, GroupId, Life, Link, PoolId, Position, RequestKey,
-    SessionId, Version, VmId,
-};
+use crate::types::{ConnId, DatabaseId, Domain, Life, Version, VmId};
 pub use base::{Base, Row};
+pub use caller::{Answer, Ask, Ticket};
 use link::Stream;
+pub use platform::Applied;
+use platform::Store;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
 
 /// One way between any two ends.
 const LATENCY: Span = Span(500);
@@ -73,54 +73,6 @@
     version: Version,
 }
 
-/// One request of a caller and what it was told.
-#[derive(Debug, Clone)]
-pub struct Ticket {
-    /// The session that asked.
-    pub session: Box<str>,
-    /// The proxy that it asked.
-    pub vm: VmId,
-    /// What it asked for.
-    pub body: Box<str>,
-    /// Whether it is acknowledged as soon as the primary alone has it.
-    pub fast: bool,
-    /// When it asked.
-    pub asked: Time,
-    /// What it was told, and when; `None` while it waits.
-    pub told: Option<(Time, Answer)>,
-    /// The floor in the token that it was shown with the answer.
-    floor: Option<Position>,
-    link: Link,
-}
-
-/// What a caller sees in the end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Answer {
-    /// It was told this.
-    Outcome(Outcome),
-    /// Its connection broke without an answer.
-    Cut,
-}
-
-/// What a caller asks for.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// The session.
-    pub session: Box<str>,
-    /// The proxy.
-    pub vm: VmId,
-    /// What its batch does.
-    pub kind: Kind,
-    /// The statement: `write KEY=VALUE`, `read KEY`, `begin`, `commit` or `rollback`.
-    pub body: Box<str>,
-    /// The age that it accepts.
-    pub max_age: Option<Span>,
-    /// Its request key.
-    pub key: Option<RequestKey>,
-    /// Whether it uses the pool whose writes are done once the primary has them.
-    pub fast: bool,
-}
-
 /// The whole system.
 #[derive(Debug)]
 pub struct System {
@@ -144,28 +96,6 @@
     store: Store,
 }
 
-/// The platform's store.
-#[derive(Debug)]
-struct Store {
-    accepted: Arc<Accepted>,
-    down: bool,
-    /// The next answers that are lost after the write took effect.
-    lose: u32,
-}
-
-/// What an operator hears of a configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Applied {
-    /// It is accepted as this version.
-    Accepted(Version),
-    /// Another version came first.
-    Lost(Version),
-    /// The store did not answer, and nothing was accepted.
-    Refused,
-    /// The store's answer was lost, and it can't be read back now.
-    Unknown,
-}
-
 /// A name that the fakes themselves give, or a script's.
 fn name<T: std::str::FromStr>(text: &str) -> Option<T> {
     text.parse().ok()
@@ -195,14 +125,7 @@
             links: 0,
             list: vec![(Time::default(), members?)],
             list_lag: Span::ZERO,
-            store: Store {
-                accepted: Arc::new(Accepted {
-                    version: Version(1),
-                    document,
-                }),
-                down: false,
-                lose: 0,
-            },
+            store: Store::new(document),
         };
         for index in 0..vms {
             let vm = member(index)?.vm;
@@ -358,113 +281,6 @@
         self.input(vm, Span::ZERO, Input::Stop);
     }
 
-    /// The platform lists a VM as leaving.
-    pub fn leave(&mut self, vm: &VmId) {
-        let mut members = self.members();
-        for member in members.iter_mut().filter(|member| member.vm == *vm) {
-            member.leaving = true;
-        }
-        self.list.push((self.now, members));
-    }
-
-    /// The platform's list is late by `lag` from now on.
-    pub fn lag_list(&mut self, lag: Span) {
-        self.list_lag = lag;
-    }
-
-    /// The store is down, or up again.
-    pub fn store_down(&mut self, down: bool) {
-        self.store.down = down;
-    }
-
-    /// The store's next answer to a write is lost after the write took effect.
-    pub fn store_loses_answer(&mut self) {
-        self.store.lose += 1;
-    }
-
-    /// An operator changes the configuration that was in force as version `base`.
-    pub fn apply(&mut self, base: Version, change: impl FnOnce(&mut Document)) -> Applied {
-        if self.store.down {
-            return Applied::Refused;
-        }
-        let current = &self.store.accepted;
-        if current.version != base {
-            return Applied::Lost(current.version);
-        }
-        let mut document = current.document.clone();
-        change(&mut document);
-        let version = base.next();
-        self.store.accepted = Arc::new(Accepted { version, document });
-        if self.store.lose > 0 {
-            self.store.lose -= 1;
-            return Applied::Unknown;
-        }
-        Applied::Accepted(version)
-    }
-
-    /// The version that the store holds.
-    pub fn stored(&self) -> Version {
-        self.store.accepted.version
-    }
-
-    /// A caller asks; the answer comes to the ticket of the number returned.
-    pub fn ask(&mut self, ask: Ask) -> usize {
-        let link = self.link_of(&ask);
-        // Only where a write may be lost does a caller need its token, to hear of that.
-        let last = self
-            .tickets
-            .iter()
-            .rev()
-            .filter(|t| t.session == ask.session);
-        let shown = last.filter(|_| ask.fast).find_map(|ticket| ticket.floor);
-        let number = self.tickets.len();
-        let gone = !self.machines.contains_key(&ask.vm);
-        self.tickets.push(Ticket {
-            session: ask.session.clone(),
-            vm: ask.vm.clone(),
-            body: ask.body.clone(),
-            fast: ask.fast,
-            asked: self.now,
-            told: gone.then_some((self.now, Answer::Cut)),
-            floor: None,
-            link,
-        });
-        let names = (name::<GroupId>("ledger"), name::<CallerId>("broker"));
-        let pool = name::<PoolId>(if ask.fast { "fast" } else { "safe" });
-        let ((Some(group), Some(caller)), Some(pool)) = (names, pool) else {
-            return number;
-        };
-        let request = Request {
-            link,
-            session: name::<SessionId>(&ask.session),
-            caller,
-            pool,
-            group,
-            kind: ask.kind,
-            max_age: ask.max_age,
-            key: ask.key,
-            shown,
-            deadline: self.now + PATIENCE,
-            body: ask.body.to_string().into(),
-        };
-        self.input(&ask.vm, Span::ZERO, Input::Submit(request));
-        number
-    }
-
-    /// The session's connection to the proxy, or a new one while that is busy.
-    fn link_of(&mut self, ask: &Ask) -> Link {
-        let same = |t: &&Ticket| t.session == ask.session && t.vm == ask.vm;
-        let last = self.tickets.iter().rev().find(same);
-        let usable = last.filter(|t| matches!(t.told, Some((_, Answer::Outcome(_)))));
-        match usable {
-            Some(ticket) => ticket.link,
-            None => {
-                self.links += 1;
-                Link(self.links)
-            }
-        }
-    }
-
     /// Lets time pass.
     pub fn run(&mut self, span: Span) {
         let until = self.now + span;
@@ -512,18 +328,6 @@
         }
     }
 
-    fn members(&self) -> Vec<Member> {
-        self.list.last().map(|(_, m)| m.clone()).unwrap_or_default()
-    }
-
-    /// The list as the platform shows it now.
-    fn listed(&self) -> Vec<Member> {
-        let shown = self.now - self.list_lag;
-        let mut known = self.list.iter().rev();
-        let found = known.find(|(from, _)| *from <= shown);
-        found.map(|(_, m)| m.clone()).unwrap_or_default()
-    }
-
     fn output(&mut self, vm: &VmId, life: Life, output: Output) {
         match output {
             Output::Reply {
@@ -539,18 +343,6 @@
             Output::Stopped => self.kill(vm),
         }
     }
-
-    fn reply(&mut self, vm: &VmId, link: Link, outcome: Outcome, floor: Option<Position>) {
-        let now = self.now;
-        let waits = |t: &&mut Ticket| t.link == link && t.vm == *vm && t.told.is_none();
-        match self.tickets.iter_mut().rev().find(waits) {
-            Some(ticket) => {
-                ticket.told = Some((now, Answer::Outcome(outcome)));
-                ticket.floor = floor;
-            }
-            None => self.wrong.push("an answer that nobody waits for".into()),
-        }
-    }
 }
 
 fn member(index: usize) -> Option<Member> {
@@ -561,11 +353,3 @@
         leaving: false,
     })
 }
-
-/// Where a write ended, if the answer says so.
-pub fn wrote(answer: &Answer) -> Option<Position> {
-    match answer {
-        Answer::Outcome(Outcome::Done(done)) => done.wrote,
-        _ => None,
-    }
-}
