Replace a primary whose log reaches no replica

Cause: a primary cut off from its replicas, but not from its steward, was never silent and so never replaced; no write was acknowledged while the cut lasted. Ruled out: a lost or false acknowledgement. Change: replicas that answer while writes wait and no log moves for the suspicion span are raised to the next term, and the cut-off primary is left out of the choice where a majority stands without it; it is kept while an acknowledged write is on it alone. A first term counts as no change for the damping. A read that broke at a primary is not tried again, since it may have written.

--- a/src/core/acknowledge.rs
+++ b/src/core/acknowledge.rs
@@ -17,6 +17,8 @@
     members: usize,
     waiting: Vec<Waiting>,
     reached: BTreeMap<DatabaseId, Offset>,
+    /// The end of the furthest write that was passed on.
+    passed: Offset,
 }
 
 /// One answer that waits.
@@ -44,6 +46,7 @@
             members,
             waiting: Vec::new(),
             reached: BTreeMap::new(),
+            passed: Offset::default(),
         }
     }
 
@@ -79,6 +82,19 @@
         (reached < furthest).then_some(furthest)
     }
 
+    /// Whether any answer waits for replicas that lack its write.
+    pub fn is_short(&self) -> bool {
+        let held = self.majority_holds();
+        let mut durable = self.waiting.iter().filter_map(|waiting| waiting.durable);
+        durable.any(|offset| offset > held)
+    }
+
+    /// Whether a write was passed on that only the primary is known to have, as callers may who
+    /// ask for no majority: a majority without the primary would lose it.
+    pub fn has_unshared(&self) -> bool {
+        self.passed > self.majority_holds()
+    }
+
     /// The entry `vm` is gone, or with a `link` one of its callers: nobody is to be told.
     pub fn depart(&mut self, vm: &VmId, link: Option<Link>) {
         self.waiting.retain(|waiting| {
@@ -110,7 +126,10 @@
             let durable = waiting.durable.is_none_or(|offset| offset <= held);
             durable && waiting.leases.iter().all(|lease| lease.until <= now)
         };
-        self.waiting.extract_if(.., passes).collect()
+        let ready: Vec<Waiting> = self.waiting.extract_if(.., passes).collect();
+        let wrote = ready.iter().filter_map(|waiting| waiting.reply.wrote);
+        self.passed = wrote.map(|end| end.offset).fold(self.passed, Offset::max);
+        ready
     }
 
     /// Takes out what nobody has a use for any more, with what its caller is to be told.
--- a/src/core/detect.rs
+++ b/src/core/detect.rs
@@ -46,6 +46,37 @@
     }
 }
 
+/// Watches whether the log of a primary that answers still reaches its replicas.
+///
+/// **Pattern answered.** A primary that is cut off from its replicas, but neither from its steward
+/// nor from callers.
+/// **Without it** the primary is never silent, so it is never replaced, and no write is
+/// acknowledged for as long as the cut lasts. A replica that is far behind but receives the log
+/// is no such case: any progress starts the watch anew, so that load alone replaces nobody.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Stall {
+    /// The sum of the replicas' log ends when the watch began.
+    progress: u64,
+    /// When writes that wait without progress become suspicious.
+    suspicious: Option<Time>,
+}
+
+impl Stall {
+    /// Looks at the replicas now: whether writes wait for them, and the sum of their log ends.
+    /// Returns whether they have waited for `suspicion` while no log moved.
+    pub fn look(&mut self, now: Time, waiting: bool, progress: u64, suspicion: Span) -> bool {
+        if !waiting {
+            self.suspicious = None;
+            return false;
+        }
+        if self.suspicious.is_none() || self.progress != progress {
+            self.progress = progress;
+            self.suspicious = Some(now + suspicion);
+        }
+        self.suspicious.is_some_and(|suspicious| suspicious <= now)
+    }
+}
+
 /// Changes of primary that are within the damping span once, without doubling it. A rack switch
 /// may take a primary and its successor; a third change in a row is flapping.
 const FREE_CHANGES: u32 = 2;
--- a/src/core/entry/answer.rs
+++ b/src/core/entry/answer.rs
@@ -138,7 +138,9 @@
             view.router.failed(turn.now, &sent.database);
         }
         let idempotent = match request.kind {
-            Kind::Read => true,
+            // A replica can't write. A primary can, if what looked like a read calls a function
+            // that does: run twice, it would be doubled.
+            Kind::Read => !sent.primary,
             Kind::Write => request.key.is_some(),
             Kind::BeginRead | Kind::Begin | Kind::Continue => false,
         };
--- a/src/core/steward/election.rs
+++ b/src/core/steward/election.rs
@@ -170,6 +170,14 @@
         });
     }
 
+    /// Raises the term to replace `primary`, whose log does not reach the others.
+    pub(super) fn raise_without(&mut self, turn: &mut Turn, primary: DatabaseId) {
+        self.raise(turn, self.term.next(), None, 0);
+        if let Phase::Raise(raising) = &mut self.phase {
+            raising.promotion.leave_out(primary);
+        }
+    }
+
     /// Sends an order to a database by way of its holder, unless that is the VM under suspicion.
     pub(super) fn order(&self, turn: &mut Turn, id: &DatabaseId, order: Order) -> RequestId {
         let request = turn.id();
@@ -252,6 +260,7 @@
             return;
         }
         let tries = raising.tries + 1;
+        let left_out = raising.promotion.left_out().cloned();
         turn.world.counters.promotions_abandoned += 1;
         self.term = self.term.max(higher);
         if tries >= TRIES {
@@ -259,6 +268,9 @@
         }
         // A higher term than the one handed over may have confirmations of its own.
         self.raise(turn, self.term.next(), None, tries);
+        if let (Phase::Raise(raising), Some(primary)) = (&mut self.phase, left_out) {
+            raising.promotion.leave_out(primary);
+        }
     }
 
     pub(super) fn tick_raise(&mut self, turn: &mut Turn) {
--- a/src/core/steward/handover.rs
+++ b/src/core/steward/handover.rs
@@ -1,10 +1,11 @@
 //! What a leading steward does with time: probes, a silent primary, and giving its lead up in
 //! an orderly way.
 
-use super::lead::Doubt;
+use super::lead::{Doubt, Replica};
 use super::{Phase, Quiet, Steward};
 use crate::clock::Time;
 use crate::core::message::{Message, Suspect, Suspected, Yield};
+use crate::core::term::majority;
 use crate::core::world::Turn;
 use crate::types::VmId;
 use serde::Serialize;
@@ -28,6 +29,7 @@
         }
         self.check_terms(turn);
         self.check_primary(turn);
+        self.check_replication(turn);
         self.check_handover(turn, quiet);
     }
 
@@ -61,6 +63,36 @@
         }
     }
 
+    /// Failure: the primary is cut off from its replicas, but answers here. Symptom: writes wait
+    /// for a majority that never has them. Enough, because replicas that answer, yet whose logs
+    /// stand still, are a majority without the primary and can go on without it. Where a write
+    /// that only the primary has was acknowledged (`durability: primary`), the primary is kept:
+    /// a write that waits is better than an acknowledged one that is lost.
+    fn check_replication(&mut self, turn: &mut Turn) {
+        let (now, allowed) = (turn.now, self.damper.allows_at());
+        let suspicion = turn.timing().suspicion;
+        let needed = majority(self.members.len());
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        let waiting = lead.acks.is_short();
+        let progress = lead
+            .replicas
+            .values()
+            .map(|replica| replica.end.offset.0)
+            .sum();
+        let stalled = lead.stall.look(now, waiting, progress, suspicion);
+        let alive = |replica: &&Replica| replica.answered_since(now - suspicion);
+        let enough = lead.replicas.values().filter(alive).count() >= needed;
+        let free = lead.handover.is_none() && !lead.acks.has_unshared();
+        if stalled && enough && free && allowed <= now {
+            let primary = lead.leader.database.clone();
+            log::warn!(group:% = self.group, primary:%; "its log reaches no replica: replacing it");
+            self.step_down(turn);
+            self.raise_without(turn, primary);
+        }
+    }
+
     fn ask_others(&mut self, turn: &mut Turn) {
         let group = self.group.clone();
         let mut asked = BTreeMap::new();
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -5,7 +5,7 @@
 use crate::clock::{Span, Time};
 use crate::core::acknowledge::{Acknowledgements, Progress, Waiting};
 use crate::core::database::{Order, Refusal, State};
-use crate::core::detect::Detector;
+use crate::core::detect::{Detector, Stall};
 use crate::core::holder::Role;
 use crate::core::lineage::Lineage;
 use crate::core::message::{Control, Controlled, Fresh, Message, Primary, Probe, Report};
@@ -36,6 +36,7 @@
     pub(super) probe_at: Time,
     pub(super) handover: Option<Handover>,
     pub(super) doubt: Option<Doubt>,
+    pub(super) stall: Stall,
     served: bool,
 }
 
@@ -53,6 +54,8 @@
     rounds: BTreeMap<RequestId, Time>,
     /// The last report's round, and when it arrived.
     report: Option<(RequestId, Time)>,
+    /// When its database answered a probe last.
+    answered: Time,
     /// The end of its log.
     pub end: Position,
     /// Since when it has been found in a higher term, which nobody leads.
@@ -151,7 +154,11 @@
         let replicas = others.map(|id| (id.clone(), Replica::default())).collect();
         let members = self.members.len();
         self.term = leader.term;
-        self.damper.promoted(turn.now, timing.damping);
+        // A first term, or another steward for the same primary, is no change of primary.
+        let former = turn.world.leaders.get(&self.group);
+        if former.is_some_and(|former| former.database != leader.database) {
+            self.damper.promoted(turn.now, timing.damping);
+        }
         let lead = Lead {
             confirmations: Confirmations::new(leader.term, leader.database.clone(), members),
             primary_watch: Detector::new(turn.now, timing.suspicion),
@@ -164,6 +171,7 @@
             probe_at: turn.now,
             handover: None,
             doubt: None,
+            stall: Stall::default(),
             served: false,
             leader,
         };
@@ -235,6 +243,7 @@
         let Some(found) = report.found else {
             return;
         };
+        replica.answered = now;
         replica.end = found.position;
         replica.higher = (found.term > term).then(|| replica.higher.unwrap_or(now));
         if found.term == term {
@@ -351,6 +360,11 @@
 }
 
 impl Replica {
+    /// Whether its database answered a probe at `time` or later.
+    pub(super) fn answered_since(&self, time: Time) -> bool {
+        self.answered >= time
+    }
+
     fn asked(&mut self, round: RequestId, now: Time) {
         if self.rounds.len() == ROUNDS_KEPT {
             self.rounds.pop_first();
--- a/src/core/term.rs
+++ b/src/core/term.rs
@@ -122,6 +122,8 @@
     opens: Option<Time>,
     /// The database that was ordered to open, once one was.
     ordered: Option<DatabaseId>,
+    /// A primary that is cut off from the others.
+    left_out: Option<DatabaseId>,
 }
 
 impl Promotion {
@@ -134,6 +136,7 @@
             settled: None,
             opens: None,
             ordered: None,
+            left_out: None,
         }
     }
 
@@ -185,6 +188,22 @@
         self.raised.len() == self.members.len()
     }
 
+    /// Leaves `database`, whose log does not reach the others, out of the choice where a
+    /// majority is raised without it.
+    ///
+    /// Failure: a primary is cut off from its replicas and goes on writing, so that its log goes
+    /// furthest. Symptom: it is chosen again, and no write is acknowledged for as long as the
+    /// cut lasts. Enough, because a majority without it holds all that a majority ever held;
+    /// what it has beyond that was acknowledged to nobody who asked for a majority.
+    pub fn leave_out(&mut self, database: DatabaseId) {
+        self.left_out = Some(database);
+    }
+
+    /// The database that is left out of the choice.
+    pub fn left_out(&self) -> Option<&DatabaseId> {
+        self.left_out.as_ref()
+    }
+
     /// The database to open: the one of those raised whose log goes furthest, by term and then
     /// offset. `None` before a majority has been raised.
     ///
@@ -203,10 +222,19 @@
     ) -> Option<(&DatabaseId, Position)> {
         self.settled?;
         let rank = |id| (!avoid(id), std::cmp::Reverse(id));
-        let best = self
-            .raised
-            .iter()
-            .max_by_key(|(id, end)| (**end, rank(*id)))?;
+        let others = || {
+            let left_out = self.left_out.as_ref();
+            self.raised
+                .iter()
+                .filter(move |(id, _)| Some(*id) != left_out)
+        };
+        let best = if others().count() >= majority(self.members.len()) {
+            others().max_by_key(|(id, end)| (**end, rank(*id)))?
+        } else {
+            self.raised
+                .iter()
+                .max_by_key(|(id, end)| (**end, rank(*id)))?
+        };
         Some((best.0, *best.1))
     }
 
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -125,23 +125,25 @@
 }
 
 /// The primary of one group is cut off from its replicas, but neither from the proxies nor the
-/// callers: what it commits from there on may vanish. Callers hear "outcome unknown" meanwhile,
-/// and nothing that they were told is undone once the cut heals.
+/// callers: what it commits from there on will vanish. None of that is told to be done; the group
+/// gets another primary, and when the cut heals nothing that was told is undone.
 #[actix_rt::test]
-async fn a_primary_cut_off_from_its_replicas_acknowledges_nothing_that_vanishes() {
+async fn a_primary_cut_off_from_its_replicas_is_replaced() {
     let demo = start().await;
     let first = group(&demo, "ledger1");
     let mut plan = plan(&demo);
-    plan.duration = Span::from_secs(5);
-    let cut_off = first.primary().unwrap();
+    plan.duration = Span::from_secs(10);
+    plan.callers = 6;
+    let before = first.primary().unwrap();
     let faults = async {
         tokio::time::sleep(Duration::from_secs(1)).await;
-        first.isolate(&cut_off, true);
-        tokio::time::sleep(Duration::from_secs(3)).await;
-        first.isolate(&cut_off, false);
+        first.isolate(&before, true);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        first.isolate(&before, false);
     };
     let (report, ()) = futures_util::join!(load::run(&plan, |_| ()), faults);
     assert!(report.is_clean(), "{report}");
+    assert_ne!(first.primary().unwrap(), before);
 }
 
 #[test]
--- a/tests/node_term.rs
+++ b/tests/node_term.rs
@@ -167,3 +167,50 @@
     world.write(&entry, 1, "lot-1");
     assert!(matches!(world.wait(1, 1), Outcome::Done(_)));
 }
+
+/// The primary is cut off from its replicas, but answers its steward. A booking waits for a
+/// majority that never has it; the steward sees that no log moves, promotes a replica although the
+/// primary's log goes further, and the caller hears "outcome unknown" for the booking that stays
+/// behind. The next booking is done at the new primary.
+#[test]
+fn a_primary_that_no_replica_follows_is_replaced() {
+    let mut world = World::ready(3);
+    let before = world.primary().unwrap();
+    for other in ["a", "b", "c"] {
+        world.cut(&before, other);
+    }
+    world.write("vm1", 1, "lot-1");
+    world.wait(1, 1);
+    assert!(
+        world.told(1)[0].starts_with("unknown"),
+        "{:?}",
+        world.told(1)
+    );
+    world.run(Span::from_secs(3));
+    assert_ne!(world.primary().unwrap(), before);
+    world.write("vm1", 2, "lot-2");
+    world.wait(2, 1);
+    assert!(world.told(2)[0].starts_with("done"), "{:?}", world.told(2));
+}
+
+/// A replica is far behind and the other one dead. The log still moves, so that the primary is
+/// not to blame: the booking is done, late, and nobody is replaced.
+#[test]
+fn a_primary_whose_replicas_lag_is_kept() {
+    let mut stall = lentilspoke::core::detect::Stall::default();
+    let suspicion = Span::from_secs(1);
+    let second = |n: u64| lentilspoke::clock::Time(n * 1_000_000);
+    let moving: Vec<bool> = (0..5)
+        .map(|n| stall.look(second(n), true, n, suspicion))
+        .collect();
+    assert_eq!(moving, [false; 5]);
+    assert!(!stall.look(second(5), false, 4, suspicion), "nothing waits");
+    assert!(
+        !stall.look(second(6), true, 4, suspicion),
+        "a new wait starts afresh"
+    );
+    assert!(
+        stall.look(second(7), true, 4, suspicion),
+        "no log moved for the whole span"
+    );
+}
