--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -36,6 +36,8 @@
     pub connections: BTreeMap<(VmId, ConnId), Option<Vec<String>>>,
     /// The next answers that are lost after the effect.
     pub lose_answers: u32,
+    /// The next statements that are refused unrun.
+    pub refuse: u32,
     pub runs: u64,
     waits: Vec<(VmId, RequestId, Position)>,
     opened: bool,
@@ -57,6 +59,7 @@
             work: Span::ZERO,
             connections: BTreeMap::new(),
             lose_answers: 0,
+            refuse: 0,
             runs: 0,
             waits: Vec::new(),
             opened: false,
@@ -185,6 +188,10 @@
                 refusal,
             })
         };
+        if self.refuse > 0 {
+            self.refuse -= 1;
+            return refuse(Refusal::KeyBusy);
+        }
         if run.term.is_some_and(|term| term != self.term) {
             return refuse(Refusal::Term(self.term));
         }
