--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::{Span, Time};
 use crate::core::message::{Message, Work};
+use crate::core::node::Output;
 use crate::core::recent::Recent;
 use crate::core::request::{Cause, Class, Kind, NotRun, Outcome, Request, Unknown};
 use crate::core::retry::Budget;
@@ -354,8 +355,7 @@
             caller.under_way = false;
             turn.reply(request.link, outcome, floor);
             if turn.world.stopping && caller.is_idle() {
-                turn.out
-                    .push(crate::core::node::Output::Dismiss(request.link));
+                turn.out.push(Output::Dismiss(request.link));
             }
         }
     }
@@ -413,7 +413,7 @@
         let mut idle: Vec<Link> = idle.map(|(link, _)| *link).collect();
         idle.sort_unstable();
         for link in idle {
-            turn.out.push(crate::core::node::Output::Dismiss(link));
+            turn.out.push(Output::Dismiss(link));
         }
     }
 
--- a/src/core/entry/leader.rs
+++ b/src/core/entry/leader.rs
@@ -3,7 +3,7 @@
 use super::{Asking, Entry, Pending};
 use crate::clock::{Span, Time};
 use crate::core::message::{Ask, Message, Primary};
-use crate::core::request::{Cause, Kind};
+use crate::core::request::{Cause, Kind, Unknown};
 use crate::core::world::Turn;
 use crate::types::{GroupId, Link, RequestId, Term, VmId};
 use std::collections::VecDeque;
@@ -245,7 +245,7 @@
             self.release(turn, &sent.pending.request, &sent.vm);
         }
         match (left, continues) {
-            (true, _) => self.unknown(turn, sent, crate::core::request::Unknown::PeerLost),
+            (true, _) => self.unknown(turn, sent, Unknown::PeerLost),
             (false, true) => self.not_run(turn, sent.pending, Cause::RolledBack, Span::ZERO),
             (false, false) => self.dispatch(turn, sent.pending),
         }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -11,7 +11,7 @@
 use crate::core::lineage::Standing;
 use crate::core::message::{Hint, Primary, Work};
 use crate::core::pool::Pool;
-use crate::core::request::{Cause, Kind, NotRun, Unknown};
+use crate::core::request::{Cause, Class, Kind, NotRun, Unknown};
 use crate::core::world::{Errand, Turn};
 use crate::types::{ConnId, DatabaseId, GroupId, Link, Position, RequestId, Term, VmId};
 use connection::{Connection, Transaction};
@@ -352,7 +352,7 @@
 
 fn silence(timing: Timing, job: &Job, now: Time) -> Time {
     let answer = now + timing.answer;
-    if job.work.class == crate::core::request::Class::Long {
+    if job.work.class == Class::Long {
         return answer.max(job.deadline);
     }
     answer
--- /dev/null
+++ b/tests/support/caller.rs
@@ -0,0 +1,75 @@
+//! Callers' requests, in a few words each.
+
+use super::{World, id};
+use lentilspoke::clock::Span;
+use lentilspoke::core::node::Input;
+use lentilspoke::core::request::{Kind, Outcome, Request};
+use lentilspoke::types::{Link, RequestKey};
+
+impl World {
+    /// A request at a proxy; the answer is in `told`.
+    pub fn submit(&mut self, vm: &str, request: Request) {
+        self.input(&id(vm), Input::Submit(request));
+    }
+
+    pub fn request(&self, link: u64, kind: Kind, body: &str) -> Request {
+        Request {
+            link: Link(link),
+            session: None,
+            caller: id("broker"),
+            pool: id("safe"),
+            group: id("ledger"),
+            kind,
+            max_age: None,
+            key: None::<RequestKey>,
+            shown: None,
+            deadline: self.now + Span::from_secs(5),
+            body: body.to_owned().into(),
+        }
+    }
+
+    pub fn write(&mut self, vm: &str, link: u64, text: &str) {
+        let request = self.request(link, Kind::Write, &format!("w {text}"));
+        self.submit(vm, request);
+    }
+
+    pub fn read(&mut self, vm: &str, link: u64) {
+        let request = self.request(link, Kind::Read, "r");
+        self.submit(vm, request);
+    }
+
+    /// A statement of a transaction, or one that opens it.
+    pub fn say(&mut self, vm: &str, link: u64, body: &str) {
+        let kind = if body == "begin" {
+            Kind::Begin
+        } else {
+            Kind::Continue
+        };
+        let request = self.request(link, kind, body);
+        self.submit(vm, request);
+    }
+
+    pub fn write_as(&mut self, vm: &str, link: u64, session: &str, text: &str) {
+        let mut request = self.request(link, Kind::Write, &format!("w {text}"));
+        request.session = Some(id(session));
+        self.submit(vm, request);
+    }
+
+    pub fn read_as(&mut self, vm: &str, link: u64, session: &str) {
+        let mut request = self.request(link, Kind::Read, "r");
+        request.session = Some(id(session));
+        self.submit(vm, request);
+    }
+}
+
+/// An outcome in a few words.
+pub fn short(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Done(done) => {
+            let by = if done.replica { "replica" } else { "primary" };
+            format!("done by {by}: {}", String::from_utf8_lossy(&done.body))
+        }
+        Outcome::NotRun(not_run) => format!("not run: {:?}", not_run.cause),
+        Outcome::Unknown(unknown) => format!("unknown: {unknown:?}"),
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,8 +2,11 @@
 
 #![allow(dead_code)]
 
+mod caller;
 mod database;
+mod stream;
 
+pub use caller::short;
 use database::Database;
 use lentilspoke::clock::{Span, Time};
 use lentilspoke::config::{Accepted, Document};
@@ -11,10 +14,11 @@
 use lentilspoke::core::member::Member;
 use lentilspoke::core::message::Message;
 use lentilspoke::core::node::{Identity, Input, Node, Output};
-use lentilspoke::core::request::{Kind, Outcome, Request};
-use lentilspoke::types::{ConnId, DatabaseId, Life, Link, Position, RequestKey, Version, VmId};
+use lentilspoke::core::request::Outcome;
+use lentilspoke::types::{ConnId, DatabaseId, Life, Link, Position, Version, VmId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
+use stream::Stream;
 
 /// One way between any two ends.
 pub const LATENCY: Span = Span(500);
@@ -37,15 +41,6 @@
     Apply(DatabaseId, usize),
 }
 
-/// The stream between two VMs.
-#[derive(Debug, Default)]
-struct Stream {
-    number: u64,
-    open: bool,
-    /// Nothing passes any more, which is not noticed yet.
-    broken: bool,
-}
-
 /// What a caller was told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Told {
@@ -193,61 +188,6 @@
         }
     }
 
-    fn stream(&mut self, one: &VmId, other: &VmId) -> &mut Stream {
-        let pair = if one < other {
-            (one, other)
-        } else {
-            (other, one)
-        };
-        self.streams
-            .entry((pair.0.clone(), pair.1.clone()))
-            .or_default()
-    }
-
-    fn open(&mut self, one: &VmId, other: &VmId) {
-        let stream = self.stream(one, other);
-        stream.number += 1;
-        (stream.open, stream.broken) = (true, false);
-        for (vm, peer) in [(one, other), (other, one)] {
-            // What is known of an earlier stream comes first.
-            if self.down.get(&(vm.clone(), peer.clone())) == Some(&false) {
-                self.tell_down(vm, peer);
-            }
-            self.input(vm, Input::PeerUp(peer.clone()));
-        }
-    }
-
-    fn tell_down(&mut self, vm: &VmId, peer: &VmId) {
-        self.down.insert((vm.clone(), peer.clone()), true);
-        self.input(vm, Input::PeerDown(peer.clone()));
-    }
-
-    /// Breaks the stream between two VMs, if there is one; that is noticed after a while.
-    fn sever(&mut self, one: &VmId, other: &VmId) {
-        let stream = self.stream(one, other);
-        if stream.open && !stream.broken {
-            stream.broken = true;
-            let number = stream.number;
-            self.later(NOTICE, Coming::Break(one.clone(), other.clone(), number));
-        }
-    }
-
-    fn post(&mut self, from: &VmId, to: VmId, message: Message) {
-        if self.down.contains_key(&(from.clone(), to.clone())) {
-            return;
-        }
-        let unreachable = self.is_cut(from.as_str(), to.as_str()) || !self.nodes.contains_key(&to);
-        if !self.stream(from, &to).open {
-            if unreachable {
-                self.down.insert((from.clone(), to.clone()), false);
-                return self.later(NOTICE, Coming::Down(from.clone(), to));
-            }
-            self.open(from, &to);
-        }
-        let number = self.stream(from, &to).number;
-        self.later(LATENCY, Coming::Message(from.clone(), to, number, message));
-    }
-
     pub fn accepted(&self) -> Arc<Accepted> {
         Arc::new(Accepted {
             version: Version(1 + self.version),
@@ -309,11 +249,6 @@
         }
     }
 
-    /// A request at a proxy; the answer is in `told`.
-    pub fn submit(&mut self, vm: &str, request: Request) {
-        self.input(&id(vm), Input::Submit(request));
-    }
-
     pub fn input(&mut self, vm: &VmId, input: Input) {
         self.later(Span::ZERO, Coming::Input(vm.clone(), input));
     }
@@ -550,55 +485,6 @@
     pub fn database(&mut self, name: &str) -> &mut Database {
         self.databases.get_mut(&id::<DatabaseId>(name)).unwrap()
     }
-
-    pub fn request(&self, link: u64, kind: Kind, body: &str) -> Request {
-        Request {
-            link: Link(link),
-            session: None,
-            caller: id("broker"),
-            pool: id("safe"),
-            group: id("ledger"),
-            kind,
-            max_age: None,
-            key: None::<RequestKey>,
-            shown: None,
-            deadline: self.now + Span::from_secs(5),
-            body: body.to_owned().into(),
-        }
-    }
-
-    pub fn write(&mut self, vm: &str, link: u64, text: &str) {
-        let request = self.request(link, Kind::Write, &format!("w {text}"));
-        self.submit(vm, request);
-    }
-
-    pub fn read(&mut self, vm: &str, link: u64) {
-        let request = self.request(link, Kind::Read, "r");
-        self.submit(vm, request);
-    }
-
-    /// A statement of a transaction, or one that opens it.
-    pub fn say(&mut self, vm: &str, link: u64, body: &str) {
-        let kind = if body == "begin" {
-            Kind::Begin
-        } else {
-            Kind::Continue
-        };
-        let request = self.request(link, kind, body);
-        self.submit(vm, request);
-    }
-
-    pub fn write_as(&mut self, vm: &str, link: u64, session: &str, text: &str) {
-        let mut request = self.request(link, Kind::Write, &format!("w {text}"));
-        request.session = Some(id(session));
-        self.submit(vm, request);
-    }
-
-    pub fn read_as(&mut self, vm: &str, link: u64, session: &str) {
-        let mut request = self.request(link, Kind::Read, "r");
-        request.session = Some(id(session));
-        self.submit(vm, request);
-    }
 }
 
 fn member(index: usize) -> Member {
@@ -610,15 +496,3 @@
         leaving: false,
     }
 }
-
-/// An outcome in a few words.
-pub fn short(outcome: &Outcome) -> String {
-    match outcome {
-        Outcome::Done(done) => {
-            let by = if done.replica { "replica" } else { "primary" };
-            format!("done by {by}: {}", String::from_utf8_lossy(&done.body))
-        }
-        Outcome::NotRun(not_run) => format!("not run: {:?}", not_run.cause),
-        Outcome::Unknown(unknown) => format!("unknown: {unknown:?}"),
-    }
-}
