Send nothing to a peer whose break the core has not heard of; admit callers once configured

Cause: work sent between a stream's break and its handling could be sent twice, and a VM that had just started told callers that no pool serves them. Change: sends are dropped until the break is taken; callers are admitted once a configuration is known. Figures: a test for the first.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -90,6 +90,8 @@
     book: RefCell<HashMap<VmId, SocketAddr>>,
     pairs: RefCell<HashMap<VmId, Pair>>,
     serial: Cell<u64>,
+    /// `Down` events that were emitted and not taken yet.
+    untold: RefCell<HashMap<VmId, u32>>,
 }
 
 #[derive(Debug)]
@@ -186,6 +188,7 @@
             book: RefCell::default(),
             pairs: RefCell::default(),
             serial: Cell::new(0),
+            untold: RefCell::default(),
         });
         actix_rt::spawn(check(Rc::downgrade(&peers)));
         peers
@@ -228,7 +231,14 @@
     }
 
     /// Sends `message`, opening a stream if there is none.
+    ///
+    /// Failure: a stream breaks, and work is sent before the core has heard of it. Symptom: the
+    /// core takes that work for lost with the old stream and sends it again, and it runs twice.
+    /// Enough, because nothing is sent to a VM until its `Down` was taken.
     pub fn send(self: &Rc<Self>, to: VmId, message: Message) {
+        if self.untold.borrow().contains_key(&to) {
+            return;
+        }
         let mut pairs = self.pairs.borrow_mut();
         match pairs.get_mut(&to) {
             Some(Pair::Open { streams, .. }) if !streams.is_empty() => streams[0].send(message),
@@ -278,7 +288,21 @@
             .count()
     }
 
+    /// The core is about to hear of a `Down` of `vm`.
+    pub fn taken_down(&self, vm: &VmId) {
+        let mut untold = self.untold.borrow_mut();
+        if let Some(count) = untold.get_mut(vm) {
+            *count -= 1;
+            if *count == 0 {
+                untold.remove(vm);
+            }
+        }
+    }
+
     fn emit(&self, event: Event) {
+        if let Event::Down(vm) = &event {
+            *self.untold.borrow_mut().entry(vm.clone()).or_default() += 1;
+        }
         // The receiver goes away only when the process ends.
         let _ = self.events.send(event);
     }
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -10,8 +10,11 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
+const CONFIGURED_CHECK: Duration = Duration::from_millis(20);
+
 /// All that a proxy needs from outside.
 #[derive(Debug)]
 pub struct Setup {
@@ -43,7 +46,7 @@
         actix_rt::spawn(operators),
         actix_rt::spawn(follow(Rc::clone(&shell), platform, vm)),
     ];
-    let door = actix_rt::spawn(pg::serve(setup.callers, shell.for_callers(), setup.rules));
+    let door = actix_rt::spawn(admit(Rc::clone(&shell), setup.callers, setup.rules));
     tokio::select! {
         () = stop => shell.input(Input::Stop),
         () = shell.stopping() => {}
@@ -56,6 +59,15 @@
     log::info!("stopped");
 }
 
+/// Accepts callers, once there is a configuration by which to serve them: a caller of a VM that
+/// has just started would be told that no pool serves it.
+async fn admit(shell: Rc<Shell>, listener: TcpListener, rules: pg::Rules) {
+    while shell.inspect(|node| node.accepted().is_none()) {
+        tokio::time::sleep(CONFIGURED_CHECK).await;
+    }
+    pg::serve(listener, shell.for_callers(), rules).await;
+}
+
 async fn follow(shell: Rc<Shell>, platform: Rc<Client>, vm: VmId) {
     let version = || shell.inspect(|node| node.accepted().map_or(Version(0), |a| a.version));
     watch::run(&platform, Pace::default(), version, |news| match news {
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -46,7 +46,11 @@
 }
 
 async fn next(vm: &mut Vm) -> String {
-    match vm.events.recv().await.unwrap() {
+    let event = vm.events.recv().await.unwrap();
+    if let Event::Down(other) = &event {
+        vm.peers.taken_down(other);
+    }
+    match event {
         Event::Up(vm) => format!("up {vm}"),
         Event::Down(vm) => format!("down {vm}"),
         Event::Message { from, message } => match *message {
@@ -112,3 +116,24 @@
     assert_eq!(heard, ["down b", "up b", "b: 2"]);
     assert_eq!(next(&mut b).await, "up a");
 }
+
+#[actix_rt::test]
+async fn nothing_is_sent_before_a_break_was_heard() {
+    // b is restarted. Before a's core has heard of the break it sends a booking, which it will take
+    // for lost with the old stream and send again. The booking must not reach the new life too.
+    let (mut a, b) = (vm("a", 1).await, vm("b", 1).await);
+    b.peers.learn([(id("a"), a.address)]);
+    b.peers.send(id("a"), hello(1));
+    assert_eq!([next(&mut a).await, next(&mut a).await], ["up b", "b: 1"]);
+    let mut reborn = vm("b", 2).await;
+    reborn.peers.learn([(id("a"), a.address)]);
+    reborn.peers.send(id("a"), hello(2));
+    assert!(matches!(a.events.recv().await, Some(Event::Down(_))));
+    a.peers.send(id("b"), hello(5));
+    a.peers.taken_down(&id("b"));
+    a.peers.send(id("b"), hello(6));
+    assert_eq!(
+        [next(&mut reborn).await, next(&mut reborn).await],
+        ["up a", "a: 6"]
+    );
+}
