--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,117 @@
+//! The operators' page against the code: its examples are read by the real checkers, and its
+//! tables name each setting, metric and SQLSTATE that there is, and no other.
+
+use lentilspoke::config::{File, Timing};
+use lentilspoke::core::counters::Counters;
+use lentilspoke::net::dialect::REQUESTS_DDL;
+use lentilspoke::net::metrics::{self, Gauges};
+use lentilspoke::settings::{Limits, Settings};
+use serde::Serialize;
+use serde_json::Value;
+use std::collections::BTreeSet;
+
+const PAGE: &str = include_str!("../docs/OPERATING.md");
+const CODES: [&str; 3] = [
+    include_str!("../src/net/pg/fault.rs"),
+    include_str!("../src/sql.rs"),
+    include_str!("../src/net/target/keyed.rs"),
+];
+
+/// The text of the section under this heading, up to the next heading of its level.
+fn section(heading: &str) -> &'static str {
+    let start = PAGE.find(&format!("\n## {heading}\n")).unwrap();
+    let body = &PAGE[start + 4..];
+    &body[..body.find("\n## ").unwrap_or(body.len())]
+}
+
+/// The example in a section.
+fn example(heading: &str) -> &'static str {
+    let (_, rest) = section(heading).split_once("```jsonc\n").unwrap();
+    rest.split_once("```").unwrap().0
+}
+
+/// The first cells of a section's tables, without their backquotes.
+fn rows(heading: &str) -> BTreeSet<String> {
+    let lines = section(heading).lines();
+    let cells = lines.filter_map(|line| line.strip_prefix("| `")?.split_once("` |"));
+    cells.map(|(cell, _)| cell.to_owned()).collect()
+}
+
+/// The keys of a value with their paths; what an operator names himself is NAME.
+fn keys(value: &impl Serialize) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    walk(&serde_json::to_value(value).unwrap(), "", &mut found);
+    found
+}
+
+fn walk(value: &Value, path: &str, found: &mut BTreeSet<String>) {
+    let Value::Object(fields) = value else {
+        found.insert(path.to_owned());
+        return;
+    };
+    let named = ["groups", "databases", "pools"]
+        .iter()
+        .any(|plural| path.rsplit('.').next() == Some(*plural));
+    for (key, value) in fields {
+        let key = if named { "NAME" } else { key };
+        let dot = if path.is_empty() { "" } else { "." };
+        walk(value, &format!("{path}{dot}{key}"), found);
+    }
+}
+
+/// Whether each default of `value` stands in the row of its key.
+fn defaults_stand(heading: &str, prefix: &str, value: &impl Serialize) {
+    let value = serde_json::to_value(value).unwrap();
+    for (key, default) in value.as_object().unwrap() {
+        let default = default.as_str().map_or(default.to_string(), str::to_owned);
+        let start = format!("| `{prefix}.{key}` |");
+        let row = section(heading)
+            .lines()
+            .find(|line| line.starts_with(&start));
+        let cells: Vec<&str> = row.unwrap().split('|').map(str::trim).collect();
+        assert_eq!(cells[3], default, "{prefix}.{key}");
+    }
+}
+
+#[test]
+fn settings_are_complete() {
+    let settings: Settings = example("Settings").parse().unwrap();
+    assert_eq!(rows("Settings"), keys(&settings));
+    defaults_stand("Settings", "limits", &Limits::default());
+}
+
+#[test]
+fn configuration_is_complete() {
+    let file: File = example("Configuration").parse().unwrap();
+    assert_eq!(rows("Configuration"), keys(&file));
+    defaults_stand("Configuration", "timing", &Timing::default());
+}
+
+#[test]
+fn metrics_are_complete() {
+    let text = metrics::text(Counters::default(), Gauges::default());
+    let samples = text.lines().filter(|line| !line.starts_with('#'));
+    let names = samples.map(|line| line.split_once(' ').unwrap().0.to_owned());
+    assert_eq!(rows("Metrics"), names.collect());
+}
+
+#[test]
+fn sqlstates_are_complete() {
+    let quoted = CODES.iter().flat_map(|code| code.split('"'));
+    let code = |text: &&str| {
+        let plain = |c: char| c.is_ascii_digit() || c.is_ascii_uppercase();
+        text.len() == 5 && text.chars().all(plain) && text.contains(|c: char| c.is_ascii_digit())
+    };
+    let codes = quoted.filter(code).map(str::to_owned).collect();
+    assert_eq!(rows("Errors"), codes);
+}
+
+#[test]
+fn table_of_request_keys_is_the_one_used() {
+    let (_, rest) = section("What databases need")
+        .split_once("```sql\n")
+        .unwrap();
+    let words = |text: &str| text.split_whitespace().collect::<String>();
+    let statement = words(rest.split_once(';').unwrap().0);
+    assert_eq!(statement, words(REQUESTS_DDL));
+}
