Leave a caller's age of zero as it asked for it

Cause: lentilspoke.max_age = 0s asks for the session's own floor whatever the pool says. The caller's side turned it into no age, and the entry put the pool's age back in, a second time. Change: the pool's default is applied in one place, net::pg::caller; the entry's copy is gone.

--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -190,7 +190,7 @@
         if let Some(bound) = caller.transaction.clone() {
             return self.go_on(turn, request, bound);
         }
-        let mut pending = Pending {
+        let pending = Pending {
             request,
             left: None,
             floor: None,
@@ -207,9 +207,6 @@
             return self.not_run(turn, pending, Cause::NoPool, Span::ZERO);
         }
         self.budget.deposit(turn.now);
-        let pool = turn.world.pool(&pending.request.pool);
-        let default = pool.and_then(|pool| pool.max_age);
-        pending.request.max_age = pending.request.max_age.or(default);
         self.dispatch(turn, pending);
     }
 
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -21,7 +21,8 @@
     pub group: GroupId,
     /// What the batch does.
     pub kind: Kind,
-    /// The age that the caller accepts for this read; absent: its session's floor decides.
+    /// The age that the caller accepts for this read, or its pool's where the caller does not
+    /// say; absent: its session's floor decides.
     pub max_age: Option<Span>,
     /// A key under which a write's outcome can be asked again.
     pub key: Option<RequestKey>,
--- a/tests/node_session.rs
+++ b/tests/node_session.rs
@@ -4,6 +4,7 @@
 
 use lentilspoke::clock::Span;
 use lentilspoke::core::message::Message;
+use lentilspoke::core::node::Input;
 use lentilspoke::core::request::Kind;
 use support::{World, id};
 
@@ -152,6 +153,31 @@
     assert_eq!(world.told(1)[0], "done by primary: lot-1");
 }
 
+/// A caller sets `lentilspoke.max_age` to zero in a pool that states an age: it asks for its own
+/// writes and no more. The entry put the pool's age back in, so that with replicas whose age
+/// nobody can prove the read went to the primary for nothing.
+#[test]
+fn an_age_of_zero_goes_before_the_pool_s() {
+    let mut world = World::ready(3);
+    let accepted = world.change(|document| {
+        let pool = document.pools.get_mut(&id("safe")).unwrap();
+        pool.max_age = Some(Span::from_secs(1));
+    });
+    world.input(&id("vm1"), Input::Accepted(accepted));
+    for (one, other) in [("a", "b"), ("a", "c")] {
+        world.cut(one, other);
+    }
+    let mut request = world.request(9, Kind::Write, "w lot-1");
+    request.pool = id("fast");
+    world.submit("vm1", request);
+    world.wait(9, 1);
+    world.run(Span::from_secs(2));
+    let request = world.request(1, Kind::Read, "r");
+    world.submit("vm1", request);
+    world.wait(1, 1);
+    assert_eq!(world.told(1)[0], "done by replica: ");
+}
+
 /// Nobody can vouch for a named session's floor, for so long that no failover is under way any
 /// more. Its read is turned away at once and told when to come back.
 #[test]
