Measure statements and memory over real sockets; two gauges of the process's own use

Cause: slopes measured control on a virtual clock only; what a statement costs beside a direct one, and what a caller, a session, a VM and a group take in memory, was not known. Change: slopes control, path and callers; an ideal deployment for the demo's code; the gauges resident_bytes and processor_microseconds. The fleet's document moves to a file of its own.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -48,6 +48,7 @@
         proxies,
         deployment: value(&matches, "deployment")?.unwrap_or(Deployment::Association),
         kill_primary_after: value(&matches, "kill-primary-after")?,
+        ideal: false,
     })
 }
 
--- a/src/cmd/slopes.rs
+++ b/src/cmd/slopes.rs
@@ -1,130 +1,36 @@
-//! `lentilspoke slopes`: what control costs as nodes and databases grow.
+//! `lentilspoke slopes`: what control, statements and state cost.
 
-use crate::clock::Span;
-use crate::cmd::{Error, parse, value};
-use crate::slopes::fleet::{DOMAINS, Fleet, Size};
-use crate::types::Version;
-use getopts::Options;
+mod callers;
+mod control;
+mod path;
+
+use crate::cmd::Error;
 
 const USAGE: &str = "\
-Measure what control costs as nodes and databases grow: the real core of every node
-on one virtual clock, with stand-ins that only answer orders about terms.
+Measure what a proxy costs, as a basis for capacity plans.
 
-Usage: lentilspoke slopes [options]
+Usage: lentilspoke slopes MEASUREMENT [options]
 
-Options:
-    --sizes N/G,N/G,...    nodes and groups of each point
-                           [8/3,36/25,72/50,145/100,290/200,580/400]
-    --settle SPAN          how long a fleet starts before it is measured [20s]
-    --length SPAN          how long it is measured [10s]
-    -h, --help             print this text
+Measurements:
+    control    messages, bytes and processor time of control, on a virtual clock
+    path       what a statement through a proxy takes beside a direct one
+    callers    memory per connection, session, VM, group and database
 
-Prints, for each size and node: control messages and bytes sent a second (also of the
-node that sends most), processor time, resident memory, streams; then the time until
-a configuration is in force everywhere, and until every group is served again after a
-VM, a rack of ten and a failure domain are lost, with the holders that moved.
+`lentilspoke slopes MEASUREMENT --help` tells more about each.
 ";
 
-const SIZES: &str = "8/3,36/25,72/50,145/100,290/200,580/400";
-const RACK: usize = 10;
-const LIST_LAG: Span = Span::from_secs(5);
-const LIMIT: Span = Span::from_secs(60);
-
-struct Args {
-    sizes: Vec<Size>,
-    settle: Span,
-    length: Span,
-}
-
-impl Args {
-    fn parse(words: &[String]) -> Result<Self, Error> {
-        let mut options = Options::new();
-        options.optopt("", "sizes", "", "N/G,...");
-        options.optopt("", "settle", "", "SPAN");
-        options.optopt("", "length", "", "SPAN");
-        let matches = parse(&mut options, USAGE, words)?;
-        let sizes = matches.opt_str("sizes").unwrap_or_else(|| SIZES.into());
-        Ok(Self {
-            sizes: sizes.split(',').map(size).collect::<Result<_, _>>()?,
-            settle: value(&matches, "settle")?.unwrap_or(Span::from_secs(20)),
-            length: value(&matches, "length")?.unwrap_or(Span::from_secs(10)),
-        })
-    }
-}
-
-fn size(text: &str) -> Result<Size, Error> {
-    let invalid = || Error::usage(format!("--sizes {text}: write NODES/GROUPS, such as 36/25"));
-    let (nodes, groups) = text.split_once('/').ok_or_else(invalid)?;
-    let (nodes, groups) = (nodes.parse().ok(), groups.parse().ok());
-    match (nodes, groups) {
-        (Some(nodes @ 1..), Some(groups @ 1..)) => Ok(Size { nodes, groups }),
-        _ => Err(invalid()),
-    }
-}
-
 /// Runs the subcommand.
 pub fn run(words: &[String]) -> Result<(), Error> {
-    let args = Args::parse(words)?;
-    println!(
-        "nodes groups | messages/s  bytes/s  most bytes/s |  cpu us/s   most us/s | KiB/node streams | in force  vm lost  rack lost  domain lost"
-    );
-    for size in &args.sizes {
-        println!("{}", row(&args, *size)?);
+    let Some((measurement, rest)) = words.split_first() else {
+        return Err(Error::Usage(USAGE.into()));
+    };
+    match measurement.as_str() {
+        "control" => control::run(rest),
+        "path" => path::run(rest),
+        "callers" => callers::run(rest),
+        "-h" | "--help" => Err(Error::Help(USAGE)),
+        other => Err(Error::usage(format!(
+            "no measurement `{other}`: write control, path or callers"
+        ))),
     }
-    Ok(())
-}
-
-fn row(args: &Args, size: Size) -> Result<String, Error> {
-    let before = resident().unwrap_or_default();
-    let mut fleet = Fleet::start(size).map_err(Error::failed)?;
-    fleet.run(args.settle);
-    if !fleet.served() {
-        return Err(Error::failed(format!(
-            "{} groups are not served",
-            fleet.unserved()
-        )));
-    }
-    let cost = fleet.run(args.length);
-    let memory = resident().unwrap_or_default().saturating_sub(before) / size.nodes as u64;
-    fleet.apply(Version(2));
-    let in_force = told(fleet.run_until(LIMIT, |fleet| fleet.in_force(Version(2))));
-    let vm = lost(&mut fleet, |seat| seat == 1);
-    let rack = lost(&mut fleet, |seat| {
-        seat % DOMAINS == 2 && seat / DOMAINS < RACK
-    });
-    let domain = lost(&mut fleet, |seat| seat % DOMAINS == 3);
-    Ok(format!(
-        "{:5} {:6} | {:10.1} {:8.0} {:13.0} | {:9.0} {:11.0} | {:8} {:7.1} | {in_force:>8}  {vm}  {rack}  {domain}",
-        size.nodes,
-        size.groups,
-        cost.messages,
-        cost.bytes,
-        cost.most_bytes,
-        cost.micros,
-        cost.most_micros,
-        memory / 1024,
-        cost.streams,
-    ))
-}
-
-fn lost(fleet: &mut Fleet, which: impl Fn(usize) -> bool) -> String {
-    let moved = fleet.lose(which, LIST_LAG);
-    // A VM that leads nothing leaves every group served.
-    let took = told(fleet.run_until(LIMIT, Fleet::served));
-    fleet.run(LIST_LAG + LIST_LAG);
-    format!("{took} ({moved})")
-}
-
-fn told(span: Option<Span>) -> String {
-    span.map_or_else(
-        || "never".into(),
-        |span| format!("{:.2}s", span.0 as f64 / 1e6),
-    )
-}
-
-/// The resident memory of this process in bytes, where the system tells it.
-fn resident() -> Option<u64> {
-    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
-    let pages: u64 = text.split_whitespace().nth(1)?.parse().ok()?;
-    Some(pages * 4096)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod model;
 pub mod net;
+pub mod process;
 pub mod schedule;
 pub mod settings;
 pub mod slopes;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,7 @@
     load        put load on proxies, and check what callers are told
     dump        print a process's state
     demo        run stand-in databases and proxies in one process
-    slopes      measure what control costs as nodes and databases grow
+    slopes      measure what control, statements and state cost
     experiment  play patterns of load against the decisions
     model       search the core protocol's states
     schedules   play random faults and check what callers are told
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -5,6 +5,7 @@
 use crate::net::platform::{Client, apply};
 use crate::net::proxy;
 use crate::net::shell::Shell;
+use crate::process;
 use ::http::{Method, StatusCode};
 use serde::Serialize;
 use std::rc::Rc;
@@ -66,6 +67,8 @@
         callers: shell.callers() as u64,
         peers: shell.peers().open() as u64,
         version,
+        resident: process::resident().unwrap_or_default(),
+        processor: process::processor().map_or(0, |time| time.as_micros() as u64),
     };
     metrics::text(shell.inspect(|node| node.counters().clone()), gauges)
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -16,6 +16,10 @@
     pub peers: u64,
     /// The configuration in force.
     pub version: u64,
+    /// Resident memory in bytes.
+    pub resident: u64,
+    /// Processor time since the process started, in microseconds.
+    pub processor: u64,
 }
 
 #[derive(Debug)]
@@ -203,6 +207,16 @@
                 "Version of the configuration in force",
                 self.gauges.version,
             ),
+            (
+                "resident_bytes",
+                "Resident memory of this process",
+                self.gauges.resident,
+            ),
+            (
+                "processor_microseconds",
+                "Processor time of this process since its start",
+                self.gauges.processor,
+            ),
         ];
         for (name, help, value) in gauges {
             let metric = Gauge(value);
--- a/src/slopes/fleet.rs
+++ b/src/slopes/fleet.rs
@@ -5,28 +5,20 @@
 //! each message after the latency between their failure domains. No caller is served.
 
 use crate::clock::{Span, Time};
-use crate::config::{Accepted, Database, Document, Group, Pool, Timing};
+use crate::config::{Accepted, Database, Document};
 use crate::core::database::{Command, Event, Order, Refusal, State};
 use crate::core::lineage::Lineage;
 use crate::core::member::{self, Member};
 use crate::core::message::Message;
 use crate::core::node::{Identity, Input, Node, Output};
 use crate::core::term::may_raise;
-use crate::types::{DatabaseId, Domain, GroupId, Invalid, Life, Position, Term, Version, VmId};
+use crate::slopes::deployment::{DOMAINS, FIRST_REGION, document, members};
+use crate::types::{DatabaseId, GroupId, Invalid, Life, Position, Term, Version, VmId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Failure domains at the size of letter 1; the first four are one region, the rest the other.
-pub const DOMAINS: usize = 7;
-
-const FIRST_REGION: usize = 4;
-
-/// Databases of a group.
-pub const MEMBERS: usize = 3;
-
 const WITHIN_REGION: Span = Span(500);
 const BETWEEN_REGIONS: Span = Span::from_millis(10);
 const TO_DATABASE: Span = Span::from_millis(1);
@@ -453,62 +445,6 @@
     }
 }
 
-fn address(kind: u8, index: usize) -> SocketAddr {
-    let [high, low] = (index as u16).to_be_bytes();
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, kind, high, low)), 5432)
-}
-
-fn domain(index: usize) -> Result<Domain, Invalid> {
-    format!("domain-{}", index % DOMAINS).parse()
-}
-
-fn members(nodes: usize) -> Result<Vec<Member>, Invalid> {
-    let member = |index: usize| {
-        Ok(Member {
-            vm: format!("vm-{index}").parse()?,
-            address: address(1, index),
-            domain: domain(index)?,
-            leaving: false,
-        })
-    };
-    (0..nodes).map(member).collect()
-}
-
-/// A configuration of `groups` groups, each with its databases in failure domains of one region
-/// and the third in another where the numbers fall so.
-pub fn document(groups: usize) -> Result<Document, Invalid> {
-    let mut found = BTreeMap::new();
-    for group in 0..groups {
-        let mut databases = BTreeMap::new();
-        for member in 0..MEMBERS {
-            let index = group * MEMBERS + member;
-            let database = Database {
-                address: address(2, index),
-                domain: domain(group + member)?,
-                slots: 3,
-                connections: 25,
-                leaving: false,
-            };
-            databases.insert(format!("ledger{group}-{member}").parse()?, database);
-        }
-        found.insert(format!("ledger{group}").parse()?, Group { databases });
-    }
-    let pool = Pool {
-        groups: found.keys().cloned().collect(),
-        callers: Vec::new(),
-        durability: Default::default(),
-        max_age: None,
-        patience: Span::from_secs(5),
-        long: false,
-    };
-    let pools = BTreeMap::from([("desk".parse()?, pool)]);
-    Ok(Document {
-        groups: found,
-        pools,
-        timing: Timing::default(),
-    })
-}
-
 fn bases(document: &Document) -> HashMap<DatabaseId, Base> {
     let base = |(group, id, _): (&GroupId, &DatabaseId, &Database)| {
         let base = Base {
--- a/src/slopes/report.rs
+++ b/src/slopes/report.rs
@@ -1,6 +1,8 @@
 //! Straight lines through measured points.
 
 use serde::Serialize;
+use std::fmt;
+use std::time::Duration;
 
 /// The line through points by least squares, with the largest distance of a point from it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
@@ -30,3 +32,48 @@
         Some(Self { slope, base, error })
     }
 }
+
+impl fmt::Display for Fit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:.1} each, {:.0} without any, largest error {:.0}",
+            self.slope, self.base, self.error
+        )
+    }
+}
+
+/// Resident memory at a count of things.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Level {
+    /// How many things there are.
+    pub count: usize,
+    /// The middle reading in bytes.
+    pub bytes: u64,
+    /// Between the lowest and the highest reading, in bytes.
+    pub spread: u64,
+}
+
+impl Level {
+    /// As a point of a [`Fit`].
+    pub fn point(&self) -> (f64, f64) {
+        (self.count as f64, self.bytes as f64)
+    }
+}
+
+/// Reads memory by `read` a few times, as other threads of the process use some too.
+pub fn level(count: usize, read: impl Fn() -> u64) -> Level {
+    const READINGS: usize = 5;
+    const BETWEEN: Duration = Duration::from_millis(20);
+    let mut readings = [0; READINGS];
+    for reading in &mut readings {
+        *reading = read();
+        std::thread::sleep(BETWEEN);
+    }
+    readings.sort_unstable();
+    Level {
+        count,
+        bytes: readings[READINGS / 2],
+        spread: readings[READINGS - 1] - readings[0],
+    }
+}
--- /dev/null
+++ b/src/slopes/state.rs
@@ -0,0 +1,250 @@
+//! Resident memory of one core as its configuration, its list of VMs and the sessions that it
+//! is the steward of grow. Databases are stand-ins that answer at once; nothing has a socket.
+
+use crate::clock::{Span, Time};
+use crate::config::Accepted;
+use crate::core::database::{Command, Event, Order, Reply, State};
+use crate::core::lineage::Lineage;
+use crate::core::node::{Identity, Input, Node, Output};
+use crate::core::request::{Kind, Request, Status};
+use crate::process;
+use crate::slopes::deployment;
+use crate::slopes::report::{Level, level};
+use crate::types::{
+    DatabaseId, GroupId, Invalid, Life, Link, Offset, Position, RequestId, Term, Version,
+};
+use bytes::Bytes;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// How long a core gets to take the lead of its groups.
+const START: Span = Span::from_secs(4);
+
+const STEP: Span = Span::from_millis(10);
+
+/// Groups among which sessions are spread: a group remembers 16,384 of them.
+const SESSION_GROUPS: usize = 8;
+
+/// One core, and databases that answer at once.
+struct Alone {
+    node: Node,
+    now: Time,
+    inputs: VecDeque<Input>,
+    terms: HashMap<DatabaseId, (Term, bool)>,
+    /// The log of each group, which its replicas have as soon as its primary.
+    logs: HashMap<GroupId, Lineage>,
+    groups: HashMap<DatabaseId, GroupId>,
+    offset: u64,
+    done: usize,
+}
+
+impl Alone {
+    fn new(groups: usize, vms: usize) -> Result<Self, Invalid> {
+        let members = deployment::members(vms)?;
+        let me = members.first().cloned();
+        let (vm, domain) = match me {
+            Some(member) => (member.vm, member.domain),
+            None => ("vm-0".parse()?, "domain-0".parse()?),
+        };
+        let identity = Identity {
+            vm,
+            domain,
+            life: Life(1),
+        };
+        let mut alone = Self {
+            node: Node::new(identity, Time::default()),
+            now: Time::default(),
+            inputs: VecDeque::new(),
+            terms: HashMap::new(),
+            logs: HashMap::new(),
+            groups: HashMap::new(),
+            offset: 0,
+            done: 0,
+        };
+        let document = deployment::document(groups)?;
+        for (group, database, _) in document.databases() {
+            alone.groups.insert(database.clone(), group.clone());
+        }
+        alone.give(Input::Members(members));
+        alone.give(Input::Accepted(Arc::new(Accepted {
+            version: Version(1),
+            document,
+        })));
+        Ok(alone)
+    }
+
+    fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + STEP;
+            self.give(Input::Tick);
+        }
+    }
+
+    fn give(&mut self, input: Input) {
+        self.inputs.push_back(input);
+        while let Some(input) = self.inputs.pop_front() {
+            let mut outputs = Vec::new();
+            self.node.handle(self.now, input, &mut outputs);
+            for output in outputs {
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        let event = match output {
+            Output::Reply { outcome, .. } => {
+                if matches!(outcome, crate::core::request::Outcome::Done(_)) {
+                    self.done += 1;
+                }
+                return;
+            }
+            Output::Send { to, .. } => return self.inputs.push_back(Input::PeerDown(to)),
+            Output::Database(Command::Connect { conn, .. }) => Event::Connected { conn },
+            Output::Database(Command::Run { conn, run }) => {
+                self.offset += 1;
+                Event::Answered {
+                    conn,
+                    reply: self.reply(run.request, run.term),
+                }
+            }
+            Output::Database(Command::Control {
+                id,
+                database,
+                order,
+                ..
+            }) => Event::Controlled {
+                id,
+                result: self.obey(&database, order).map(Ok),
+            },
+            _ => return,
+        };
+        self.inputs.push_back(Input::Database(event));
+    }
+
+    fn position(&self, term: Term) -> Position {
+        Position::new(term, Offset(self.offset))
+    }
+
+    fn reply(&self, request: RequestId, term: Option<Term>) -> Reply {
+        let position = self.position(term.unwrap_or_default());
+        Reply {
+            request,
+            body: Bytes::new(),
+            status: Status::Idle,
+            applied: position,
+            wrote: term.map(|_| position),
+        }
+    }
+
+    fn obey(&mut self, database: &DatabaseId, order: Order) -> Option<State> {
+        let offset = Offset(self.offset);
+        let (term, open) = self.terms.entry(database.clone()).or_default();
+        let lineage = self
+            .logs
+            .entry(self.groups.get(database)?.clone())
+            .or_default();
+        match order {
+            Order::Raise(new) => (*term, *open) = (new, false),
+            Order::Open(new) => {
+                if !*open {
+                    lineage.open(new, Position::new(new, offset));
+                }
+                *open = true;
+            }
+            Order::Report | Order::Reach(_) => {}
+        }
+        let end = Position::new(lineage.last().unwrap_or_default(), offset);
+        Some(State {
+            term: *term,
+            position: end,
+            applied: end,
+            open: *open,
+            lineage: lineage.clone(),
+        })
+    }
+
+    fn write(&mut self, number: usize) -> Result<(), Invalid> {
+        let request = Request {
+            link: Link(1),
+            session: Some(format!("broker-{number}").parse()?),
+            caller: "broker".parse()?,
+            pool: "desk".parse()?,
+            group: format!("ledger{}", number % SESSION_GROUPS).parse()?,
+            kind: Kind::Write,
+            max_age: None,
+            key: None,
+            shown: None,
+            deadline: self.now + Span::from_secs(5),
+            body: Bytes::from_static(b"x"),
+        };
+        self.give(Input::Submit(request));
+        Ok(())
+    }
+}
+
+/// Memory of a steward at each of `counts` of sessions that wrote once, and how many of these
+/// writes were answered.
+pub fn sessions(counts: &[usize]) -> Result<(Vec<Level>, usize), Invalid> {
+    let mut alone = Alone::new(SESSION_GROUPS, 1)?;
+    alone.run(START);
+    let mut levels = vec![resident(0)];
+    let mut number = 0;
+    for &count in counts {
+        while number < count {
+            alone.write(number)?;
+            number += 1;
+            // Deadlines and probes go on, as they do between a proxy's statements.
+            if number % 64 == 0 {
+                alone.run(STEP);
+            }
+        }
+        levels.push(resident(count));
+    }
+    Ok((levels, alone.done))
+}
+
+/// Memory of one core as it learns of ever more VMs. It is told of each list in turn.
+pub fn vms(counts: &[usize]) -> Result<Vec<Level>, Invalid> {
+    let mut kept = Vec::new();
+    grow(counts, |count| {
+        kept.push(Alone::new(1, count)?);
+        Ok(())
+    })
+}
+
+/// Memory of one core by the groups of its configuration, each of three databases; it is an
+/// entry that leads few of them, as at full size.
+pub fn groups(counts: &[usize]) -> Result<Vec<Level>, Invalid> {
+    let mut kept = Vec::new();
+    grow(counts, |count| {
+        kept.push(Alone::new(count, 580)?);
+        Ok(())
+    })
+}
+
+/// Makes ever larger cores and keeps them all: a level is what its core added.
+fn grow(
+    counts: &[usize],
+    mut make: impl FnMut(usize) -> Result<(), Invalid>,
+) -> Result<Vec<Level>, Invalid> {
+    let mut levels = Vec::new();
+    // What only the first core sets up is not counted.
+    make(1)?;
+    for &count in counts {
+        let before = resident(0);
+        make(count)?;
+        let after = resident(count);
+        levels.push(Level {
+            count,
+            bytes: after.bytes.saturating_sub(before.bytes),
+            spread: before.spread.max(after.spread),
+        });
+    }
+    Ok(levels)
+}
+
+fn resident(count: usize) -> Level {
+    level(count, || process::resident().unwrap_or_default())
+}
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -1,6 +1,7 @@
 //! A whole deployment in one process: groups of databases, and proxies on threads of their own.
 
-use crate::config::Document;
+use crate::clock::Span;
+use crate::config::{Document, Durability, Pool};
 use crate::core::member::Member;
 use crate::core::node::Identity;
 use crate::net::pg;
@@ -10,7 +11,7 @@
 use crate::standin::database::{Group, Handle, Lag, Spec};
 use crate::standin::deployment::{APPLY_LAG, CONNECT, Deployment, GROUPS, RECEIVE_LAG, SERVICE};
 use crate::standin::platform::{self, Platform};
-use crate::types::{ApplyId, GroupId, Invalid, Life, Version, VmId};
+use crate::types::{ApplyId, Domain, GroupId, Invalid, Life, Version, VmId};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -37,8 +38,18 @@
     pub deployment: Deployment,
     /// When to kill the primary of the first group, in seconds from the start.
     pub kill_primary_after: Option<u64>,
+    /// Whether databases answer at once, never lag, bear much, and all are in the first proxy's
+    /// failure domain, so that it holds them and the others forward to it: to measure what the
+    /// proxies cost. The caller [`PRIMARY_CALLER`] then has durability `primary`.
+    pub ideal: bool,
 }
 
+/// The caller whose writes need only the primary, in an ideal deployment.
+pub const PRIMARY_CALLER: &str = "primary";
+
+/// Slots and connections of a database in an ideal deployment.
+const IDEAL_SLOTS: u32 = 64;
+
 /// A running demo.
 #[derive(Debug)]
 pub struct Demo {
@@ -73,7 +84,10 @@
 /// Starts the databases and proxies of `plan`.
 pub async fn start(plan: &Plan) -> Result<Demo, Error> {
     let mut document = plan.deployment.document()?;
-    let groups = start_groups(plan.deployment, &mut document)?;
+    if plan.ideal {
+        idealize(plan.deployment, &mut document)?;
+    }
+    let groups = start_groups(plan, &mut document)?;
     let platform = Platform::start(SocketAddr::new(plan.listen.ip(), 0))?;
     let proposal = Proposal {
         id: ApplyId(rand::random()),
@@ -101,20 +115,41 @@
     Ok(demo)
 }
 
-fn start_groups(
-    deployment: Deployment,
-    document: &mut Document,
-) -> Result<BTreeMap<GroupId, Handle>, Error> {
+fn idealize(deployment: Deployment, document: &mut Document) -> Result<(), Error> {
+    let domain: Domain = deployment.places()[0].domain.parse()?;
+    for group in document.groups.values_mut() {
+        for database in group.databases.values_mut() {
+            database.domain = domain.clone();
+            database.slots = IDEAL_SLOTS;
+            database.connections = IDEAL_SLOTS;
+        }
+    }
+    let pool = Pool {
+        groups: document.groups.keys().cloned().collect(),
+        callers: vec![PRIMARY_CALLER.parse()?],
+        durability: Durability::Primary,
+        max_age: None,
+        patience: Span::from_secs(5),
+        long: false,
+    };
+    document.pools.insert(PRIMARY_CALLER.parse()?, pool);
+    Ok(())
+}
+
+fn start_groups(plan: &Plan, document: &mut Document) -> Result<BTreeMap<GroupId, Handle>, Error> {
     let mut handles = BTreeMap::new();
     for (id, group) in &mut document.groups {
         let mut spec = Spec::new(group.clone());
-        spec.lag = Lag {
-            receive: RECEIVE_LAG,
-            apply: APPLY_LAG,
-        };
-        spec.service = SERVICE;
-        spec.connect = CONNECT;
-        spec.latency = Arc::new(move |peer, domain| deployment.latency_to(peer, domain));
+        if !plan.ideal {
+            let deployment = plan.deployment;
+            spec.lag = Lag {
+                receive: RECEIVE_LAG,
+                apply: APPLY_LAG,
+            };
+            spec.service = SERVICE;
+            spec.connect = CONNECT;
+            spec.latency = Arc::new(move |peer, domain| deployment.latency_to(peer, domain));
+        }
         let handle = Group::start(spec)?;
         *group = handle.group().clone();
         handles.insert(id.clone(), handle);
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -11,6 +11,7 @@
         proxies: 2,
         deployment: Deployment::Association,
         kill_primary_after: None,
+        ideal: false,
     };
     let demo = demo::start(&plan).await.unwrap();
     for proxy in 0..2 {
--- a/tests/config_outage.rs
+++ b/tests/config_outage.rs
@@ -18,6 +18,7 @@
         proxies: 3,
         deployment: Deployment::Association,
         kill_primary_after: None,
+        ideal: false,
     };
     demo::start(&plan).await.unwrap()
 }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -61,6 +61,7 @@
         proxies: 2,
         deployment: Deployment::Association,
         kill_primary_after: None,
+        ideal: false,
     };
     demo::start(&plan).await.unwrap()
 }
