Write down the slopes of statements and memory

Cause: cores measured after the sockets re-used memory that these had given back, so VMs and groups read 0 bytes each. Change: cores are measured while the callers are still connected, four of a size, and kept.

--- a/src/cmd/slopes/callers.rs
+++ b/src/cmd/slopes/callers.rs
@@ -4,6 +4,7 @@
 use crate::cmd::{Error, parse, value};
 use crate::slopes::callers::{self, Plan, show};
 use crate::slopes::state;
+use crate::types::Invalid;
 use getopts::Options;
 
 const USAGE: &str = "\
@@ -49,15 +50,23 @@
     let groups = counts("groups", &[400, 800, 1_600, 3_200])?;
     crate::util::log(log::LevelFilter::Warn);
     let print = |row| println!("{row}");
-    // First, while the allocator holds nothing that others gave back.
-    let measured = actix_rt::System::new().block_on(callers::run(&plan, print));
+    let mut state = Ok(());
+    let then = || state = cores(&sessions, &vms, &groups);
+    let measured = actix_rt::System::new().block_on(callers::run(&plan, print, then));
     measured.map_err(Error::failed)?;
-    let (levels, done) = state::sessions(&sessions).map_err(Error::failed)?;
-    show("sessions", &levels, &print);
-    println!("writes answered     | {done}");
-    show("VMs", &state::vms(&vms).map_err(Error::failed)?, &print);
-    let levels = state::groups(&groups).map_err(Error::failed)?;
-    show("groups", &levels, &print);
+    state.map_err(Error::failed)
+}
+
+/// Measures cores alone, and keeps each until all are measured.
+fn cores(sessions: &[usize], vms: &[usize], groups: &[usize]) -> Result<(), Invalid> {
+    let print = |row| println!("{row}");
+    let sessions = state::sessions(sessions)?;
+    show("sessions", &sessions.levels, &print);
+    println!("writes answered     | {}", sessions.done);
+    let vms = state::vms(vms)?;
+    show("VMs", &vms.levels, &print);
+    let groups = state::groups(groups)?;
+    show("groups", &groups.levels, &print);
     Ok(())
 }
 
--- a/src/slopes/callers.rs
+++ b/src/slopes/callers.rs
@@ -47,18 +47,24 @@
     pub settle: Span,
 }
 
-/// Measures idle callers, and hands each row of the report to `print`.
-pub async fn run(plan: &Plan, print: impl Fn(String)) -> Result<(), Error> {
+/// Measures idle callers, and hands each row of the report to `print`. Lets `then` measure
+/// more while they are still connected, so that it finds no memory free that they gave back.
+pub async fn run(plan: &Plan, print: impl Fn(String), then: impl FnOnce()) -> Result<(), Error> {
     let demo = ideal(1).await?;
     let measured = match demo.callers().first() {
-        Some(address) => measure(*address, plan, print).await,
+        Some(address) => measure(*address, plan, print, then).await,
         None => Ok(()),
     };
     demo.stop();
     measured
 }
 
-async fn measure(address: SocketAddr, plan: &Plan, print: impl Fn(String)) -> Result<(), Error> {
+async fn measure(
+    address: SocketAddr,
+    plan: &Plan,
+    print: impl Fn(String),
+    then: impl FnOnce(),
+) -> Result<(), Error> {
     print("idle callers        | resident bytes (spread of 5 readings)".into());
     let mut open = Vec::new();
     let mut connected = Vec::new();
@@ -80,6 +86,7 @@
         used.push(read(count, plan.settle).await);
     }
     show("1 statement, added", &used, &print);
+    then();
     Ok(())
 }
 
--- a/src/slopes/state.rs
+++ b/src/slopes/state.rs
@@ -184,9 +184,33 @@
     }
 }
 
-/// Memory of a steward at each of `counts` of sessions that wrote once, and how many of these
-/// writes were answered.
-pub fn sessions(counts: &[usize]) -> Result<(Vec<Level>, usize), Invalid> {
+/// Cores of each size, so that what one of them finds free already weighs little.
+const COPIES: usize = 4;
+
+/// Levels of memory, and the cores that take it.
+///
+/// Memory of cores that are gone would be used again and hide what the next ones take; so they
+/// are kept until all is measured.
+pub struct Measured {
+    /// The memory that one core took.
+    pub levels: Vec<Level>,
+    /// Requests that were answered.
+    pub done: usize,
+    kept: Vec<Alone>,
+}
+
+impl std::fmt::Debug for Measured {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Measured")
+            .field("levels", &self.levels)
+            .field("done", &self.done)
+            .field("kept", &self.kept.len())
+            .finish()
+    }
+}
+
+/// Memory of a steward at each of `counts` of sessions that wrote once.
+pub fn sessions(counts: &[usize]) -> Result<Measured, Invalid> {
     let mut alone = Alone::new(SESSION_GROUPS, 1)?;
     alone.run(START);
     let mut levels = vec![resident(0)];
@@ -202,47 +226,48 @@
         }
         levels.push(resident(count));
     }
-    Ok((levels, alone.done))
+    Ok(Measured {
+        levels,
+        done: alone.done,
+        kept: vec![alone],
+    })
 }
 
-/// Memory of one core as it learns of ever more VMs. It is told of each list in turn.
-pub fn vms(counts: &[usize]) -> Result<Vec<Level>, Invalid> {
-    let mut kept = Vec::new();
-    grow(counts, |count| {
-        kept.push(Alone::new(1, count)?);
-        Ok(())
-    })
+/// Memory of one core by the VMs that it knows of.
+pub fn vms(counts: &[usize]) -> Result<Measured, Invalid> {
+    grow(counts, |count| Alone::new(1, count))
 }
 
-/// Memory of one core by the groups of its configuration, each of three databases; it is an
-/// entry that leads few of them, as at full size.
-pub fn groups(counts: &[usize]) -> Result<Vec<Level>, Invalid> {
-    let mut kept = Vec::new();
-    grow(counts, |count| {
-        kept.push(Alone::new(count, 580)?);
-        Ok(())
-    })
+/// Memory of one core by the groups of its configuration, each of three databases; it holds few
+/// of them, as at full size.
+pub fn groups(counts: &[usize]) -> Result<Measured, Invalid> {
+    grow(counts, |count| Alone::new(count, 580))
 }
 
-/// Makes ever larger cores and keeps them all: a level is what its core added.
 fn grow(
     counts: &[usize],
-    mut make: impl FnMut(usize) -> Result<(), Invalid>,
-) -> Result<Vec<Level>, Invalid> {
+    make: impl Fn(usize) -> Result<Alone, Invalid>,
+) -> Result<Measured, Invalid> {
     let mut levels = Vec::new();
     // What only the first core sets up is not counted.
-    make(1)?;
+    let mut kept = vec![make(1)?];
     for &count in counts {
         let before = resident(0);
-        make(count)?;
+        for _ in 0..COPIES {
+            kept.push(make(count)?);
+        }
         let after = resident(count);
         levels.push(Level {
             count,
-            bytes: after.bytes.saturating_sub(before.bytes),
+            bytes: after.bytes.saturating_sub(before.bytes) / COPIES as u64,
             spread: before.spread.max(after.spread),
         });
     }
-    Ok(levels)
+    Ok(Measured {
+        levels,
+        done: 0,
+        kept,
+    })
 }
 
 fn resident(count: usize) -> Level {
