Ask a replica again with the next probes where it answers before it has the position

Cause: an order to tell when a position is reached, answered at once without it, was repeated at once; a stand-in that did so kept a steward busy for ever. Change: it is asked again with the next round of probes, as after a failure.

--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -296,20 +296,17 @@
         let Some(reach) = replica.reach.take() else {
             return;
         };
-        match controlled.result {
-            Some(Ok(state)) => {
-                let wanted = Position::new(term, reach.wanted);
-                if state.lineage.holds(state.position, wanted) {
-                    lead.acks.reached(&controlled.database, reach.wanted);
-                }
-            }
-            // Asked again with the next round of probes, not at once: it can't be reached.
-            _ => {
-                replica.reach = Some(Reach {
-                    until: turn.now + turn.timing().probe,
-                    ..reach
-                })
-            }
+        let wanted = Position::new(term, reach.wanted);
+        let holds = |state: &State| state.lineage.holds(state.position, wanted);
+        if controlled.result.is_some_and(|result| result.as_ref().is_ok_and(holds)) {
+            lead.acks.reached(&controlled.database, reach.wanted);
+        } else {
+            // Asked again with the next round of probes, not at once: it can't be reached, or
+            // answers before it has the position, and would be asked in a tight loop.
+            replica.reach = Some(Reach {
+                until: turn.now + turn.timing().probe,
+                ..reach
+            });
         }
         self.flush(turn);
     }
