Hold nothing before a list of VMs was read

Cause: a VM that heard of the configuration before the list took itself for the only one and raised the terms of all groups. In the fleet of 145 nodes the last to hear of the list led 24 groups of 100, and groups that two of them raised in turn were without a leader. Ruled out: skew of the hash (4 groups at most). Change: nothing is held before a list; callers are admitted and /ready answers 200 only then, and no longer once a stop has begun.

--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -189,6 +189,11 @@
         self.world.config.as_deref()
     }
 
+    /// Whether callers can be served: there are a configuration and a list of VMs.
+    pub fn is_ready(&self) -> bool {
+        self.world.config.is_some() && self.world.listed
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.is_some()
--- a/src/core/steward/lead.rs
+++ b/src/core/steward/lead.rs
@@ -298,7 +298,10 @@
         };
         let wanted = Position::new(term, reach.wanted);
         let holds = |state: &State| state.lineage.holds(state.position, wanted);
-        if controlled.result.is_some_and(|result| result.as_ref().is_ok_and(holds)) {
+        if controlled
+            .result
+            .is_some_and(|result| result.as_ref().is_ok_and(holds))
+        {
             lead.acks.reached(&controlled.database, reach.wanted);
         } else {
             // Asked again with the next round of probes, not at once: it can't be reached, or
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -63,6 +63,8 @@
     pub config: Option<Arc<Accepted>>,
     pub timing: Timing,
     pub members: Vec<Member>,
+    /// Whether a list of VMs was read at all.
+    pub listed: bool,
     pub peers: HashMap<VmId, Peer>,
     pub leaders: HashMap<GroupId, Primary>,
     pub counters: Counters,
@@ -96,6 +98,7 @@
             config: None,
             timing: Timing::default(),
             members: Vec::new(),
+            listed: false,
             peers: HashMap::new(),
             leaders: HashMap::new(),
             counters: Counters::default(),
@@ -176,6 +179,7 @@
         let listed: HashSet<&VmId> = members.iter().map(|member| &member.vm).collect();
         self.peers.retain(|vm, peer| peer.up || listed.contains(vm));
         self.members = members;
+        self.listed = true;
     }
 
     fn forget_orders(&mut self) {
@@ -210,8 +214,12 @@
     }
 
     /// Whether this VM holds `database`.
+    ///
+    /// Failure: a VM that has just started hears of the configuration before the list of VMs.
+    /// Symptom: it takes itself for the only one, raises the terms of all groups, and leads them
+    /// from then on. Enough, because it holds nothing until a list was read.
     pub fn holds(&mut self, now: Time, database: &DatabaseId) -> bool {
-        self.holder(now, database) == self.me.vm
+        self.listed && self.holder(now, database) == self.me.vm
     }
 
     /// The databases that this VM holds.
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -51,13 +51,16 @@
     }
 }
 
-/// Ready means that a caller who connects now finds a configuration: the platform's balancer
-/// sends nobody here before that.
+/// Ready means that a caller who connects now can be served: the platform's balancer sends
+/// nobody here before that, nor once a planned stop has begun.
 fn ready(shell: &Shell) -> Reply {
-    if shell.inspect(|node| node.accepted().is_some()) {
+    if shell.inspect(|node| node.is_ready() && !node.is_stopping()) {
         Reply::new(StatusCode::OK, "ready\n")
     } else {
-        Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
+        Reply::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration or no list of VMs yet, or stopping\n",
+        )
     }
 }
 
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -1,7 +1,7 @@
 //! One proxy: its listeners, its core, and where its news comes from.
 
 use crate::config::Accepted;
-use crate::core::node::{Identity, Input};
+use crate::core::node::{Identity, Input, Node};
 use crate::net::platform::watch::{self, News, Pace};
 use crate::net::platform::{Client, Listed};
 use crate::net::shell::Shell;
@@ -59,10 +59,10 @@
     log::info!("stopped");
 }
 
-/// Accepts callers, once there is a configuration by which to serve them: a caller of a VM that
-/// has just started would be told that no pool serves it.
+/// Accepts callers, once there are a configuration and a list of VMs by which to serve them: a
+/// caller of a VM that has just started would be told that no pool serves it.
 async fn admit(shell: Rc<Shell>, listener: TcpListener, rules: pg::Rules) {
-    while shell.inspect(|node| node.accepted().is_none()) {
+    while !shell.inspect(Node::is_ready) {
         tokio::time::sleep(CONFIGURED_CHECK).await;
     }
     pg::serve(listener, shell.for_callers(), rules).await;
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -1,7 +1,10 @@
 //! The order of VMs for a database.
 
+use lentilspoke::clock::Time;
+use lentilspoke::config::Accepted;
 use lentilspoke::core::member::{Member, first, order};
-use lentilspoke::types::{DatabaseId, Domain};
+use lentilspoke::core::node::{Identity, Input, Node};
+use lentilspoke::types::{DatabaseId, Domain, Life, Version};
 
 fn members(count: usize) -> Vec<Member> {
     let member = |n: usize| Member {
@@ -49,3 +52,36 @@
         "{moved} of 200 were held by the VM that went"
     );
 }
+
+/// A VM has just started and hears of the configuration from a peer; the platform's list of VMs is
+/// late. Taking itself for the only VM, it would raise the terms of all groups, and every group
+/// would lose its steward. It does nothing to any database before the list is there.
+#[test]
+fn a_vm_without_a_list_takes_nothing_over() {
+    let document = lentilspoke::slopes::deployment::document(2).unwrap();
+    let identity = Identity {
+        vm: "vm-0".parse().unwrap(),
+        domain: "domain-0".parse().unwrap(),
+        life: Life(1),
+    };
+    let mut node = Node::new(identity, Time::default());
+    let mut outputs = Vec::new();
+    let accepted = Accepted {
+        version: Version(3),
+        document,
+    };
+    node.handle(
+        Time::default(),
+        Input::Accepted(accepted.into()),
+        &mut outputs,
+    );
+    for second in 1..10 {
+        node.handle(Time(second * 1_000_000), Input::Tick, &mut outputs);
+    }
+    assert_eq!(outputs, []);
+    node.handle(Time(10_000_000), Input::Members(Vec::new()), &mut outputs);
+    for second in 11..20 {
+        node.handle(Time(second * 1_000_000), Input::Tick, &mut outputs);
+    }
+    assert_ne!(outputs, [], "the last VM has to take over");
+}
