Measure what spreading a configuration costs

Cause: CAPACITY needs the bytes of a change. Change: slopes control counts the bytes sent beyond the usual until five seconds after a configuration is in force.

--- a/src/cmd/slopes/control.rs
+++ b/src/cmd/slopes/control.rs
@@ -22,7 +22,8 @@
     -h, --help             print this text
 
 Prints, for each size and node: control messages and bytes sent a second (also of the
-node that sends most), processor time, resident memory, streams; then the time until
+node that sends most), processor time, resident memory, streams; then the bytes a node
+spends to spread one configuration and the time until
 a configuration is in force everywhere, and until every group is served again after a
 VM, a rack of ten and a failure domain are lost, with the holders that moved.
 ";
@@ -68,7 +69,7 @@
 pub fn run(words: &[String]) -> Result<(), Error> {
     let args = Args::parse(words)?;
     println!(
-        "nodes groups | messages/s  bytes/s  most bytes/s |  cpu us/s   most us/s | KiB/node streams | in force  vm lost  rack lost  domain lost"
+        "nodes groups | messages/s  bytes/s  most bytes/s |  cpu us/s   most us/s | KiB/node streams | spread B in force  vm lost  rack lost  domain lost"
     );
     for size in &args.sizes {
         println!("{}", row(&args, *size)?);
@@ -91,15 +92,19 @@
         .unwrap_or_default()
         .saturating_sub(before)
         / size.nodes as u64;
+    let (sent, began) = (fleet.bytes(), fleet.now());
     fleet.apply(Version(2));
     let in_force = told(fleet.run_until(LIMIT, |fleet| fleet.in_force(Version(2))));
+    fleet.run(LIST_LAG);
+    let usual = cost.bytes * fleet.now().since(began).0 as f64 / 1e6;
+    let spread = (fleet.bytes() - sent) as f64 / size.nodes as f64 - usual;
     let vm = lost(&mut fleet, |seat| seat == 1);
     let rack = lost(&mut fleet, |seat| {
         seat % DOMAINS == 2 && seat / DOMAINS < RACK
     });
     let domain = lost(&mut fleet, |seat| seat % DOMAINS == 3);
     Ok(format!(
-        "{:5} {:6} | {:10.1} {:8.0} {:13.0} | {:9.0} {:11.0} | {:8} {:7.1} | {in_force:>8}  {vm}  {rack}  {domain}",
+        "{:5} {:6} | {:10.1} {:8.0} {:13.0} | {:9.0} {:11.0} | {:8} {:7.1} | {spread:8.0} {in_force:>8}  {vm}  {rack}  {domain}",
         size.nodes,
         size.groups,
         cost.messages,
--- a/src/slopes/fleet.rs
+++ b/src/slopes/fleet.rs
@@ -248,6 +248,12 @@
         self.nodes.iter().flatten().all(known)
     }
 
+    /// Control bytes that the live nodes have sent so far.
+    pub fn bytes(&self) -> u64 {
+        let live = self.nodes.iter().flatten();
+        live.map(|seat| seat.node.counters().control_bytes).sum()
+    }
+
     /// Whether every group has a primary that was opened in the group's highest term by a node
     /// that lives, and no other.
     pub fn served(&self) -> bool {
