Print the demo's operators' addresses; keep the holder's work in order

Cause: two runs of the same schedules differed once by a request, since work was ended in the order of a hash map; the demo's share of reads by replicas could not be asked for. Change: ordered maps where work is ended, sorted grants; the addresses on stderr; one way to open a client.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -9,7 +9,7 @@
 const USAGE: &str = "\
 Run stand-in databases and proxies in this process, with the sizes and latencies of
 one of the users' deployments. Prints `ready` and the callers' addresses once it can
-serve, and runs until SIGTERM or SIGINT.
+serve, the operators' addresses on stderr, and runs until SIGTERM or SIGINT.
 
 Usage: lentilspoke demo [options]
 
@@ -60,6 +60,8 @@
         let demo = demo::start(&plan).await.map_err(Error::failed)?;
         let callers: Vec<String> = demo.callers().iter().map(SocketAddr::to_string).collect();
         println!("ready {}", callers.join(" "));
+        let operators: Vec<String> = demo.admins().iter().map(SocketAddr::to_string).collect();
+        eprintln!("operators {}", operators.join(" "));
         demo.run_until_signal().await.map_err(Error::failed)
     })
 }
--- a/src/core/entry/floor.rs
+++ b/src/core/entry/floor.rs
@@ -169,7 +169,8 @@
         let same = |asking: &Asking| {
             asking.session == revoke.session && asking.pending.request.group == revoke.group
         };
-        let stale: Vec<_> = self.asks.extract_if(|_, asking| same(asking)).collect();
+        let mut stale: Vec<_> = self.asks.extract_if(|_, asking| same(asking)).collect();
+        stale.sort_unstable_by_key(|(id, _)| *id);
         turn.send(from, Message::Revoked(revoke));
         for (_, asking) in stale {
             self.dispatch(turn, asking.pending);
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -16,7 +16,7 @@
 use crate::types::{ConnId, DatabaseId, GroupId, Link, Position, RequestId, Term, VmId};
 use connection::{Connection, Transaction};
 use serde::Serialize;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 /// How often a replica is asked for its state while reads wait for it to catch up.
@@ -76,13 +76,13 @@
     address: SocketAddr,
     gate: Gate,
     pool: Pool,
-    jobs: HashMap<RequestId, Job>,
+    jobs: BTreeMap<RequestId, Job>,
     /// Jobs that have a slot and wait for a connection.
     starved: VecDeque<RequestId>,
     lagging: Vec<Lagging>,
     connections: BTreeMap<ConnId, Connection>,
     idle: Vec<ConnId>,
-    transactions: HashMap<(VmId, Link), Transaction>,
+    transactions: BTreeMap<(VmId, Link), Transaction>,
     state: Option<State>,
     refreshing: bool,
     refresh_at: Time,
@@ -133,12 +133,12 @@
             address: settings.address,
             gate: Gate::new(settings.slots),
             pool: Pool::new(settings.connections, settings.slots),
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             starved: VecDeque::new(),
             lagging: Vec::new(),
             connections: BTreeMap::new(),
             idle: Vec::new(),
-            transactions: HashMap::new(),
+            transactions: BTreeMap::new(),
             state: None,
             refreshing: false,
             refresh_at: Time::default(),
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -184,10 +184,14 @@
 http_service!(Unary, CALL, unary);
 http_service!(Duplex, STREAM, streaming);
 
-fn client(channel: Channel) -> Client<Channel> {
-    Client::new(channel)
+/// A client of `channel`, once its connection takes a call.
+async fn client(channel: Channel) -> Result<Client<Channel>, Status> {
+    let mut client = Client::new(channel)
         .max_decoding_message_size(MESSAGE_LIMIT)
-        .max_encoding_message_size(MESSAGE_LIMIT)
+        .max_encoding_message_size(MESSAGE_LIMIT);
+    let ready = client.ready().await;
+    ready.map_err(|error| Status::unavailable(error.to_string()))?;
+    Ok(client)
 }
 
 /// Makes one call.
@@ -196,11 +200,7 @@
     Q: Serialize + Send + Sync + 'static,
     A: DeserializeOwned + Send + Sync + 'static,
 {
-    let mut client = client(channel);
-    client
-        .ready()
-        .await
-        .map_err(|error| Status::unavailable(error.to_string()))?;
+    let mut client = client(channel).await?;
     let codec = Postcard::<Q, A>::default();
     let path = PathAndQuery::from_static(CALL);
     Ok(client
@@ -216,11 +216,7 @@
     A: DeserializeOwned + Send + Sync + 'static,
     M: IntoStreamingRequest<Message = Q>,
 {
-    let mut client = client(channel);
-    client
-        .ready()
-        .await
-        .map_err(|error| Status::unavailable(error.to_string()))?;
+    let mut client = client(channel).await?;
     let codec = Postcard::<Q, A>::default();
     let path = PathAndQuery::from_static(STREAM);
     client
