Tell a request whose key is in use that its outcome is unknown

Cause: it was told not run although the earlier request under the key could still commit, and "not run" has to stay true. Change: LS205, counted on its own, on the operators' page. Figures: a test for it. Conclusion: the caller asks again with the key.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -81,6 +81,8 @@
     pub unreplicated: u64,
     /// [`Unknown::PeerLost`].
     pub peer_lost: u64,
+    /// [`Unknown::KeyBusy`].
+    pub key_busy: u64,
 }
 
 impl Counters {
@@ -117,6 +119,7 @@
             Unknown::Unconfirmed => &mut self.unconfirmed,
             Unknown::Unreplicated => &mut self.unreplicated,
             Unknown::PeerLost => &mut self.peer_lost,
+            Unknown::KeyBusy => &mut self.key_busy,
         }
     }
 }
--- a/src/core/entry/answer.rs
+++ b/src/core/entry/answer.rs
@@ -94,7 +94,8 @@
             // What looked like a read writes: the primary runs it, and it is a write from here on.
             (_, Some(Refusal::ReadOnly)) if kind == Kind::Read => self.as_write(turn, sent.pending),
             (_, Some(Refusal::KeyBusy)) => {
-                self.tell(turn, sent.pending, Outcome::NotRun(not_run));
+                // The key's earlier request may yet commit, so that "not run" could turn out false.
+                self.tell(turn, sent.pending, Outcome::Unknown(Unknown::KeyBusy));
             }
             (Cause::Lost, _) => {
                 self.forget_floor(&sent.pending.request, hint.position);
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -167,4 +167,7 @@
     /// The proxy that ran it could not be reached any more.
     #[error("the proxy that ran the work was lost: read back, or ask with the request key")]
     PeerLost,
+    /// An earlier request under the same key has not ended.
+    #[error("an earlier request with this key is still running: ask again with the key")]
+    KeyBusy,
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -188,6 +188,7 @@
             ("unconfirmed", causes.unconfirmed),
             ("unreplicated", causes.unreplicated),
             ("peer_lost", causes.peer_lost),
+            ("key_busy", causes.key_busy),
         ];
         labelled(
             encoder,
--- a/src/net/pg/fault.rs
+++ b/src/net/pg/fault.rs
@@ -6,7 +6,7 @@
 //! | SQLSTATE | the request | cause |
 //! | --- | --- | --- |
 //! | `LS101` to `LS108` | was **not run** and may be sent again | busy, no primary, behind, expired, stopping, no pool, refused, rolled back |
-//! | `LS201` to `LS204` | has an **unknown outcome** | connection broke, primary replaced, too few replicas, proxy lost |
+//! | `LS201` to `LS205` | has an **unknown outcome** | connection broke, primary replaced, too few replicas, proxy lost, key in use |
 //! | `LS301` | was not run; an earlier write of the session is **lost** | failover |
 //!
 //! The message is the cause with its remedy, DETAIL says what became of the request, and HINT
@@ -172,5 +172,6 @@
         Unknown::Unconfirmed => "LS202",
         Unknown::Unreplicated => "LS203",
         Unknown::PeerLost => "LS204",
+        Unknown::KeyBusy => "LS205",
     }
 }
--- a/tests/node_outcome.rs
+++ b/tests/node_outcome.rs
@@ -201,3 +201,17 @@
     let (old, new) = (ids.next().unwrap(), ids.last().unwrap());
     assert!(old.abs_diff(new) > 1 << 19, "{old} and {new}");
 }
+
+/// A caller asks again under its key while its first request still runs. The second one is not
+/// run, but the first may yet commit: "not run" could turn out false, so the caller hears
+/// "outcome unknown", and to ask again with the key.
+#[test]
+fn a_key_in_use_is_an_unknown_outcome() {
+    let mut world = World::ready(1);
+    world.database("a").refuse = 1;
+    let mut request = world.request(1, Kind::Write, "w lot-1");
+    request.key = Some(id("key-1"));
+    world.submit("vm0", request);
+    world.wait(1, 1);
+    assert_eq!(world.told(1), ["unknown: KeyBusy"]);
+}
