Open peer streams in a module of their own; wait for the stop signals in one place

Cause: net/peer.rs had two jobs in 556 lines, the streams and how they are opened, and serve and demo each waited for SIGTERM and SIGINT in code of their own. Change: net/peer/handshake.rs holds who says what when a stream opens; util::asked_to_stop serves both commands. Behaviour is as it was. Conclusion: one job a file.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -7,9 +7,9 @@
 use crate::net::proxy::{self, Setup};
 use crate::settings::Settings;
 use crate::types::Life;
+use crate::util;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 
 const USAGE: &str = "\
 Run one proxy, until SIGTERM or SIGINT asks it to stop; it then finishes what is in
@@ -46,7 +46,7 @@
     let settings: Settings = text
         .parse()
         .map_err(|error| Error::failed(format!("{}:{error}", args.path)))?;
-    crate::util::log(settings.log.into());
+    util::log(settings.log.into());
     actix_rt::System::new().block_on(serve(settings))
 }
 
@@ -70,7 +70,7 @@
         callers,
     };
     println!("ready {}", settings.callers);
-    proxy::run(setup, asked_to_stop().map_err(Error::failed)?).await;
+    proxy::run(setup, util::asked_to_stop().map_err(Error::failed)?).await;
     Ok(())
 }
 
@@ -81,14 +81,3 @@
         ))
     })
 }
-
-fn asked_to_stop() -> std::io::Result<impl Future<Output = ()> + 'static> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    })
-}
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -3,9 +3,12 @@
 //! A stream that is in doubt is closed and reported as down; nothing that was sent on it is sent
 //! again here, because only the core knows what may be.
 
+mod handshake;
+
 use crate::core::message::Message;
 use crate::net::rpc;
 use crate::types::{Life, VmId};
+use handshake::{Incoming, accept, connect};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,11 +18,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_stream::wrappers::UnboundedReceiverStream;
-use tonic::metadata::MetadataMap;
+use tonic::Streaming;
+use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
-use tonic::transport::{Endpoint, Server};
-use tonic::{IntoStreamingRequest, Status, Streaming};
 
 /// How long a frame may go unacknowledged before its stream is in doubt. Far above a round trip
 /// between regions (20 ms), and short enough that a silent stream costs a caller one wait.
@@ -41,10 +42,6 @@
 
 const FLUSH_CHECK: Duration = Duration::from_millis(20);
 
-const VM: &str = "vm";
-const LIFE: &str = "life";
-const PROTOCOL: &str = "protocol";
-
 /// What travels on a stream.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -114,13 +111,6 @@
     told: u64,
 }
 
-struct Incoming {
-    vm: VmId,
-    life: Life,
-    messages: Streaming<Frame>,
-    frames: mpsc::UnboundedSender<Frame>,
-}
-
 impl Stream {
     fn new(serial: u64, frames: mpsc::UnboundedSender<Frame>) -> Self {
         Self {
@@ -468,89 +458,3 @@
     }
     peers.ended(&vm, serial);
 }
-
-type Opened = (Life, Streaming<Frame>, mpsc::UnboundedSender<Frame>);
-
-async fn connect(
-    identity: &Identity,
-    expected: &VmId,
-    address: SocketAddr,
-) -> Result<Opened, Status> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|error| Status::invalid_argument(error.to_string()))?
-        .tcp_nodelay(true)
-        .local_address(Some(identity.source))
-        .connect_timeout(DIAL);
-    let attempt = async {
-        let channel = endpoint.connect().await;
-        let channel = channel.map_err(|error| Status::unavailable(error.to_string()))?;
-        let (frames, receiver) = mpsc::unbounded_channel();
-        let mut request = UnboundedReceiverStream::new(receiver).into_streaming_request();
-        introduce(identity, request.metadata_mut())?;
-        let response = rpc::open(channel, request).await?;
-        let (vm, life) = introduced(response.metadata())?;
-        if vm != *expected {
-            return Err(Status::not_found(format!("{vm} listens there now")));
-        }
-        Ok((life, response.into_inner(), frames))
-    };
-    let late = |_| Status::deadline_exceeded("no answer to the attempt");
-    tokio::time::timeout(DIAL, attempt).await.map_err(late)?
-}
-
-fn accept(
-    identity: &Identity,
-    request: tonic::Request<Streaming<Frame>>,
-    incoming: &mpsc::UnboundedSender<Incoming>,
-) -> Result<tonic::Response<rpc::Answers<Frame>>, Status> {
-    let (vm, life) = introduced(request.metadata())?;
-    let (frames, receiver) = mpsc::unbounded_channel();
-    let messages = request.into_inner();
-    let accepted = incoming.send(Incoming {
-        vm,
-        life,
-        messages,
-        frames,
-    });
-    accepted.map_err(|_| Status::unavailable("this process is ending"))?;
-    let answers = tokio_stream::StreamExt::map(UnboundedReceiverStream::new(receiver), Ok);
-    let mut response = tonic::Response::new(Box::pin(answers) as rpc::Answers<Frame>);
-    introduce(identity, response.metadata_mut())?;
-    Ok(response)
-}
-
-fn introduce(identity: &Identity, metadata: &mut MetadataMap) -> Result<(), Status> {
-    let entries = [
-        (VM, identity.vm.to_string()),
-        (LIFE, identity.life.to_string()),
-        (PROTOCOL, rpc::PROTOCOL.to_string()),
-    ];
-    for (key, value) in entries {
-        let value = value
-            .parse()
-            .map_err(|_| Status::internal("unprintable identity"))?;
-        metadata.insert(key, value);
-    }
-    Ok(())
-}
-
-fn introduced(metadata: &MetadataMap) -> Result<(VmId, Life), Status> {
-    let text = |key: &str| {
-        let value = metadata.get(key).and_then(|value| value.to_str().ok());
-        value.ok_or_else(|| Status::invalid_argument(format!("the stream does not state `{key}`")))
-    };
-    let protocol = text(PROTOCOL)?;
-    if protocol != rpc::PROTOCOL.to_string() {
-        return Err(Status::failed_precondition(format!(
-            "the peer speaks protocol {protocol}, this process {}: run one version on all VMs",
-            rpc::PROTOCOL
-        )));
-    }
-    let vm = text(VM)?
-        .parse()
-        .map_err(|error| Status::invalid_argument(format!("{error}")))?;
-    let life = text(LIFE)?
-        .parse()
-        .map_err(|error| Status::invalid_argument(format!("{error}")))?;
-    Ok((vm, life))
-}
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -12,13 +12,13 @@
 use crate::standin::deployment::{APPLY_LAG, CONNECT, Deployment, GROUPS, RECEIVE_LAG, SERVICE};
 use crate::standin::platform::{self, Platform};
 use crate::types::{ApplyId, Domain, GroupId, Invalid, Life, Version, VmId};
+use crate::util;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -271,11 +271,9 @@
 
     /// Runs until SIGTERM or SIGINT, then stops the proxies.
     pub async fn run_until_signal(self) -> io::Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
+        let asked = util::asked_to_stop()?;
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            () = asked => {}
             () = self.kill_in_time() => {}
         }
         self.stop();
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,6 +1,7 @@
 //! Small things that several subcommands share.
 
 use std::io::Write;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Sends logs to stderr, one line each: the level, where, the text, and its key-values. The
 /// environment variable `RUST_LOG` goes before `level`.
@@ -37,3 +38,15 @@
         write!(self.0, " {key}={value}").map_err(log::kv::Error::from)
     }
 }
+
+/// Completes on SIGTERM or SIGINT, which ask for a planned stop. Either is caught from now on.
+pub fn asked_to_stop() -> std::io::Result<impl Future<Output = ()> + 'static> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
