--- /dev/null
+++ b/src/direct/lead.rs
@@ -0,0 +1,123 @@
+//! Who leads a group, and until when this VM may act on it.
+//!
+//! **Failure answered.** A primary is replaced while this VM is cut off, frozen or slow and still
+//! talks to the old one, which goes on answering.
+//! **Symptom without it.** A write that the old primary took is acknowledged and vanishes; a read
+//! of it misses what the new one acknowledged.
+//! **Why it suffices.** The group's row in the store says who leads. A reading of it that was
+//! *asked* at t is believed until t + [`LEASE`]. Who replaces a primary first writes that it will,
+//! and then waits until every VM that may hold a lease has said that it dropped it, or for longer
+//! than [`LEASE`] since that VM could last have asked. The lease is looked at again after the
+//! database's answer was read, on a clock that counts pauses.
+
+use crate::clock::{Span, Time};
+use crate::types::{DatabaseId, GroupId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How long a reading of the lead rows is believed: longer than an outage of the store usually
+/// lasts (4 to 6 s), so that one stops no writes. It is waited out only for a VM that fell silent
+/// in the last so many seconds before a primary was lost.
+pub const LEASE: Span = Span::from_secs(8);
+
+/// Which change of primary a group has come to.
+pub type Epoch = u64;
+
+/// Who leads one group, as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lead {
+    /// Rises with each change.
+    pub epoch: Epoch,
+    /// The primary; while `changing`, the one that is being replaced.
+    pub primary: DatabaseId,
+    /// Whether a replacement is under way: nobody may act on the primary.
+    pub changing: bool,
+}
+
+/// A lease on a group's primary.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lease {
+    /// Of which epoch.
+    pub epoch: Epoch,
+    /// The primary.
+    pub primary: DatabaseId,
+    /// Until when it may be acted on.
+    pub until: Time,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    lead: Lead,
+    asked: Time,
+    /// Epochs up to this one were given up on somebody's word.
+    dropped: Epoch,
+}
+
+/// What this VM knows of who leads.
+#[derive(Debug, Clone, Default)]
+pub struct Book {
+    groups: BTreeMap<GroupId, Known>,
+}
+
+impl Book {
+    /// Learns what a reading asked at `asked` showed. An older epoch is never gone back to.
+    pub fn learn(&mut self, group: &GroupId, lead: Lead, asked: Time) {
+        match self.groups.get_mut(group) {
+            None => {
+                let known = Known {
+                    lead,
+                    asked,
+                    dropped: 0,
+                };
+                self.groups.insert(group.clone(), known);
+            }
+            Some(known) => known.learn(lead, asked),
+        }
+    }
+
+    /// Gives up `epoch` of a group and all before it: from now on nothing is acknowledged on it.
+    pub fn drop_epoch(&mut self, group: &GroupId, epoch: Epoch) {
+        if let Some(known) = self.groups.get_mut(group) {
+            known.dropped = known.dropped.max(epoch);
+        }
+    }
+
+    /// The lease held on a group's primary at `now`.
+    pub fn lease(&self, group: &GroupId, now: Time) -> Option<Lease> {
+        let known = self.groups.get(group)?;
+        let until = known.asked + LEASE;
+        let usable = !known.lead.changing && known.lead.epoch > known.dropped && now < until;
+        usable.then(|| Lease {
+            epoch: known.lead.epoch,
+            primary: known.lead.primary.clone(),
+            until,
+        })
+    }
+
+    /// Whether `epoch` of a group may be acted on at `now`.
+    pub fn holds(&self, group: &GroupId, epoch: Epoch, now: Time) -> bool {
+        self.lease(group, now)
+            .is_some_and(|lease| lease.epoch == epoch)
+    }
+
+    /// What the newest reading of a group showed, and when it was asked.
+    pub fn known(&self, group: &GroupId) -> Option<(&Lead, Time)> {
+        let known = self.groups.get(group)?;
+        Some((&known.lead, known.asked))
+    }
+
+    /// All groups that are known.
+    pub fn groups(&self) -> impl Iterator<Item = &GroupId> {
+        self.groups.keys()
+    }
+}
+
+impl Known {
+    fn learn(&mut self, lead: Lead, asked: Time) {
+        let newer = (lead.epoch, lead.changing) >= (self.lead.epoch, self.lead.changing);
+        if newer {
+            self.lead = lead;
+            self.asked = self.asked.max(asked);
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/mesh.rs
@@ -0,0 +1,77 @@
+//! What VMs ask each other. Each question is one call and its answer; time on the way counts
+//! against whoever asked, so no clock of another VM is ever trusted.
+
+use crate::clock::Span;
+use crate::direct::adapter::Later;
+use crate::direct::config::{Config, Database};
+use crate::direct::lead::{Epoch, Lead};
+use crate::direct::view::Report;
+use crate::types::{DatabaseId, GroupId, Life, Version, VmId};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A question of one VM to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    /// A heartbeat to the steward, or to any VM while none is known.
+    Beat(Beat),
+    /// Give up this epoch of a group, once work on its primary is over or `patience` is.
+    Drop {
+        /// The group.
+        group: GroupId,
+        /// The epoch, and all before it.
+        epoch: Epoch,
+        /// How long work under way may take to end.
+        patience: Span,
+    },
+    /// The steward hands its duties over as it stops.
+    HandOver {
+        /// The fencing token that it held.
+        token: u64,
+    },
+}
+
+/// What a VM tells with a heartbeat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Who asks.
+    pub vm: VmId,
+    /// Its life.
+    pub life: Life,
+    /// The configuration that it has in force.
+    pub config: Version,
+    /// The digest of the register that it has.
+    pub register: u64,
+    /// How databases have answered it.
+    pub reports: Vec<(DatabaseId, Report)>,
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// To a heartbeat.
+    News(Box<News>),
+    /// To a drop: it is given up, by this life of the VM.
+    Dropped(Life),
+    /// To a hand-over: whether the duty was taken.
+    Taken(bool),
+}
+
+/// What a VM is told with the answer to its heartbeat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// The life of the VM that answers.
+    pub life: Life,
+    /// Whether it is the steward.
+    pub steward: bool,
+    /// Who leads, with the age of that reading of the store when this answer was made.
+    pub leads: Vec<(GroupId, Lead, Span)>,
+    /// The configuration, if it is newer than the one told.
+    pub config: Option<Config>,
+    /// The register, if it differs from the one told, with its age.
+    pub register: Option<(Vec<Database>, Span)>,
+}
+
+/// Asks the VM at an address; nothing comes back from one that is not reached within the span.
+pub type Call = Rc<dyn Fn(SocketAddr, Question, Span) -> Later<Option<Answer>>>;
--- /dev/null
+++ b/src/direct/view.rs
@@ -0,0 +1,154 @@
+//! What this VM knows and has under way, shared by its tasks on one thread.
+
+use crate::clock::{Span, Time};
+use crate::direct::config::{Config, Database, Route};
+use crate::direct::lead::{Book, Epoch, Lease};
+use crate::types::{DatabaseId, GroupId};
+use serde::{Deserialize, Serialize};
+use std::cell::{Ref, RefCell, RefMut};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// What is known at one moment.
+#[derive(Debug, Default)]
+pub struct View {
+    /// The configuration in force.
+    pub config: Option<Rc<Config>>,
+    /// The databases that are registered.
+    pub databases: BTreeMap<DatabaseId, Database>,
+    /// Who leads.
+    pub book: Book,
+    /// How databases have answered this VM.
+    pub reports: Reports,
+    /// Statements and transactions on primaries that are not over.
+    pub work: Work,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+}
+
+impl View {
+    /// The route for callers that name `database`.
+    pub fn route(&self, database: &str) -> Option<&Route> {
+        self.config.as_ref()?.routes.get(database)
+    }
+
+    /// The lease on a group's primary, and where that database is.
+    pub fn primary(&self, group: &GroupId, now: Time) -> Option<(Lease, &Database)> {
+        let lease = self.book.lease(group, now)?;
+        let database = self.databases.get(&lease.primary)?;
+        Some((lease, database))
+    }
+
+    /// The databases of a group that are registered.
+    pub fn members<'a>(&'a self, group: &'a GroupId) -> impl Iterator<Item = &'a Database> {
+        self.databases.values().filter(move |d| d.group == *group)
+    }
+}
+
+/// The view as tasks share it; whoever changes it wakes those that wait for a change.
+#[derive(Debug, Default)]
+pub struct Shared {
+    view: RefCell<View>,
+    changed: Notify,
+}
+
+impl Shared {
+    /// Looks at the view. Not to be held over an await.
+    pub fn look(&self) -> Ref<'_, View> {
+        self.view.borrow()
+    }
+
+    /// Changes the view without waking anyone. Not to be held over an await.
+    pub fn quietly(&self) -> RefMut<'_, View> {
+        self.view.borrow_mut()
+    }
+
+    /// Changes the view, and wakes all that wait for a change.
+    pub fn change<T>(&self, change: impl FnOnce(&mut View) -> T) -> T {
+        let result = change(&mut self.view.borrow_mut());
+        self.changed.notify_waiters();
+        result
+    }
+
+    /// Completes with the next change after this call.
+    pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
+        self.changed.notified()
+    }
+}
+
+/// How one database has answered this VM of late.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// How long ago it last answered anything, if it ever did.
+    pub answered: Option<Span>,
+    /// How long ago the first failure since then was: a connection refused, broken or silent.
+    pub failing: Option<Span>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    answered: Option<Time>,
+    failing: Option<Time>,
+}
+
+/// How databases have answered this VM.
+#[derive(Debug, Clone, Default)]
+pub struct Reports(BTreeMap<DatabaseId, Seen>);
+
+impl Reports {
+    /// A database answered, whatever it said.
+    pub fn answered(&mut self, database: &DatabaseId, now: Time) {
+        let seen = self.0.entry(database.clone()).or_default();
+        seen.answered = Some(now);
+        seen.failing = None;
+    }
+
+    /// A connection to a database could not be opened, broke, or stayed silent past its deadline.
+    pub fn failed(&mut self, database: &DatabaseId, now: Time) {
+        let seen = self.0.entry(database.clone()).or_default();
+        seen.failing.get_or_insert(now);
+    }
+
+    /// How it answered, as of `now`.
+    pub fn report(&self, database: &DatabaseId, now: Time) -> Report {
+        let seen = self.0.get(database).copied().unwrap_or_default();
+        Report {
+            answered: seen.answered.map(|at| now.since(at)),
+            failing: seen.failing.map(|at| now.since(at)),
+        }
+    }
+
+    /// Forgets databases that are not registered any more.
+    pub fn retain(&mut self, keep: impl Fn(&DatabaseId) -> bool) {
+        self.0.retain(|database, _| keep(database));
+    }
+}
+
+/// Work on primaries that has started and is not over, by group and epoch. A replacement that is
+/// planned waits for it.
+#[derive(Debug, Clone, Default)]
+pub struct Work(BTreeMap<(GroupId, Epoch), u32>);
+
+impl Work {
+    /// Something starts.
+    pub fn start(&mut self, group: &GroupId, epoch: Epoch) {
+        *self.0.entry((group.clone(), epoch)).or_default() += 1;
+    }
+
+    /// Something is over.
+    pub fn end(&mut self, group: &GroupId, epoch: Epoch) {
+        let key = (group.clone(), epoch);
+        if let Some(count) = self.0.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.0.remove(&key);
+            }
+        }
+    }
+
+    /// Whether anything is under way in this epoch.
+    pub fn is_under_way(&self, group: &GroupId, epoch: Epoch) -> bool {
+        self.0.contains_key(&(group.clone(), epoch))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cmd;
 pub mod config;
 pub mod core;
+pub mod direct;
 pub mod experiment;
 pub mod jsonc;
 pub mod load;
