--- /dev/null
+++ b/src/direct/control/rows.rs
@@ -0,0 +1,156 @@
+//! The rows that the control path keeps in the store, all in one table, so that one call reads
+//! them as of a single moment.
+
+use crate::clock::Time;
+use crate::direct::lead::Lead;
+use crate::direct::table::{Row, RowId, Version};
+use crate::types::{Domain, GroupId, Life, VmId};
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+
+/// The table of all rows of ours.
+pub const TABLE: &str = "control";
+
+const DUTY: &str = "duty";
+const LEAD: &str = "lead.";
+const MEMBER: &str = "vm.";
+
+/// Which VM a row is about: its name and IP, as a new VM may come under an old name.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberId(Box<str>);
+
+impl MemberId {
+    /// The id of a VM at an IP.
+    pub fn new(vm: &VmId, ip: IpAddr) -> Self {
+        Self(format!("{vm}@{ip}").into())
+    }
+}
+
+impl std::fmt::Display for MemberId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// The duty of promotions: who is the steward.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// The VM that holds it.
+    pub vm: VmId,
+    /// That VM's life.
+    pub life: Life,
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+    /// The fencing token: rises whenever the duty is taken.
+    pub token: u64,
+    /// Rises with each renewal, so that no two writes are alike.
+    pub number: u64,
+}
+
+/// A VM that may act on leases.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The life of its process.
+    pub life: Life,
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Set by a steward that does not hear it: readings asked after this are no lease for it.
+    pub evicted: bool,
+}
+
+/// The rows as of one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading {
+    /// When they were asked for.
+    pub asked: Time,
+    /// When they were there.
+    pub answered: Time,
+    /// The steward, and the version of that row.
+    pub duty: Option<(Duty, Version)>,
+    /// Who leads, and the versions of those rows.
+    pub leads: BTreeMap<GroupId, (Lead, Version)>,
+    /// The VMs, and the versions of their rows.
+    pub members: BTreeMap<MemberId, (Member, Version)>,
+}
+
+impl Reading {
+    /// Reads the rows that a call asked at `asked` brought at `answered`. What can't be read is
+    /// left out and logged: another release may have written it.
+    pub fn new(rows: &[Row], asked: Time, answered: Time) -> Self {
+        let mut reading = Self {
+            asked,
+            answered,
+            duty: None,
+            leads: BTreeMap::new(),
+            members: BTreeMap::new(),
+        };
+        for row in rows {
+            reading.add(row);
+        }
+        reading
+    }
+
+    fn add(&mut self, row: &Row) {
+        let key = &*row.id.key;
+        if key == DUTY {
+            self.duty = decode(row).map(|duty| (duty, row.version));
+        } else if let Some(group) = key.strip_prefix(LEAD).and_then(|text| text.parse().ok()) {
+            if let Some(lead) = decode(row) {
+                self.leads.insert(group, (lead, row.version));
+            }
+        } else if let Some(id) = key.strip_prefix(MEMBER)
+            && let Some(member) = decode(row)
+        {
+            self.members
+                .insert(MemberId(id.into()), (member, row.version));
+        }
+    }
+
+    /// Whether this reading is a lease for a life of a VM.
+    ///
+    /// **Failure answered.** A steward replaces a primary and does not know of a VM that acts on
+    /// a lease. **Symptom without it.** That VM acknowledges a write which the new primary lacks.
+    /// **Why it suffices.** The steward reads the rows after its intent is written. Any reading
+    /// that shows the old lead was asked before; if it showed the VM's row too, then the steward
+    /// finds that row, or one that tells since when the VM is evicted.
+    pub fn is_lease_for(&self, id: &MemberId, life: Life) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|(member, _)| member.life == life && !member.evicted)
+    }
+}
+
+fn decode<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    let value = row.value.as_ref()?;
+    let read = serde_json::from_slice(value);
+    if let Err(error) = &read {
+        log::warn!(row:% = row.id, error:%; "a row of the control table is not understood");
+    }
+    read.ok()
+}
+
+/// The row of the duty.
+pub fn duty_row() -> RowId {
+    RowId::new(TABLE, DUTY)
+}
+
+/// The row that says who leads a group.
+pub fn lead_row(group: &GroupId) -> RowId {
+    RowId::new(TABLE, format!("{LEAD}{group}"))
+}
+
+/// The row of a VM.
+pub fn member_row(id: &MemberId) -> RowId {
+    RowId::new(TABLE, format!("{MEMBER}{id}"))
+}
+
+/// A row's value as the store keeps it: text, so that a person can read it there.
+pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    let text = serde_json::to_vec(value);
+    // Plain structs of names and numbers always have a text.
+    Bytes::from(text.unwrap_or_default())
+}
--- /dev/null
+++ b/src/direct/control/store.rs
@@ -0,0 +1,148 @@
+//! Calls of the store: counted, bounded, and with the times since it answers or does not.
+
+use crate::clock::{Span, Time};
+use crate::direct::adapter::Adapter;
+use crate::direct::control::rows::{Reading, TABLE};
+use crate::direct::table::{Ask, Change, Fault, Row, Told, Version};
+use std::cell::{Cell, RefCell};
+
+/// An answer that takes longer is as good as lost: the store takes 4 to 20 ms, and 240 ms to
+/// 500 ms where it is slow.
+const PATIENCE: Span = Span::from_millis(1_500);
+
+/// How often the store was asked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Tables read.
+    pub reads: u64,
+    /// Long polls.
+    pub follows: u64,
+    /// Changes asked for.
+    pub writes: u64,
+    /// Calls that brought no answer.
+    pub faults: u64,
+}
+
+/// Since when the store has answered every call, or none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Health {
+    /// The first answer since the last fault.
+    pub up: Option<Time>,
+    /// The first fault since the last answer.
+    pub down: Option<Time>,
+}
+
+impl Health {
+    /// A call asked at `asked` ended; returns whether this changes what is believed.
+    pub fn note(&mut self, good: bool, asked: Time, now: Time) -> bool {
+        if good {
+            self.up.get_or_insert(asked);
+            return self.down.take().is_some();
+        }
+        self.up = None;
+        let first = self.down.is_none();
+        self.down.get_or_insert(now);
+        first
+    }
+}
+
+/// The store as the control path asks it.
+#[derive(Debug)]
+pub struct Store {
+    adapter: Adapter,
+    counts: Cell<Counts>,
+    health: RefCell<Health>,
+}
+
+impl Store {
+    /// The store of a platform.
+    pub fn new(adapter: Adapter) -> Self {
+        Self {
+            adapter,
+            counts: Cell::default(),
+            health: RefCell::default(),
+        }
+    }
+
+    /// How often it was asked.
+    pub fn counts(&self) -> Counts {
+        self.counts.get()
+    }
+
+    /// Since when it answers.
+    pub fn health(&self) -> Health {
+        *self.health.borrow()
+    }
+
+    /// Reads a table.
+    pub async fn read(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
+        self.count(|counts| counts.reads += 1);
+        match self.call(Ask::Read(table.into()), PATIENCE).await? {
+            Told::Rows { rows, version } => Ok((rows, version)),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Reads the rows of the control path.
+    pub async fn reading(&self) -> Result<Reading, Fault> {
+        let asked = (self.adapter.clock)();
+        let (rows, _) = self.read(TABLE).await?;
+        Ok(Reading::new(&rows, asked, (self.adapter.clock)()))
+    }
+
+    /// Waits for a change of a table after a version; none means that the history is gone.
+    pub async fn follow(
+        &self,
+        table: &str,
+        after: Version,
+        wait: Span,
+    ) -> Result<Option<(Vec<Row>, Version)>, Fault> {
+        self.count(|counts| counts.follows += 1);
+        let ask = Ask::Follow {
+            table: table.into(),
+            after,
+            wait,
+        };
+        match self.call(ask, wait + PATIENCE).await? {
+            Told::Rows { rows, version } => Ok(Some((rows, version))),
+            Told::Forgotten => Ok(None),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Changes rows; the rows under condition come back if they are not as expected.
+    pub async fn write(&self, change: Change) -> Result<Result<Version, Vec<Row>>, Fault> {
+        self.count(|counts| counts.writes += 1);
+        match self.call(Ask::Write(change), PATIENCE).await? {
+            Told::Written(version) => Ok(Ok(version)),
+            Told::Conflict(rows) => Ok(Err(rows)),
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn call(&self, ask: Ask, span: Span) -> Result<Told, Fault> {
+        let asked = (self.adapter.clock)();
+        let told = (self.adapter.store)(ask, span).await;
+        let now = (self.adapter.clock)();
+        if told.is_err() {
+            self.count(|counts| counts.faults += 1);
+        }
+        let changed = self.health.borrow_mut().note(told.is_ok(), asked, now);
+        match &told {
+            Err(fault) if changed => log::warn!(reason:% = fault; "the store does not answer"),
+            Ok(_) if changed => log::info!("the store answers again"),
+            _ => {}
+        }
+        told
+    }
+
+    fn count(&self, add: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        add(&mut counts);
+        self.counts.set(counts);
+    }
+}
+
+fn unexpected() -> Fault {
+    Fault::Unknown("the answer is of another kind than the call".into())
+}
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -49,14 +49,15 @@
 struct Known {
     lead: Lead,
     asked: Time,
-    /// Epochs up to this one were given up on somebody's word.
-    dropped: Epoch,
 }
 
 /// What this VM knows of who leads.
 #[derive(Debug, Clone, Default)]
 pub struct Book {
     groups: BTreeMap<GroupId, Known>,
+    /// Epochs up to this one were given up on somebody's word. Kept also for groups that no
+    /// reading has shown yet: one that is on its way may still show the epoch that was given up.
+    dropped: BTreeMap<GroupId, Epoch>,
 }
 
 impl Book {
@@ -64,12 +65,7 @@
     pub fn learn(&mut self, group: &GroupId, lead: Lead, asked: Time) {
         match self.groups.get_mut(group) {
             None => {
-                let known = Known {
-                    lead,
-                    asked,
-                    dropped: 0,
-                };
-                self.groups.insert(group.clone(), known);
+                self.groups.insert(group.clone(), Known { lead, asked });
             }
             Some(known) => known.learn(lead, asked),
         }
@@ -77,8 +73,16 @@
 
     /// Gives up `epoch` of a group and all before it: from now on nothing is acknowledged on it.
     pub fn drop_epoch(&mut self, group: &GroupId, epoch: Epoch) {
-        if let Some(known) = self.groups.get_mut(group) {
-            known.dropped = known.dropped.max(epoch);
+        let dropped = self.dropped.entry(group.clone()).or_default();
+        *dropped = epoch.max(*dropped);
+    }
+
+    /// Gives up every epoch that is known.
+    pub fn drop_all(&mut self) {
+        let known = self.groups.iter();
+        let epochs: Vec<_> = known.map(|(g, k)| (g.clone(), k.lead.epoch)).collect();
+        for (group, epoch) in epochs {
+            self.drop_epoch(&group, epoch);
         }
     }
 
@@ -86,7 +90,8 @@
     pub fn lease(&self, group: &GroupId, now: Time) -> Option<Lease> {
         let known = self.groups.get(group)?;
         let until = known.asked + LEASE;
-        let usable = !known.lead.changing && known.lead.epoch > known.dropped && now < until;
+        let dropped = self.dropped.get(group).copied().unwrap_or_default();
+        let usable = !known.lead.changing && known.lead.epoch > dropped && now < until;
         usable.then(|| Lease {
             epoch: known.lead.epoch,
             primary: known.lead.primary.clone(),
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -30,6 +30,8 @@
         /// The fencing token that it held.
         token: u64,
     },
+    /// There is something new: send a heartbeat at once.
+    Nudge,
 }
 
 /// What a VM tells with a heartbeat.
@@ -56,6 +58,11 @@
     Dropped(Life),
     /// To a hand-over: whether the duty was taken.
     Taken(bool),
+    /// To a nudge.
+    Noted,
+    /// Made on the asking side, never sent: the connection was refused, so no process listens
+    /// there. A VM listens before it registers, so the life that is registered has ended.
+    Absent,
 }
 
 /// What a VM is told with the answer to its heartbeat.
@@ -65,6 +72,8 @@
     pub life: Life,
     /// Whether it is the steward.
     pub steward: bool,
+    /// Which steward it follows, if it knows one.
+    pub duty: Option<Heard>,
     /// Who leads, with the age of that reading of the store when this answer was made.
     pub leads: Vec<(GroupId, Lead, Span)>,
     /// The configuration, if it is newer than the one told.
@@ -73,5 +82,16 @@
     pub register: Option<(Vec<Database>, Span)>,
 }
 
+/// A steward, as another VM knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+    /// Its fencing token.
+    pub token: u64,
+    /// How long ago it last answered.
+    pub age: Span,
+}
+
 /// Asks the VM at an address; nothing comes back from one that is not reached within the span.
 pub type Call = Rc<dyn Fn(SocketAddr, Question, Span) -> Later<Option<Answer>>>;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod adapter;
 pub mod config;
+pub mod control;
 pub mod lead;
 pub mod mesh;
 pub mod statement;
--- a/src/direct/statement.rs
+++ b/src/direct/statement.rs
@@ -160,6 +160,8 @@
 pub struct Standing {
     /// Whether it takes itself for the primary.
     pub primary: bool,
+    /// The newest term that it knows of; a primary's is its own.
+    pub term: crate::types::Term,
     /// How far it has received the log.
     pub received: Position,
 }
