--- /dev/null
+++ b/src/direct/control/duty.rs
@@ -0,0 +1,339 @@
+//! The duty of promotions: taken, renewed and handed over by compare-and-set.
+
+use crate::clock::{Span, Time};
+use crate::direct::control::backoff::Backoff;
+use crate::direct::control::rows::{Duty, MemberId, duty_row, encode};
+use crate::direct::control::state::Held;
+use crate::direct::control::{Control, errands};
+use crate::direct::mesh::{Answer, Question};
+use crate::direct::table::{Change, Row, RowId, Version};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a VM that is offered the duty may take to answer: two calls of the store.
+const OFFER: Span = Span::from_millis(700);
+
+/// How often it is looked whether an order that is under way has ended.
+const ORDER_ENDS: Duration = Duration::from_millis(20);
+
+/// A row to write beside the duty's.
+#[derive(Debug, Clone)]
+pub(super) struct Extra {
+    /// Which.
+    pub row: RowId,
+    /// The version that it must have.
+    pub expect: Version,
+    /// What to write.
+    pub value: Bytes,
+}
+
+/// How a renewal of the duty ended.
+#[derive(Debug)]
+pub(super) enum Renewed {
+    /// The duty was still held when the store took it.
+    Done {
+        /// When that was asked.
+        asked: Time,
+        /// The version of the rows written.
+        version: Version,
+    },
+    /// The other row is not as expected.
+    Conflict,
+    /// The duty is not held here any more.
+    Lost,
+}
+
+impl Control {
+    /// Whether this VM is the steward.
+    pub(super) fn is_steward(&self) -> bool {
+        self.state.borrow().held.is_some()
+    }
+
+    /// The duty's row as this VM writes it.
+    fn duty(&self, token: u64, number: u64) -> Bytes {
+        encode(&Duty {
+            vm: self.setup.vm.clone(),
+            life: self.setup.life,
+            address: self.setup.address,
+            token,
+            number,
+        })
+    }
+
+    /// From when on this VM may take the duty.
+    pub(super) fn takes_at(&self, now: Time) -> Option<Time> {
+        if self.setup.shared.look().stopping || !self.is_member() {
+            return None;
+        }
+        let state = self.state.borrow();
+        let reading = state.reading.as_ref()?;
+        let holder = reading.duty.as_ref().map(|(duty, _)| duty.address);
+        let members = reading.members.iter();
+        let others = members.filter(|(_, (m, _))| !m.evicted && Some(m.address) != holder);
+        let rank = others.take_while(|(id, _)| **id < self.id).count();
+        let hearing = state.post.as_ref().map(|post| &post.hearing);
+        state.watch.takes_at(hearing, rank, now)
+    }
+
+    /// Takes the duty, unless most other VMs that answer hear the steward: then it is this VM's
+    /// path that is broken.
+    pub(super) async fn take_if_alone(self: &Rc<Self>) {
+        let ended = {
+            let state = self.state.borrow();
+            let post = state.post.as_ref();
+            post.is_none_or(|post| post.hearing.ended.is_some())
+        };
+        if !ended {
+            let (answered, hear) = self.ask_peers().await;
+            if hear > 0 && hear * 2 >= answered {
+                log::info!(answered, hear; "the steward is silent here only: it stays");
+                return;
+            }
+        }
+        if self.misses_steward() {
+            self.take().await;
+        }
+    }
+
+    /// Takes the duty by compare-and-set from the row that was last read.
+    async fn take(self: &Rc<Self>) -> bool {
+        let known = self.state.borrow().reading.as_ref().map(|r| r.duty.clone());
+        let Some(known) = known.filter(|_| !self.is_steward()) else {
+            return false;
+        };
+        let version = known.as_ref().map_or(0, |(_, version)| *version);
+        let token = known.as_ref().map_or(0, |(duty, _)| duty.token) + 1;
+        let change = Change {
+            expect: vec![(duty_row(), version)],
+            writes: vec![(duty_row(), self.duty(token, 0))],
+            remove: Vec::new(),
+        };
+        match self.store.write(change).await {
+            Ok(Ok(version)) => {
+                let now = self.now();
+                self.become_steward(Held {
+                    token,
+                    version,
+                    number: 0,
+                    since: now,
+                    handing: false,
+                    ordering: 0,
+                    valid: now,
+                });
+                true
+            }
+            // If an answer was lost, the next reading shows who holds the duty.
+            Ok(Err(_)) | Err(_) => {
+                self.state.borrow_mut().looked = None;
+                false
+            }
+        }
+    }
+
+    /// This VM holds the duty from now on.
+    pub(super) fn become_steward(self: &Rc<Self>, held: Held) {
+        let stopping = self.setup.shared.look().stopping;
+        if stopping || self.state.borrow().stopped {
+            return;
+        }
+        let token = held.token;
+        let mut state = self.state.borrow_mut();
+        let silent = state
+            .post
+            .as_ref()
+            .map(|post| held.since.since(post.hearing.since).0 / 1_000);
+        log::warn!(vm:% = self.id, token, version = held.version, silent_ms:? = silent; "this VM is the steward");
+        state.held = Some(held);
+        state.post = None;
+        state.heard.clear();
+        state.tried.clear();
+        drop(state);
+        errands::start(self, token);
+        self.nudge_all();
+    }
+
+    /// Gives the duty up.
+    pub(super) fn resign(&self, reason: &str) {
+        let held = self.state.borrow_mut().held.take();
+        if let Some(held) = held {
+            log::warn!(vm:% = self.id, token = held.token, reason; "this VM is no steward any more");
+            self.wake.notify_one();
+            self.nudged.notify_one();
+        }
+    }
+
+    /// Has every VM send a heartbeat now.
+    pub(super) fn nudge_all(&self) {
+        let token = self.state.borrow().held.as_ref().map(|held| held.token);
+        let Some(token) = token else { return };
+        for (_, address) in self.others() {
+            let address_here = self.setup.address;
+            let question = Question::Nudge {
+                address: address_here,
+                token,
+            };
+            let call = (self.setup.call)(address, question, OFFER);
+            actix_rt::spawn(async move {
+                let _ = call.await;
+            });
+        }
+    }
+
+    /// The other VMs that are registered.
+    pub(super) fn others(&self) -> Vec<(MemberId, SocketAddr)> {
+        let state = self.state.borrow();
+        let members = state
+            .reading
+            .iter()
+            .flat_map(|reading| reading.members.iter());
+        let others = members.filter(|(id, _)| **id != self.id);
+        others
+            .map(|(id, (member, _))| (id.clone(), member.address))
+            .collect()
+    }
+
+    /// Renews the duty, and changes a row with it if there is `extra`: both or none. Goes on until
+    /// the store has said what holds.
+    pub(super) async fn renew(self: &Rc<Self>, token: u64, extra: Option<&Extra>) -> Renewed {
+        let _one = self.writing.lock().await;
+        let mut backoff = Backoff::default();
+        loop {
+            let held = self.state.borrow_mut().held(token).cloned();
+            let Some(held) = held else {
+                return Renewed::Lost;
+            };
+            let asked = self.now();
+            let change = self.renewal(&held, extra);
+            match self.store.write(change).await {
+                Ok(Ok(version)) => {
+                    self.note_renewal(token, version, held.number + 1);
+                    return Renewed::Done { asked, version };
+                }
+                Ok(Err(rows)) => match self.settle(&held, extra, &rows) {
+                    Settled::Again => {}
+                    Settled::Landed(version) => return Renewed::Done { asked, version },
+                    Settled::Conflict => return Renewed::Conflict,
+                    Settled::Lost => {
+                        self.resign("another VM has taken it");
+                        return Renewed::Lost;
+                    }
+                },
+                Err(_) => backoff.wait().await,
+            }
+        }
+    }
+
+    fn renewal(&self, held: &Held, extra: Option<&Extra>) -> Change {
+        let duty = self.duty(held.token, held.number + 1);
+        let mut change = Change {
+            expect: vec![(duty_row(), held.version)],
+            writes: vec![(duty_row(), duty)],
+            remove: Vec::new(),
+        };
+        if let Some(extra) = extra {
+            change.expect.push((extra.row.clone(), extra.expect));
+            change.writes.push((extra.row.clone(), extra.value.clone()));
+        }
+        change
+    }
+
+    fn note_renewal(&self, token: u64, version: Version, number: u64) {
+        if let Some(held) = self.state.borrow_mut().held(token) {
+            held.version = held.version.max(version);
+            held.number = held.number.max(number);
+        }
+    }
+
+    /// A renewal met rows that are not as expected: perhaps it landed before, with its answer
+    /// lost.
+    fn settle(&self, held: &Held, extra: Option<&Extra>, rows: &[Row]) -> Settled {
+        let found = |id: &RowId| rows.iter().find(|row| row.id == *id);
+        let Some(row) = found(&duty_row()) else {
+            return Settled::Conflict;
+        };
+        let value = row.value.as_deref().unwrap_or_default();
+        let duty = serde_json::from_slice::<Duty>(value).ok();
+        let ours = duty.filter(|duty| duty.token == held.token && duty.life == self.setup.life);
+        let Some(duty) = ours else {
+            return Settled::Lost;
+        };
+        self.note_renewal(held.token, row.version, duty.number);
+        let Some(extra) = extra else {
+            return Settled::Again;
+        };
+        match found(&extra.row) {
+            Some(row) if row.version == extra.expect => Settled::Again,
+            Some(row) if row.value.as_ref() == Some(&extra.value) => Settled::Landed(row.version),
+            Some(_) => Settled::Conflict,
+            None if extra.expect == 0 => Settled::Again,
+            None => Settled::Conflict,
+        }
+    }
+
+    /// Offers the duty to the other VMs, one after the other. While that lasts nothing is ordered,
+    /// so the one that takes it need not wait.
+    pub(super) async fn hand_over(self: &Rc<Self>, reason: &str) -> bool {
+        let token = self.state.borrow().held.as_ref().map(|held| held.token);
+        let Some(token) = token else { return true };
+        if let Some(held) = self.state.borrow_mut().held(token) {
+            held.handing = true;
+        }
+        while self
+            .state
+            .borrow_mut()
+            .held(token)
+            .is_some_and(|held| held.ordering > 0)
+        {
+            tokio::time::sleep(ORDER_ENDS).await;
+        }
+        for (vm, address) in self.others() {
+            let question = Question::HandOver { token };
+            let answer = (self.setup.call)(address, question, OFFER).await;
+            if answer == Some(Answer::Taken(true)) {
+                log::info!(to:% = vm, token, reason; "the duty is handed over");
+                self.resign(reason);
+                let now = self.now();
+                self.follow(address, token + 1, now);
+                return true;
+            }
+        }
+        let now = self.now();
+        if let Some(held) = self.state.borrow_mut().held(token) {
+            held.handing = false;
+            held.valid = now;
+        }
+        log::warn!(token, reason; "no VM takes the duty over");
+        false
+    }
+
+    /// The steward offers the duty that it holds with this token, and orders nothing any more.
+    pub(super) async fn take_offer(self: &Rc<Self>, token: u64) -> bool {
+        let refuses = self.is_steward() || self.setup.shared.look().stopping;
+        if refuses || self.read_rows().await.is_err() || !self.is_member() {
+            return false;
+        }
+        let known = self
+            .state
+            .borrow()
+            .reading
+            .as_ref()
+            .and_then(|r| r.duty.clone());
+        if known.is_none_or(|(duty, _)| duty.token != token) {
+            return false;
+        }
+        self.take().await
+    }
+}
+
+enum Settled {
+    /// Ask again: only the version that was expected was old.
+    Again,
+    /// It was done before.
+    Landed(Version),
+    /// Another row is not as expected.
+    Conflict,
+    /// The duty is somebody else's.
+    Lost,
+}
--- /dev/null
+++ b/src/direct/control/errands.rs
@@ -0,0 +1,275 @@
+//! The steward's tasks: it reads the store for all, looks what has to be done, and does it.
+
+use crate::clock::{Span, Time};
+use crate::direct::control::Control;
+use crate::direct::control::backoff::Backoff;
+use crate::direct::control::evidence::Tried;
+use crate::direct::control::probe;
+use crate::direct::control::promotion::Word;
+use crate::direct::control::rows::{MemberId, encode, lead_row, member_row};
+use crate::direct::control::state::Beaten;
+use crate::direct::control::steward::{Errand, Scene, Told, survey};
+use crate::direct::lead::Lead;
+use crate::direct::mesh::{Answer, Question};
+use crate::direct::statement::Order;
+use crate::direct::table::{Change, Version};
+use crate::types::{DatabaseId, GroupId};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often the rows and the register are read: a database that leaves, or a new configuration
+/// of the VMs, is known to all within this and a beat. Each reading is two calls of the store.
+const READ_EVERY: Span = Span::from_secs(1);
+
+/// A steward that the store has not answered for this long offers the duty to others: it may be
+/// turned away where they are not.
+const TURNED_AWAY: Span = Span::from_millis(1_500);
+
+/// The pause between two such offers.
+const OFFER_EVERY: Span = Span::from_secs(2);
+
+/// How long a silent VM may take to answer.
+const CALL: Span = Span::from_millis(500);
+
+/// The pause after an order to step down, given or not.
+const STEP_DOWN_EVERY: Duration = Duration::from_millis(500);
+
+/// Starts the steward's tasks, which end with its duty.
+pub(super) fn start(control: &Rc<Control>, token: u64) {
+    actix_rt::spawn(read(control.clone(), token));
+    actix_rt::spawn(look(control.clone(), token));
+}
+
+fn holds(control: &Control, token: u64) -> bool {
+    let mut state = control.state.borrow_mut();
+    !state.stopped && state.held(token).is_some()
+}
+
+async fn read(control: Rc<Control>, token: u64) {
+    let mut backoff = Backoff::default();
+    let mut offered = Time::default();
+    while holds(&control, token) {
+        let began = control.now();
+        let (rows, register) = tokio::join!(control.read_rows(), control.read_register());
+        control.wake.notify_one();
+        if rows.is_ok() && register.is_ok() {
+            backoff.reset();
+            let rest = READ_EVERY.0.saturating_sub(control.now().since(began).0);
+            tokio::time::sleep(Duration::from(Span(rest))).await;
+            continue;
+        }
+        let now = control.now();
+        let down = control.store.health().down;
+        let turned_away = down.is_some_and(|down| down + TURNED_AWAY <= now);
+        if turned_away && offered + OFFER_EVERY <= now {
+            control.hand_over("the store does not answer here").await;
+            offered = control.now();
+        }
+        backoff.wait().await;
+    }
+}
+
+async fn look(control: Rc<Control>, token: u64) {
+    while holds(&control, token) {
+        let (errands, again) = control.survey();
+        for errand in errands {
+            control.begin(errand, token);
+        }
+        let now = control.now();
+        let again = again.map_or(Span::from_secs(60), |again| again.since(now));
+        tokio::select! {
+            () = control.wake.notified() => {}
+            () = tokio::time::sleep(Duration::from(again)) => {}
+        }
+    }
+}
+
+impl Control {
+    fn survey(&self) -> (Vec<Errand>, Option<Time>) {
+        let now = self.now();
+        self.note_own(now);
+        let state = self.state.borrow();
+        let (Some(reading), Some(held)) = (&state.reading, &state.held) else {
+            return (Vec::new(), None);
+        };
+        let told = state.heard.iter().map(|(id, heard)| {
+            let told = Told {
+                life: heard.life,
+                at: heard.at,
+                reports: &heard.reports,
+            };
+            (id.clone(), told)
+        });
+        survey(&Scene {
+            now,
+            since: held.since,
+            own: &self.id,
+            reading,
+            databases: state.register.databases(),
+            up: self.store.health().up,
+            told: &told.collect(),
+            tried: &state.tried,
+            evicted: &state.evicted,
+            epochs: &state.epochs,
+            dampers: &self.dampers.borrow(),
+        })
+    }
+
+    /// What this VM itself saw counts like what the others told.
+    fn note_own(&self, now: Time) {
+        let reports = self.setup.shared.look().reports.all(now);
+        let own = Beaten {
+            life: self.setup.life,
+            at: now,
+            reports: reports.into_iter().collect(),
+        };
+        self.state.borrow_mut().heard.insert(self.id.clone(), own);
+    }
+
+    /// Does an errand in a task of its own, unless one about the same is under way.
+    fn begin(self: &Rc<Self>, errand: Errand, token: u64) {
+        let topic = errand.topic();
+        if !self.state.borrow_mut().busy.insert(topic.clone()) {
+            return;
+        }
+        let control = self.clone();
+        actix_rt::spawn(async move {
+            control.run(errand, token).await;
+            control.state.borrow_mut().busy.remove(&topic);
+            control.wake.notify_one();
+        });
+    }
+
+    async fn run(self: &Rc<Self>, errand: Errand, token: u64) {
+        match errand {
+            Errand::Create(group, primary) => self.create_lead(token, &group, primary).await,
+            Errand::Change(group, cause) => self.change_primary(token, &group, cause).await,
+            Errand::Try(database) => self.try_database(&database).await,
+            Errand::StepDown(group, old) => self.step_down(&group, &old).await,
+            Errand::Call(member) => self.call_member(&member).await,
+            Errand::Remove(member, version) => self.remove_member(&member, version).await,
+        }
+    }
+
+    async fn create_lead(self: &Rc<Self>, token: u64, group: &GroupId, primary: DatabaseId) {
+        let lead = Lead {
+            epoch: 1,
+            primary,
+            changing: false,
+        };
+        log::info!(group:%, primary:% = lead.primary, epoch = 1; "a new group's primary is written");
+        let extra = super::duty::Extra {
+            row: lead_row(group),
+            expect: 0,
+            value: encode(&lead),
+        };
+        self.renew(token, Some(&extra)).await;
+        let _ = self.read_rows().await;
+        self.nudge_all();
+    }
+
+    async fn try_database(&self, id: &DatabaseId) {
+        let database = self.setup.shared.look().databases.get(id).cloned();
+        let Some(database) = database else { return };
+        let began = self.now();
+        let attempt = probe::open(&self.setup.adapter, &database).await.attempt();
+        let ended = self.now();
+        log::info!(
+            database:% = id, attempt:?, took_ms = ended.since(began).0 / 1_000;
+            "a database that is said to fail was tried"
+        );
+        let tried = Tried {
+            began,
+            ended,
+            attempt,
+        };
+        self.state.borrow_mut().tried.insert(id.clone(), tried);
+    }
+
+    /// Tells a database that another one leads, by the term of that one.
+    async fn step_down(&self, group: &GroupId, old: &DatabaseId) {
+        let (leader, database) = {
+            let view = self.setup.shared.look();
+            let known = view.book.known(group).map(|(lead, _)| lead.clone());
+            let lead = known.filter(|lead| !lead.changing && lead.primary != *old);
+            let leader = lead.and_then(|lead| view.databases.get(&lead.primary).cloned());
+            (leader, view.databases.get(old).cloned())
+        };
+        if let (Some(leader), Some(database)) = (leader, database) {
+            let adapter = &self.setup.adapter;
+            if let probe::Opened::Link(mut link) = probe::open(adapter, &database).await
+                && let Word::Stands(standing) = probe::standing(adapter, &leader, &mut None).await
+                && standing.primary
+            {
+                let answer = link.ask(&Order::StepDown(standing.term)).await;
+                log::info!(
+                    group:%, database:% = old, term:% = standing.term, answered = answer.is_some();
+                    "a primary of an old term was told to step down"
+                );
+            }
+        }
+        tokio::time::sleep(STEP_DOWN_EVERY).await;
+    }
+
+    /// Finds out why a VM is silent. One that has ended loses its row; one that does not answer
+    /// is marked, so that after a lease no replacement waits for it.
+    async fn call_member(&self, id: &MemberId) {
+        let known = {
+            let state = self.state.borrow();
+            let reading = state.reading.as_ref();
+            reading.and_then(|reading| reading.members.get(id).cloned())
+        };
+        let Some((mut member, version)) = known else {
+            return;
+        };
+        let Some(token) = self.state.borrow().held.as_ref().map(|held| held.token) else {
+            return;
+        };
+        let question = Question::Nudge {
+            address: self.setup.address,
+            token,
+        };
+        let answer = (self.setup.call)(member.address, question, CALL).await;
+        match answer {
+            Some(Answer::Absent) => {
+                log::info!(vm:% = id, life:% = member.life; "a VM has ended");
+                self.remove_member(id, version).await;
+            }
+            Some(_) => {
+                // It lives, and beats at once.
+                if let Some(heard) = self.state.borrow_mut().heard.get_mut(id) {
+                    heard.at = self.now();
+                }
+                tokio::time::sleep(Duration::from(CALL)).await;
+            }
+            None => {
+                log::warn!(vm:% = id, life:% = member.life; "a VM is silent: evicting it");
+                member.evicted = true;
+                let row = member_row(id);
+                let change = Change {
+                    expect: vec![(row.clone(), version)],
+                    writes: vec![(row, encode(&member))],
+                    remove: Vec::new(),
+                };
+                self.write_member(change).await;
+            }
+        }
+    }
+
+    async fn remove_member(&self, id: &MemberId, version: Version) {
+        log::info!(vm:% = id; "removing the row of a VM that can hold no lease");
+        let row = member_row(id);
+        let change = Change {
+            expect: vec![(row.clone(), version)],
+            writes: Vec::new(),
+            remove: vec![row],
+        };
+        self.write_member(change).await;
+    }
+
+    /// Whatever became of the change, the next reading shows it; until then it is not asked again.
+    async fn write_member(&self, change: Change) {
+        let _ = self.store.write(change).await;
+        tokio::time::sleep(Duration::from(READ_EVERY)).await;
+    }
+}
--- /dev/null
+++ b/src/direct/control/heartbeat.rs
@@ -0,0 +1,266 @@
+//! Each VM's heartbeat to the steward, and what it does while it hears none.
+
+use crate::clock::Span;
+use crate::direct::control::Control;
+use crate::direct::control::backoff::Backoff;
+use crate::direct::control::state::Post;
+use crate::direct::mesh::{Answer, Question};
+use crate::direct::table::Fault;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often a VM beats. A lease of 8 s needs far less; a lost primary is seen by its own alarm,
+/// and this bounds how long a dead steward goes unnoticed.
+const EVERY: Span = Span::from_millis(500);
+
+/// The least pause between two beats, however many alarms there are.
+const PAUSE: Span = Span::from_millis(50);
+
+/// How long a beat's answer is waited for: two round trips and a slow VM's turn.
+const PATIENCE: Span = Span::from_millis(400);
+
+/// How long it is waited for by a VM that already misses the steward's word: the VM has to look
+/// after itself meanwhile.
+const SHORT: Span = Span::from_millis(150);
+
+/// How often a VM that does not hear the steward reads the rows, and how old the steward's own
+/// reading may be before it does so too.
+const LOOK_EVERY: Span = Span::from_secs(1);
+const STALE: Span = Span::from_secs(3);
+
+/// How often a VM looks whether its turn to take over has come.
+const TURN: Span = Span::from_millis(100);
+
+/// How many others a VM asks that hears no steward.
+const PEERS: usize = 4;
+
+/// Beats until the process ends.
+pub(super) async fn run(control: Rc<Control>) {
+    let alarm = control.setup.shared.look().reports.alarm();
+    let mut backoff = Backoff::default();
+    while !control.state.borrow().stopped {
+        let wait = match control.turn().await {
+            Ok(wait) => {
+                backoff.reset();
+                wait
+            }
+            Err(_) => {
+                control.ask_peers().await;
+                backoff.step(rand::random())
+            }
+        };
+        tokio::time::sleep(Duration::from(PAUSE.min(wait))).await;
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from(Span(wait.0.saturating_sub(PAUSE.0)))) => {}
+            () = alarm.notified() => {}
+            () = control.nudged.notified() => {}
+        }
+    }
+}
+
+impl Control {
+    /// One beat, and what is due without a steward; returns when the next one is.
+    async fn turn(self: &Rc<Self>) -> Result<Span, Fault> {
+        if self.is_steward() {
+            // Its own reports are looked at by its own tasks.
+            self.wake.notify_one();
+            return Ok(EVERY);
+        }
+        let post = self.state.borrow().post.clone();
+        let Some(post) = post.filter(|_| self.is_member()) else {
+            return self.look().await;
+        };
+        let heard = self.beat_to(&post).await;
+        let silent = self.misses_steward();
+        self.note_contact(heard);
+        let due = {
+            let state = self.state.borrow();
+            let looked = state.looked.is_none_or(|at| at + LOOK_EVERY <= self.now());
+            looked && (silent || !heard || self.is_stale())
+        };
+        match (due || !self.is_member(), silent) {
+            (true, _) => self.look().await,
+            (false, true) => self.consider(),
+            (false, false) if heard => Ok(EVERY),
+            (false, false) => Ok(TURN),
+        }
+    }
+
+    async fn beat_to(&self, post: &Post) -> bool {
+        let patience = if post.hearing.missed > 1 {
+            SHORT
+        } else {
+            PATIENCE
+        };
+        let asked = self.now();
+        let question = Question::Beat(self.beat());
+        let answer = (self.setup.call)(post.address, question, patience).await;
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let same = |known: &&mut Post| known.token == post.token;
+        let Some(known) = state.post.as_mut().filter(same) else {
+            // Another one is followed meanwhile.
+            return true;
+        };
+        match answer {
+            Some(Answer::News(news)) if news.steward => {
+                known.hearing.answered(asked);
+                // The steward's reading may be older than this VM's row.
+                let settled = state.looked.is_none_or(|at| at + STALE < now);
+                drop(state);
+                if settled || news.member {
+                    self.member.set(news.member);
+                }
+                self.take_news(*news, asked);
+                true
+            }
+            Some(Answer::News(news)) => {
+                known.hearing.missed += 1;
+                drop(state);
+                self.follow_heard(news.duty.as_ref(), now);
+                self.take_news(*news, asked);
+                false
+            }
+            Some(Answer::Absent) => {
+                if known.hearing.ended.is_none() {
+                    log::warn!(address:% = post.address, token = post.token; "the steward has ended");
+                }
+                known.hearing.end(now);
+                false
+            }
+            _ => {
+                known.hearing.missed += 1;
+                false
+            }
+        }
+    }
+
+    fn follow_heard(&self, heard: Option<&crate::direct::mesh::Heard>, now: crate::clock::Time) {
+        let fresh = heard.filter(|heard| heard.age < LOOK_EVERY);
+        if let Some(heard) = fresh {
+            self.follow(heard.address, heard.token, now);
+        }
+    }
+
+    /// Follows a steward, unless a newer one is followed already.
+    pub(super) fn follow(&self, address: SocketAddr, token: u64, now: crate::clock::Time) {
+        if address == self.setup.address {
+            return;
+        }
+        if self.state.borrow_mut().follow(address, token, now) {
+            log::info!(address:%, token; "another steward is followed");
+        }
+    }
+
+    /// Whether the steward counts as silent.
+    pub(super) fn misses_steward(&self) -> bool {
+        let state = self.state.borrow();
+        let now = self.now();
+        state
+            .post
+            .as_ref()
+            .is_none_or(|post| post.hearing.is_silent(now))
+    }
+
+    /// Whether the steward answers, and the configuration may be had from it.
+    pub(super) fn hears_steward(&self) -> bool {
+        let state = self.state.borrow();
+        let post = state.post.as_ref();
+        post.is_some_and(|post| post.hearing.missed == 0 && post.hearing.ended.is_none())
+            && state.held.is_none()
+    }
+
+    fn note_contact(&self, heard: bool) {
+        if !heard {
+            self.lost.notify_waiters();
+        }
+    }
+
+    /// Whether what is known of who leads is older than the steward's readings should be: it may
+    /// be turned away by the store, while this VM is not.
+    fn is_stale(&self) -> bool {
+        let now = self.now();
+        let view = self.setup.shared.look();
+        let old = |group| {
+            let known = view.book.known(group);
+            known.is_some_and(|(lead, asked)| !lead.changing && asked + STALE < now)
+        };
+        view.book.groups().any(old)
+    }
+
+    /// Reads the rows and, if it is due, the register for itself; then sees to the duty.
+    async fn look(self: &Rc<Self>) -> Result<Span, Fault> {
+        let first = self.state.borrow().looked.is_none();
+        self.state.borrow_mut().looked = Some(self.now());
+        if self.read_rows().await? {
+            // Registered just now: only a reading from here on is a lease.
+            self.read_rows().await?;
+        }
+        if first || self.misses_steward() {
+            self.read_register().await?;
+        }
+        self.consider()
+    }
+
+    /// Takes the duty if it is this VM's turn; returns when to look again.
+    fn consider(self: &Rc<Self>) -> Result<Span, Fault> {
+        if self.is_steward() || !self.misses_steward() {
+            return Ok(TURN);
+        }
+        let now = self.now();
+        let at = self.takes_at(now);
+        match at {
+            Some(at) if at <= now => {
+                let control = self.clone();
+                actix_rt::spawn(async move { control.take_if_alone().await });
+                Ok(EVERY)
+            }
+            Some(at) => Ok(at.since(now).min(TURN)),
+            None => Ok(TURN),
+        }
+    }
+
+    /// Asks some other VMs what they know; returns how many answered, and how many of these hear
+    /// the steward that is followed here.
+    pub(super) async fn ask_peers(&self) -> (usize, usize) {
+        let asked = self.now();
+        let calls = self
+            .peers()
+            .into_iter()
+            .map(|address| (self.setup.call)(address, Question::Beat(self.beat()), PATIENCE));
+        let answers = futures_util::future::join_all(calls).await;
+        let token = self.state.borrow().post.as_ref().map(|post| post.token);
+        let (mut answered, mut hear) = (0, 0);
+        for answer in answers {
+            let Some(Answer::News(news)) = answer else {
+                continue;
+            };
+            answered += 1;
+            let heard = news.duty.as_ref();
+            let fresh = heard.is_some_and(|h| h.age < LOOK_EVERY && Some(h.token) == token);
+            hear += usize::from(fresh);
+            self.follow_heard(heard, self.now());
+            self.take_news(*news, asked);
+        }
+        (answered, hear)
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let steward = state.post.as_ref().map(|post| post.address);
+        let known = state.reading.as_ref();
+        let members = known
+            .into_iter()
+            .flat_map(|reading| reading.members.values());
+        let addresses = members.filter(|(m, _)| !m.evicted).map(|(m, _)| m.address);
+        let mut peers: Vec<_> = addresses.chain(self.setup.seeds.iter().copied()).collect();
+        peers.sort();
+        peers.dedup();
+        peers.retain(|address| *address != self.setup.address && Some(*address) != steward);
+        let start = rand::random::<u32>() as usize % peers.len().max(1);
+        peers.rotate_left(start);
+        peers.truncate(PEERS);
+        peers
+    }
+}
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -1,29 +1,52 @@
 //! The control path: which configuration is in force, which databases there are, who leads, and
 //! who replaces a primary that is lost.
+//!
+//! Every VM beats to the steward (`heartbeat`, `news`), follows the configuration (`watch`), and
+//! reads the store itself while it hears no steward (`own`). One VM at a time is the steward: it
+//! takes and renews the duty in the store (`duty`, [`takeover`]), reads for the others and looks
+//! what has to be done (`errands`, [`steward`], [`evidence`]), and replaces primaries (`change`,
+//! [`promotion`], [`probe`]). What is kept in the store is in [`rows`].
 
 pub mod backoff;
+mod change;
+mod duty;
+mod errands;
+pub mod evidence;
+mod heartbeat;
+mod news;
+mod own;
+pub mod probe;
+pub mod promotion;
+pub mod register;
 pub mod rows;
+mod state;
+pub mod steward;
 pub mod store;
+pub mod takeover;
 mod watch;
 
+pub use state::Topic;
+
 use crate::clock::{Span, Time};
+use crate::core::detect::Damper;
 use crate::direct::adapter::{Adapter, Later};
-use crate::direct::control::backoff::Backoff;
-use crate::direct::control::rows::{Member, MemberId, Reading, encode, lead_row, member_row};
+use crate::direct::control::rows::MemberId;
+use crate::direct::control::state::State;
 use crate::direct::control::store::{Counts, Store};
-use crate::direct::lead::{LEASE, Lead};
-use crate::direct::mesh::{Answer, Call, News, Question};
-use crate::direct::table::{Change, Fault};
+use crate::direct::lead::{Epoch, LEASE};
+use crate::direct::mesh::{Answer, Call, Question};
 use crate::direct::view::Shared;
 use crate::types::{Domain, GroupId, Life, VmId};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::{Mutex, Notify};
 
-/// How often the rows and the register are read.
-const READ_EVERY: Span = Span::from_secs(1);
+/// How often it is looked whether work on a primary is over, while something waits for that.
+const WORK_ENDS: Duration = Duration::from_millis(10);
 
 /// What the control path is made from.
 pub struct Setup {
@@ -39,7 +62,8 @@
     pub life: Life,
     /// Its failure domain.
     pub domain: Domain,
-    /// Where it listens for other VMs. It has to listen before it starts the control path.
+    /// Where it listens for other VMs. It has to listen before it starts the control path: a
+    /// refused connection tells others that the life which is registered there has ended.
     pub address: SocketAddr,
     /// Addresses of some other VMs, perhaps stale.
     pub seeds: Vec<SocketAddr>,
@@ -57,6 +81,18 @@
     setup: Setup,
     id: MemberId,
     store: Store,
+    state: RefCell<State>,
+    dampers: RefCell<BTreeMap<GroupId, Damper>>,
+    /// Whether the newest reading known here, or at the steward, shows this VM's row.
+    member: Cell<bool>,
+    /// One renewal of the duty at a time: each needs the version that the one before left.
+    writing: Mutex<()>,
+    /// Something for the steward to look at.
+    wake: Notify,
+    /// A reason to send a heartbeat at once.
+    nudged: Notify,
+    /// The steward did not answer.
+    lost: Notify,
 }
 
 impl Control {
@@ -65,38 +101,59 @@
         let control = Rc::new(Self {
             id: MemberId::new(&setup.vm, setup.address.ip()),
             store: Store::new(setup.adapter.clone()),
+            state: RefCell::default(),
+            dampers: RefCell::default(),
+            member: Cell::new(false),
+            writing: Mutex::new(()),
+            wake: Notify::new(),
+            nudged: Notify::new(),
+            lost: Notify::new(),
             setup,
         });
         actix_rt::spawn(watch::run(control.clone()));
-        actix_rt::spawn(read_rows(control.clone()));
+        actix_rt::spawn(heartbeat::run(control.clone()));
         control
     }
 
     /// Answers a question of another VM.
-    pub fn answer(&self, question: Question) -> Later<Answer> {
-        let answer = match question {
-            Question::Beat(_) => Answer::News(Box::new(News {
-                life: self.setup.life,
-                steward: false,
-                duty: None,
-                leads: Vec::new(),
-                config: None,
-                register: None,
-            })),
-            Question::Drop { group, epoch, .. } => {
-                let book = |view: &mut crate::direct::view::View| {
-                    view.book.drop_epoch(&group, epoch);
-                };
-                self.setup.shared.change(book);
-                Answer::Dropped(self.setup.life)
+    pub fn answer(self: &Rc<Self>, question: Question) -> Later<Answer> {
+        let control = self.clone();
+        Box::pin(async move {
+            match question {
+                Question::Beat(beat) => Answer::News(Box::new(control.answer_beat(beat))),
+                Question::Drop {
+                    group,
+                    epoch,
+                    patience,
+                } => {
+                    control.drop_epoch(group, epoch, patience).await;
+                    Answer::Dropped(control.setup.life)
+                }
+                Question::HandOver { token } => Answer::Taken(control.take_offer(token).await),
+                Question::Nudge { address, token } => {
+                    control.follow(address, token, control.now());
+                    control.nudged.notify_one();
+                    Answer::Noted
+                }
             }
-            Question::HandOver { .. } => Answer::Taken(false),
-            Question::Nudge => Answer::Noted,
-        };
-        Box::pin(std::future::ready(answer))
+        })
+    }
+
+    /// Lets nothing new start on an epoch, and gives it up once what is under way is over, or
+    /// `patience` is.
+    async fn drop_epoch(&self, group: GroupId, epoch: Epoch, patience: Span) {
+        let shared = &self.setup.shared;
+        shared.change(|view| view.book.close_epoch(&group, epoch));
+        let deadline = self.now() + patience;
+        while self.now() < deadline && shared.look().work.is_under_way(&group, epoch) {
+            tokio::time::sleep(WORK_ENDS).await;
+        }
+        let cut = shared.look().work.is_under_way(&group, epoch);
+        shared.change(|view| view.book.drop_epoch(&group, epoch));
+        log::info!(group:%, epoch, patience_ms = patience.0 / 1_000, cut; "an epoch is given up");
     }
 
-    /// Whether callers may be sent here.
+    /// Whether callers may be sent here: it knows a configuration, and who leads.
     pub fn is_ready(&self) -> bool {
         let now = self.now();
         let view = self.setup.shared.look();
@@ -107,9 +164,23 @@
         view.config.is_some() && !view.stopping && view.book.groups().any(fresh)
     }
 
-    /// Ends it: nothing may be acted on afterwards.
-    pub async fn stop(&self) {
+    /// Ends it: hands the duty over, waits until the last work on a primary is over, and removes
+    /// this VM's row. Nothing may be acted on afterwards.
+    pub async fn stop(self: &Rc<Self>) {
         self.setup.shared.change(|view| view.stopping = true);
+        self.hand_over("this VM stops").await;
+        while self.setup.shared.look().work.is_any() {
+            tokio::time::sleep(WORK_ENDS).await;
+        }
+        self.resign("this VM stops");
+        self.state.borrow_mut().stopped = true;
+        // Before the row goes: without it nobody asks this VM to give an epoch up.
+        self.setup.shared.change(|view| view.book.drop_all());
+        self.wake.notify_one();
+        self.nudged.notify_one();
+        if let Err(reason) = self.unregister().await {
+            log::warn!(vm:% = self.id, reason:%; "this VM's row stays: the steward removes it");
+        }
     }
 
     /// How often the store was asked.
@@ -117,104 +188,12 @@
         self.store.counts()
     }
 
-    fn now(&self) -> Time {
-        (self.setup.adapter.clock)()
-    }
-}
-
-async fn read_rows(control: Rc<Control>) {
-    let mut backoff = Backoff::default();
-    loop {
-        match step(&control).await {
-            Ok(wait) => {
-                backoff.reset();
-                tokio::time::sleep(Duration::from(wait)).await;
-            }
-            Err(_) => backoff.wait().await,
-        }
-    }
-}
-
-async fn step(control: &Control) -> Result<Span, Fault> {
-    let reading = control.store.reading().await?;
-    if !reading.is_lease_for(&control.id, control.setup.life) {
-        register(control, &reading).await?;
-        return Ok(Span::ZERO);
-    }
-    control.setup.shared.change(|view| {
-        for (group, (lead, _)) in &reading.leads {
-            view.book.learn(group, lead.clone(), reading.asked);
-        }
-    });
-    read_register(control).await?;
-    create_leads(control, &reading).await?;
-    Ok(READ_EVERY)
-}
-
-async fn register(control: &Control, reading: &Reading) -> Result<(), Fault> {
-    let known = reading.members.get(&control.id);
-    let row = member_row(&control.id);
-    let member = Member {
-        life: control.setup.life,
-        address: control.setup.address,
-        domain: control.setup.domain.clone(),
-        evicted: false,
-    };
-    let change = Change {
-        expect: vec![(row.clone(), known.map_or(0, |(_, version)| *version))],
-        writes: vec![(row, encode(&member))],
-        remove: Vec::new(),
-    };
-    let _ = control.store.write(change).await?;
-    Ok(())
-}
-
-async fn read_register(control: &Control) -> Result<(), Fault> {
-    let documents = &control.setup.adapter.documents;
-    let (rows, _) = control.store.read(&documents.register).await?;
-    let mut databases = BTreeMap::new();
-    for row in &rows {
-        let Some(value) = &row.value else { continue };
-        match (documents.read_database)(&row.id.key, value) {
-            Ok(database) => {
-                databases.insert(database.id.clone(), database);
-            }
-            Err(reason) => log::warn!(row:% = row.id, reason:%; "an entry is not understood"),
-        }
-    }
-    if control.setup.shared.look().databases != databases {
-        control
-            .setup
-            .shared
-            .change(|view| view.databases = databases);
+    /// Whether this VM's row is there, as far as is known.
+    fn is_member(&self) -> bool {
+        self.member.get()
     }
-    Ok(())
-}
 
-async fn create_leads(control: &Control, reading: &Reading) -> Result<(), Fault> {
-    let primaries: Vec<_> = {
-        let view = control.setup.shared.look();
-        let unled = |group: &GroupId| !reading.leads.contains_key(group);
-        let primaries = view
-            .databases
-            .values()
-            .filter(|d| d.primary && unled(&d.group));
-        primaries.map(|d| (d.group.clone(), d.id.clone())).collect()
-    };
-    for (group, primary) in primaries {
-        let row = lead_row(&group);
-        let lead = Lead {
-            epoch: 1,
-            primary,
-            changing: false,
-        };
-        log::info!(group:%, primary:% = lead.primary, epoch = 1; "a new group's primary is written");
-        let change = Change {
-            expect: vec![(row.clone(), 0)],
-            writes: vec![(row, encode(&lead))],
-            remove: Vec::new(),
-        };
-        let _ = control.store.write(change).await?;
+    fn now(&self) -> Time {
+        (self.setup.adapter.clock)()
     }
-    Ok(())
 }
--- /dev/null
+++ b/src/direct/control/news.rs
@@ -0,0 +1,182 @@
+//! Heartbeats and what VMs tell each other with them.
+
+use crate::clock::{Span, Time};
+use crate::direct::config::Database;
+use crate::direct::control::register::Changes;
+use crate::direct::control::rows::MemberId;
+use crate::direct::control::state::Beaten;
+use crate::direct::control::{Control, watch};
+use crate::direct::lead::Lead;
+use crate::direct::mesh::{Beat, Heard, News};
+use crate::types::{DatabaseId, GroupId};
+use std::collections::BTreeMap;
+
+impl Control {
+    /// This VM's heartbeat.
+    pub(super) fn beat(&self) -> Beat {
+        let now = self.now();
+        let view = self.setup.shared.look();
+        Beat {
+            vm: self.setup.vm.clone(),
+            life: self.setup.life,
+            address: self.setup.address,
+            config: view
+                .config
+                .as_ref()
+                .map_or_else(Default::default, |c| c.version),
+            register: self.state.borrow().register.digest(),
+            reports: view.reports.all(now),
+        }
+    }
+
+    /// Answers a heartbeat; the steward remembers what it told.
+    pub(super) fn answer_beat(&self, beat: Beat) -> News {
+        let now = self.now();
+        let id = MemberId::new(&beat.vm, beat.address.ip());
+        let steward = self.is_steward();
+        if steward {
+            self.note_beat(&id, &beat, now);
+        }
+        let state = self.state.borrow();
+        let reading = state.reading.as_ref();
+        let reading = reading.filter(|reading| reading.is_lease_for(&id, beat.life));
+        let config = self.setup.shared.look().config.clone();
+        let newer = config.filter(|config| config.version > beat.config);
+        News {
+            life: self.setup.life,
+            steward,
+            duty: self.duty_heard(now),
+            member: reading.is_some(),
+            leads: reading.map_or_else(Vec::new, |reading| {
+                let age = now.since(reading.asked);
+                let leads = reading.leads.iter();
+                leads
+                    .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
+                    .collect()
+            }),
+            config: newer.map(|config| (*config).clone()),
+            register: self.register_news(beat.register, now),
+        }
+    }
+
+    fn duty_heard(&self, now: Time) -> Option<Heard> {
+        let state = self.state.borrow();
+        if let Some(held) = &state.held {
+            return Some(Heard {
+                address: self.setup.address,
+                token: held.token,
+                age: Span::ZERO,
+            });
+        }
+        let post = state
+            .post
+            .as_ref()
+            .filter(|post| post.hearing.ended.is_none())?;
+        Some(Heard {
+            address: post.address,
+            token: post.token,
+            age: now.since(post.hearing.since),
+        })
+    }
+
+    fn register_news(&self, known: u64, now: Time) -> Option<(Vec<Database>, Span)> {
+        let state = self.state.borrow();
+        let asked = state.register.asked()?;
+        let differs = state.register.digest() != known;
+        differs.then(|| {
+            let databases = state.register.databases().values().cloned().collect();
+            (databases, now.since(asked))
+        })
+    }
+
+    fn note_beat(&self, id: &MemberId, beat: &Beat, now: Time) {
+        let mut state = self.state.borrow_mut();
+        let failing = beat
+            .reports
+            .iter()
+            .any(|(_, report)| report.failing.is_some());
+        let known = state.heard.insert(
+            id.clone(),
+            Beaten {
+                life: beat.life,
+                at: now,
+                reports: beat.reports.iter().cloned().collect(),
+            },
+        );
+        drop(state);
+        if known.is_none_or(|known| known.life != beat.life) {
+            log::info!(vm:% = id, life:% = beat.life; "a VM is heard");
+        }
+        if failing {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Takes over what a VM told that was asked at `asked`.
+    pub(super) fn take_news(&self, news: News, asked: Time) {
+        if let Some(config) = news.config {
+            watch::apply(self, config, "another VM");
+        }
+        if let Some((databases, age)) = news.register {
+            let found = databases.into_iter().map(|d| (d.id.clone(), d)).collect();
+            let changes = self.state.borrow_mut().register.told(found, asked - age);
+            self.publish(&changes, age);
+        }
+        for (group, lead, age) in news.leads {
+            self.learn_lead(&group, lead, asked - age);
+        }
+    }
+
+    /// Learns who leads a group, by a reading that is a lease for this VM.
+    pub(super) fn learn_lead(&self, group: &GroupId, lead: Lead, asked: Time) {
+        if self.state.borrow().stopped {
+            return;
+        }
+        let shared = &self.setup.shared;
+        let known = shared
+            .look()
+            .book
+            .known(group)
+            .map(|(known, _)| known.clone());
+        if known.as_ref() == Some(&lead) {
+            // Only the lease grows longer: nobody waits for that.
+            return shared.quietly().book.learn(group, lead, asked);
+        }
+        shared.change(|view| view.book.learn(group, lead.clone(), asked));
+        if known.is_some_and(|known| (known.epoch, known.changing) > (lead.epoch, lead.changing)) {
+            return;
+        }
+        log::info!(
+            group:%, primary:% = lead.primary, epoch = lead.epoch, changing = lead.changing,
+            age_ms = self.now().since(asked).0 / 1_000;
+            "who leads a group is known anew"
+        );
+    }
+
+    /// Shows the sessions the databases, if they changed.
+    pub(super) fn publish(&self, changes: &Changes, age: Span) {
+        if !changes.any {
+            return;
+        }
+        let state = self.state.borrow();
+        let databases: BTreeMap<DatabaseId, Database> = state.register.databases().clone();
+        drop(state);
+        log::info!(
+            came:% = list(&changes.came), gone:% = list(&changes.gone),
+            leaving:% = list(&changes.leaving), role:% = list(&changes.role),
+            databases = databases.len(), age_ms = age.0 / 1_000;
+            "the register changed"
+        );
+        self.setup.shared.change(|view| {
+            view.reports.retain(|id| databases.contains_key(id));
+            view.databases = databases;
+        });
+        self.wake.notify_one();
+    }
+}
+
+/// Ids as one word of a log line.
+pub(super) fn list(ids: &[DatabaseId]) -> String {
+    let ids: Vec<&str> = ids.iter().map(DatabaseId::as_str).collect();
+    ids.join(",")
+}
--- /dev/null
+++ b/src/direct/control/own.rs
@@ -0,0 +1,155 @@
+//! This VM's own readings of the store, and its own row.
+
+use crate::direct::control::Control;
+use crate::direct::control::rows::{Member, Reading, encode, member_row};
+use crate::direct::control::state::Held;
+use crate::direct::table::{Change, Fault};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+impl Control {
+    /// Reads the rows and learns from them. Registers this VM if its row is not there; returns
+    /// whether it did.
+    pub(super) async fn read_rows(self: &Rc<Self>) -> Result<bool, Fault> {
+        let reading = self.store.reading().await?;
+        let lease = reading.is_lease_for(&self.id, self.setup.life);
+        self.learn(reading.clone());
+        if lease {
+            return Ok(false);
+        }
+        if self.setup.shared.look().stopping {
+            return Ok(false);
+        }
+        self.register_self(&reading).await?;
+        Ok(true)
+    }
+
+    /// Learns what a reading shows.
+    pub(super) fn learn(self: &Rc<Self>, reading: Reading) {
+        let lease = reading.is_lease_for(&self.id, self.setup.life);
+        self.member.set(lease);
+        if lease {
+            for (group, (lead, _)) in &reading.leads {
+                self.learn_lead(group, lead.clone(), reading.asked);
+            }
+        }
+        self.learn_duty(&reading);
+        self.state.borrow_mut().merge(reading);
+    }
+
+    /// Learns who holds the duty: it may have gone to another VM, or come to this one by a write
+    /// whose answer was lost.
+    fn learn_duty(self: &Rc<Self>, reading: &Reading) {
+        let Some((duty, version)) = &reading.duty else {
+            return;
+        };
+        let now = self.now();
+        let same_vm = duty.address == self.setup.address && duty.vm == self.setup.vm;
+        if same_vm && duty.life == self.setup.life {
+            let held = self.state.borrow().held.clone();
+            match held {
+                Some(held) if held.version >= *version => {}
+                Some(_) => {
+                    if let Some(held) = self.state.borrow_mut().held(duty.token) {
+                        held.version = *version;
+                        held.number = duty.number;
+                    }
+                }
+                None => self.become_steward(Held {
+                    token: duty.token,
+                    version: *version,
+                    number: duty.number,
+                    since: now,
+                    handing: false,
+                    ordering: 0,
+                    valid: now,
+                }),
+            }
+            return;
+        }
+        let older = |held: &Held| held.version < *version;
+        let lost = self.state.borrow().held.as_ref().is_some_and(older);
+        if lost {
+            self.resign("another VM has taken it");
+        }
+        self.follow(duty.address, duty.token, now);
+        let ended = same_vm
+            || reading.members.values().any(|(member, _)| {
+                // A VM registers a new life only once the one before has ended.
+                member.address == duty.address && member.life != duty.life
+            });
+        let mut state = self.state.borrow_mut();
+        if same_vm {
+            // Held by this VM's former life: nobody to call, but its turn has to be taken.
+            state.follow(duty.address, duty.token, now);
+        }
+        if let Some(post) = state
+            .post
+            .as_mut()
+            .filter(|post| ended && post.token == duty.token)
+        {
+            post.hearing.end(now);
+        }
+    }
+
+    /// Writes this VM's row: before any reading that it may act on.
+    async fn register_self(&self, reading: &Reading) -> Result<(), Fault> {
+        let known = reading.members.get(&self.id);
+        let row = member_row(&self.id);
+        let member = Member {
+            life: self.setup.life,
+            address: self.setup.address,
+            domain: self.setup.domain.clone(),
+            evicted: false,
+        };
+        let former = known.map(|(member, _)| member.life.0);
+        let evicted = known.is_some_and(|(member, _)| member.evicted);
+        log::info!(vm:% = self.id, life:% = self.setup.life, former:?, evicted; "registering this VM");
+        let change = Change {
+            expect: vec![(row.clone(), known.map_or(0, |(_, version)| *version))],
+            writes: vec![(row, encode(&member))],
+            remove: Vec::new(),
+        };
+        // A conflict is settled by the reading that follows in any case.
+        let _ = self.store.write(change).await?;
+        Ok(())
+    }
+
+    /// Removes this VM's row.
+    pub(super) async fn unregister(&self) -> Result<(), Fault> {
+        let reading = self.store.reading().await?;
+        let own = reading.members.get(&self.id);
+        let Some((_, version)) = own.filter(|(member, _)| member.life == self.setup.life) else {
+            return Ok(());
+        };
+        let row = member_row(&self.id);
+        let change = Change {
+            expect: vec![(row.clone(), *version)],
+            writes: Vec::new(),
+            remove: vec![row],
+        };
+        let _ = self.store.write(change).await?;
+        Ok(())
+    }
+
+    /// Reads the register.
+    pub(super) async fn read_register(&self) -> Result<(), Fault> {
+        let asked = self.now();
+        let documents = &self.setup.adapter.documents;
+        let (rows, _) = self.store.read(&documents.register).await?;
+        let mut found = BTreeMap::new();
+        for row in &rows {
+            let Some(value) = &row.value else { continue };
+            match (documents.read_database)(&row.id.key, value) {
+                Ok(database) => {
+                    found.insert(database.id.clone(), database);
+                }
+                Err(reason) => log::warn!(row:% = row.id, reason:%; "an entry is not understood"),
+            }
+        }
+        let up = self.store.health().up;
+        let changes = self.state.borrow_mut().register.read(found, asked, up);
+        self.publish(&changes, self.now().since(asked));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/direct/control/promotion.rs
@@ -0,0 +1,212 @@
+//! The steps of replacing a primary, as decisions: who is still waited for, which database is
+//! chosen, and until when the order may be sent.
+
+use crate::clock::{Span, Time};
+use crate::direct::control::rows::MemberId;
+use crate::direct::control::takeover::ORDER_WITHIN;
+use crate::direct::lead::LEASE;
+use crate::direct::statement::Standing;
+use crate::types::{DatabaseId, Domain, Position, Term};
+use std::collections::BTreeMap;
+
+/// For clocks that run unlike.
+const MARGIN: Span = Span::from_millis(250);
+
+/// What an order needs to arrive and be answered; with less time left the duty is renewed first.
+const ORDER_NEEDS: Span = Span::from_millis(300);
+
+/// How much sooner than it has to be an order is broken off.
+const ORDER_MARGIN: Span = Span::from_millis(100);
+
+/// How long a replica that does not answer is waited for once another did.
+///
+/// **Pattern answered.** The replica with the most of the log is slow for a moment, and one that
+/// has received nothing answers at once. **Without it** the one that is behind wins, and what the
+/// other had is lost. **Threshold.** Five slow answers at a database that is five times as slow;
+/// longer would add to the gap more than a crashed replica's refusal, which ends the wait at once.
+const ANSWERS_WITHIN: Span = Span::from_millis(900);
+
+/// How long a replica may take to get what the old primary has, when that one still runs.
+const CATCH_UP: Span = Span::from_millis(1_500);
+
+/// Until when VMs that may hold a lease of the old epoch are waited for.
+///
+/// **Failure answered.** A VM that is frozen or cut off goes on acting on the old primary.
+/// **Symptom without it.** It acknowledges what the new primary lacks. **Why it suffices.** Every
+/// reading that shows the old lead was asked before the intent was there, so its lease ends
+/// [`LEASE`] after that at the latest. For a VM that was evicted the same holds of that moment,
+/// as later readings are no leases for it. Its own word, or its end, makes it sooner.
+#[derive(Debug, Default)]
+pub struct Drops(BTreeMap<MemberId, Time>);
+
+impl Drops {
+    /// Waits for a VM, by when the intent, or its eviction if that was sooner, was there.
+    pub fn expect(&mut self, member: MemberId, since: Time) {
+        self.0.insert(member, since + LEASE + MARGIN);
+    }
+
+    /// A VM gave the epoch up, or ended.
+    pub fn done(&mut self, member: &MemberId) {
+        self.0.remove(member);
+    }
+
+    /// Until when a VM is waited for.
+    pub fn until(&self, member: &MemberId) -> Option<Time> {
+        self.0.get(member).copied()
+    }
+}
+
+/// From when on a VM that was evicted, as seen in a reading there at `seen`, holds no lease.
+pub fn lapsed_at(seen: Time) -> Time {
+    seen + LEASE + MARGIN
+}
+
+/// A right to order: the duty was renewed, asked at this moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Permit {
+    asked: Time,
+}
+
+impl Permit {
+    /// The duty was renewed by a call asked at `asked`.
+    pub fn new(asked: Time) -> Self {
+        Self { asked }
+    }
+
+    /// Until when the order may be under way, or none if too little is left of that.
+    pub fn deadline(&self, now: Time) -> Option<Time> {
+        let deadline = self.asked + ORDER_WITHIN - ORDER_MARGIN;
+        (now + ORDER_NEEDS <= deadline).then_some(deadline)
+    }
+}
+
+/// What a database said when asked how it stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// Nothing yet.
+    Pending,
+    /// It can't be reached, or is no candidate any more.
+    Absent,
+    /// How it stands.
+    Stands(Standing),
+}
+
+/// A database that may lead.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Which.
+    pub id: DatabaseId,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// What it said.
+    pub word: Word,
+}
+
+/// The choice of the next primary.
+#[derive(Debug)]
+pub struct Choice {
+    began: Time,
+    /// The failure domain of the old primary, if that is known: callers are near it.
+    near: Option<Domain>,
+    /// What the old primary had when nothing could be written there any more.
+    target: Option<Position>,
+    candidates: Vec<Candidate>,
+}
+
+/// What to do about the choice.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// Ask again, and look again then at the latest.
+    Wait(Time),
+    /// This one, which has the log up to there.
+    Take(DatabaseId, Position),
+    /// No candidate is there.
+    Nobody,
+}
+
+impl Choice {
+    /// Begins to choose.
+    pub fn new(
+        now: Time,
+        near: Option<Domain>,
+        target: Option<Position>,
+        candidates: impl IntoIterator<Item = (DatabaseId, Domain)>,
+    ) -> Self {
+        let candidate = |(id, domain)| Candidate {
+            id,
+            domain,
+            word: Word::Pending,
+        };
+        Self {
+            began: now,
+            near,
+            target,
+            candidates: candidates.into_iter().map(candidate).collect(),
+        }
+    }
+
+    /// The databases that may be chosen, and what they said.
+    pub fn candidates(&self) -> &[Candidate] {
+        &self.candidates
+    }
+
+    /// A database said how it stands.
+    pub fn say(&mut self, id: &DatabaseId, word: Word) {
+        for candidate in self.candidates.iter_mut().filter(|c| c.id == *id) {
+            candidate.word = word;
+        }
+    }
+
+    /// Whether the choice may be made.
+    pub fn pick(&self, now: Time) -> Pick {
+        let pending = self.candidates.iter().any(|c| c.word == Word::Pending);
+        let Some((id, position)) = self.best() else {
+            return match pending {
+                true => Pick::Wait(now + ANSWERS_WITHIN),
+                false => Pick::Nobody,
+            };
+        };
+        let answers = self.began + ANSWERS_WITHIN;
+        if pending && now < answers {
+            return Pick::Wait(answers);
+        }
+        let behind = self.target.is_some_and(|target| position < target);
+        let catch_up = self.began + CATCH_UP;
+        if behind && now < catch_up {
+            return Pick::Wait(catch_up);
+        }
+        Pick::Take(id, position)
+    }
+
+    /// Whether the choice would lose what the old primary has.
+    pub fn loses(&self, position: Position) -> bool {
+        self.target.is_some_and(|target| position < target)
+    }
+
+    fn best(&self) -> Option<(DatabaseId, Position)> {
+        let standing = |c: &Candidate| match c.word {
+            Word::Stands(standing) => Some(standing),
+            _ => None,
+        };
+        let ranked = self
+            .candidates
+            .iter()
+            .filter_map(|c| Some((c, standing(c)?)));
+        let best = ranked.max_by_key(|(c, standing)| {
+            let near = self.near.as_ref() == Some(&c.domain);
+            // A primary of the newest term needs no time to become one.
+            let leads = if standing.primary {
+                standing.term
+            } else {
+                Term(0)
+            };
+            (
+                standing.received,
+                leads,
+                near,
+                std::cmp::Reverse(c.id.clone()),
+            )
+        });
+        best.map(|(c, standing)| (c.id.clone(), standing.received))
+    }
+}
--- /dev/null
+++ b/src/direct/control/register.rs
@@ -0,0 +1,118 @@
+//! Which databases there are, and when one counts as gone.
+//!
+//! **Pattern answered.** A database's entry expires while it is silent towards the store: because
+//! it ended, or because the store was down and took no beats.
+//! **Without it** an outage of the store removes every database, or one that ended is kept for
+//! ever. **Thresholds.** Entries that expired in an outage are back within 2 s of its end;
+//! [`SETTLED`] adds what a slow answer takes.
+
+use crate::clock::{Span, Time};
+use crate::direct::config::Database;
+use crate::types::DatabaseId;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long the store has to have answered before a missing entry tells anything.
+const SETTLED: Span = Span::from_millis(2_500);
+
+/// The register as this VM knows it.
+#[derive(Debug, Default)]
+pub struct Register {
+    databases: BTreeMap<DatabaseId, Database>,
+    asked: Option<Time>,
+    digest: u64,
+}
+
+/// What a reading changed.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Databases that are new.
+    pub came: Vec<DatabaseId>,
+    /// Databases that are gone.
+    pub gone: Vec<DatabaseId>,
+    /// Databases that began to leave.
+    pub leaving: Vec<DatabaseId>,
+    /// Databases that take themselves for primaries and did not before, or the reverse.
+    pub role: Vec<DatabaseId>,
+    /// Whether anything changed at all.
+    pub any: bool,
+}
+
+impl Register {
+    /// The databases that count as registered.
+    pub fn databases(&self) -> &BTreeMap<DatabaseId, Database> {
+        &self.databases
+    }
+
+    /// When the newest reading was asked.
+    pub fn asked(&self) -> Option<Time> {
+        self.asked
+    }
+
+    /// Stands for the content, to tell whether two VMs have the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The store showed `found`, asked at `asked`; it has answered each call since `up`. An entry
+    /// that is missing is kept while that may be the mark of an outage.
+    pub fn read(
+        &mut self,
+        mut found: BTreeMap<DatabaseId, Database>,
+        asked: Time,
+        up: Option<Time>,
+    ) -> Changes {
+        let settled = up.is_some_and(|up| asked >= up + SETTLED);
+        if !settled {
+            for (id, database) in &self.databases {
+                found.entry(id.clone()).or_insert_with(|| database.clone());
+            }
+        }
+        self.told(found, asked)
+    }
+
+    /// Another VM told what it knows, of a reading asked at `asked`. An older one changes nothing.
+    pub fn told(&mut self, found: BTreeMap<DatabaseId, Database>, asked: Time) -> Changes {
+        if self.asked.is_some_and(|known| known > asked) {
+            return Changes::default();
+        }
+        self.asked = Some(asked);
+        let changes = compare(&self.databases, &found);
+        if changes.any {
+            self.digest = digest(&found);
+            self.databases = found;
+        }
+        changes
+    }
+}
+
+fn compare(
+    before: &BTreeMap<DatabaseId, Database>,
+    after: &BTreeMap<DatabaseId, Database>,
+) -> Changes {
+    let mut changes = Changes {
+        any: before != after,
+        ..Changes::default()
+    };
+    let missing = before.keys().filter(|id| !after.contains_key(*id));
+    changes.gone.extend(missing.cloned());
+    for (id, database) in after {
+        let known = before.get(id);
+        if known.is_none() {
+            changes.came.push(id.clone());
+        }
+        if database.leaving && known.is_none_or(|known| !known.leaving) {
+            changes.leaving.push(id.clone());
+        }
+        if known.is_some_and(|known| known.primary != database.primary) {
+            changes.role.push(id.clone());
+        }
+    }
+    changes
+}
+
+fn digest(databases: &BTreeMap<DatabaseId, Database>) -> u64 {
+    let list: Vec<&Database> = databases.values().collect();
+    // Plain structs of names and numbers always have an encoding.
+    xxh3_64(&postcard::to_stdvec(&list).unwrap_or_default())
+}
--- /dev/null
+++ b/src/direct/control/steward.rs
@@ -0,0 +1,262 @@
+//! What the steward has to do, by what it knows.
+
+use crate::clock::{Span, Time};
+use crate::core::detect::Damper;
+use crate::direct::config::Database;
+use crate::direct::control::evidence::{Tried, Verdict, Witness, count, judge};
+use crate::direct::control::promotion::lapsed_at;
+use crate::direct::control::rows::{MemberId, Reading};
+use crate::direct::control::state::Topic;
+use crate::direct::lead::Lead;
+use crate::direct::table::Version;
+use crate::direct::view::Report;
+use crate::types::{DatabaseId, GroupId, Life};
+use std::collections::BTreeMap;
+
+/// How long a VM may be silent before the steward finds out why: its row costs the next
+/// replacement a wait of a lease, unless it is marked before.
+const MEMBER_SILENT: Span = Span::from_secs(2);
+
+/// The pause between two attempts to reach a database that is said to fail.
+const TRY_EVERY: Span = Span::from_millis(150);
+
+/// How long a primary may be registered as a replica before it is believed: a promotion takes up
+/// to a second, and its report to the register another two.
+const UNLED: Span = Span::from_secs(5);
+
+/// How long a group without a lead row may have no database that takes itself for the primary.
+const HEADLESS: Span = Span::from_secs(6);
+
+/// How soon the steward looks again while anything is suspicious.
+const AGAIN: Span = Span::from_millis(50);
+
+/// Why a primary is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// It does not answer.
+    Lost,
+    /// It is not registered any more.
+    Gone,
+    /// It is about to end.
+    Leaving,
+    /// Many VMs do not reach it, others do.
+    Split,
+    /// It takes itself for a replica, and nobody leads.
+    Unled,
+    /// A steward before began to replace it.
+    Unfinished,
+}
+
+impl Cause {
+    /// Whether work on the old primary may end, and the old primary is no candidate.
+    pub fn is_planned(self) -> bool {
+        matches!(self, Self::Leaving | Self::Split)
+    }
+}
+
+/// Something to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Errand {
+    /// Write a new group's first lead row.
+    Create(GroupId, DatabaseId),
+    /// Replace a group's primary.
+    Change(GroupId, Cause),
+    /// Try to reach a database.
+    Try(DatabaseId),
+    /// Tell a database that another one leads.
+    StepDown(GroupId, DatabaseId),
+    /// Find out about a VM that is silent.
+    Call(MemberId),
+    /// Remove the row of a VM that can hold no lease.
+    Remove(MemberId, Version),
+}
+
+impl Errand {
+    /// What it is about.
+    pub fn topic(&self) -> Topic {
+        match self {
+            Self::Create(group, _) | Self::Change(group, _) => Topic::Group(group.clone()),
+            Self::Try(database) => Topic::Database(database.clone()),
+            Self::StepDown(_, database) => Topic::StepDown(database.clone()),
+            Self::Call(member) | Self::Remove(member, _) => Topic::Member(member.clone()),
+        }
+    }
+}
+
+/// What a VM told, as the survey needs it.
+#[derive(Debug, Clone)]
+pub struct Told<'a> {
+    /// Its life.
+    pub life: Life,
+    /// When.
+    pub at: Time,
+    /// How databases answered it.
+    pub reports: &'a BTreeMap<DatabaseId, Report>,
+}
+
+/// What the steward knows.
+#[derive(Debug)]
+pub struct Scene<'a> {
+    /// The time.
+    pub now: Time,
+    /// Since when this VM is the steward.
+    pub since: Time,
+    /// This VM.
+    pub own: &'a MemberId,
+    /// The rows.
+    pub reading: &'a Reading,
+    /// The databases.
+    pub databases: &'a BTreeMap<DatabaseId, Database>,
+    /// Since when the store answers each call.
+    pub up: Option<Time>,
+    /// What VMs told, this one too.
+    pub told: &'a BTreeMap<MemberId, Told<'a>>,
+    /// The last attempts to reach databases.
+    pub tried: &'a BTreeMap<DatabaseId, Tried>,
+    /// When evicted VMs were first seen as such, by the version of their rows.
+    pub evicted: &'a BTreeMap<MemberId, (Version, Time)>,
+    /// Since when groups have had their epochs.
+    pub epochs: &'a BTreeMap<GroupId, (u64, Time)>,
+    /// What keeps replacements of one group apart where the primary still runs.
+    pub dampers: &'a BTreeMap<GroupId, Damper>,
+}
+
+/// What to do now, and when to look again if nothing happens before.
+pub fn survey(scene: &Scene) -> (Vec<Errand>, Option<Time>) {
+    let mut errands = Vec::new();
+    let mut suspicious = false;
+    for (group, (lead, _)) in &scene.reading.leads {
+        suspicious |= scene.look_at_group(group, lead, &mut errands);
+    }
+    scene.look_for_new_groups(&mut errands);
+    scene.look_at_members(&mut errands);
+    (errands, suspicious.then(|| scene.now + AGAIN))
+}
+
+impl Scene<'_> {
+    /// Returns whether something is suspicious.
+    fn look_at_group(&self, group: &GroupId, lead: &Lead, errands: &mut Vec<Errand>) -> bool {
+        if lead.changing {
+            errands.push(Errand::Change(group.clone(), Cause::Unfinished));
+            return false;
+        }
+        self.look_for_old_primaries(group, lead, errands);
+        let Some(primary) = self.databases.get(&lead.primary) else {
+            // The register is only believed to lack it once the store has answered for a while.
+            if self.databases.values().any(|d| d.group == *group) {
+                errands.push(Errand::Change(group.clone(), Cause::Gone));
+            }
+            return false;
+        };
+        let votes = count(self.witnesses(&primary.id), self.now);
+        let tried = self.tried.get(&primary.id).copied();
+        let verdict = judge(&votes, tried, self.now);
+        let cause = match verdict {
+            Verdict::Lost => Some(Cause::Lost),
+            Verdict::Split if self.may_split(group, primary) => Some(Cause::Split),
+            _ if primary.leaving && self.has_successor(primary) => Some(Cause::Leaving),
+            _ if self.is_unled(group, primary) => Some(Cause::Unled),
+            _ => None,
+        };
+        if let Some(cause) = cause {
+            log::warn!(
+                group:%, primary:% = primary.id, epoch = lead.epoch, cause:?, silent = votes.silent,
+                fine = votes.fine, failing_ms:? = votes.since.map(|at| self.now.since(at).0 / 1_000),
+                answered_ms:? = votes.answered.map(|at| self.now.since(at).0 / 1_000),
+                tried:? = tried.map(|tried| tried.attempt);
+                "the primary is to be replaced"
+            );
+            errands.push(Errand::Change(group.clone(), cause));
+            return false;
+        }
+        let suspicious = verdict != Verdict::Fine;
+        let rested = tried.is_none_or(|tried| tried.ended + TRY_EVERY <= self.now);
+        if suspicious && rested {
+            errands.push(Errand::Try(primary.id.clone()));
+        }
+        suspicious
+    }
+
+    fn witnesses<'a>(&'a self, database: &'a DatabaseId) -> impl Iterator<Item = Witness> + 'a {
+        self.told.values().filter_map(|told| {
+            let report = *told.reports.get(database)?;
+            Some(Witness {
+                heard: told.at,
+                report,
+            })
+        })
+    }
+
+    /// A primary that some VMs reach is replaced only by one that more of them reach, and seldom.
+    fn may_split(&self, group: &GroupId, primary: &Database) -> bool {
+        let damper = self.dampers.get(group);
+        if damper.is_some_and(|damper| self.now < damper.allows_at()) {
+            return false;
+        }
+        let fails = |id: &DatabaseId| count(self.witnesses(id), self.now).long;
+        let failing = fails(&primary.id);
+        let others = self.databases.values().filter(|d| d.group == *group);
+        let mut others = others.filter(|d| d.id != primary.id && !d.leaving);
+        others.any(|d| fails(&d.id) * 2 < failing)
+    }
+
+    fn has_successor(&self, primary: &Database) -> bool {
+        let mut others = self.databases.values().filter(|d| d.group == primary.group);
+        others.any(|d| d.id != primary.id && !d.leaving)
+    }
+
+    fn is_unled(&self, group: &GroupId, primary: &Database) -> bool {
+        let settled = |at: Time| at + UNLED <= self.now;
+        let known = self.epochs.get(group).is_some_and(|(_, at)| settled(*at));
+        !primary.primary && known && settled(self.since) && self.up.is_some_and(settled)
+    }
+
+    /// One that came back, or never heard that another was promoted, still takes itself for the
+    /// primary.
+    fn look_for_old_primaries(&self, group: &GroupId, lead: &Lead, errands: &mut Vec<Errand>) {
+        let members = self.databases.values().filter(|d| d.group == *group);
+        for old in members.filter(|d| d.primary && d.id != lead.primary) {
+            errands.push(Errand::StepDown(group.clone(), old.id.clone()));
+        }
+    }
+
+    fn look_for_new_groups(&self, errands: &mut Vec<Errand>) {
+        for database in self.databases.values() {
+            let group = &database.group;
+            let known = self.reading.leads.contains_key(group);
+            let waiting = errands
+                .iter()
+                .any(|e| e.topic() == Topic::Group(group.clone()));
+            if known || waiting {
+                continue;
+            }
+            let members = || self.databases.values().filter(|d| d.group == *group);
+            if let Some(primary) = members().find(|d| d.primary) {
+                errands.push(Errand::Create(group.clone(), primary.id.clone()));
+            } else if self.since + HEADLESS <= self.now {
+                // Nobody leads and nobody ever did: any of them is named, and replaced as unled.
+                errands.push(Errand::Create(group.clone(), database.id.clone()));
+            }
+        }
+    }
+
+    fn look_at_members(&self, errands: &mut Vec<Errand>) {
+        for (id, (member, version)) in &self.reading.members {
+            if id == self.own {
+                continue;
+            }
+            if member.evicted {
+                let seen = self.evicted.get(id).filter(|(known, _)| known == version);
+                if seen.is_some_and(|(_, seen)| lapsed_at(*seen) <= self.now) {
+                    errands.push(Errand::Remove(id.clone(), *version));
+                }
+                continue;
+            }
+            let told = self.told.get(id).filter(|told| told.life == member.life);
+            let heard = told.map_or(self.since, |told| told.at);
+            if heard + MEMBER_SILENT <= self.now {
+                errands.push(Errand::Call(id.clone()));
+            }
+        }
+    }
+}
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -10,6 +10,10 @@
 /// 500 ms where it is slow.
 const PATIENCE: Span = Span::from_millis(1_500);
 
+/// What a poll may take beyond its wait: a connection that fell silent for good is noticed only
+/// when this is over, and a configuration has to be in force 3 s after it was accepted.
+const POLL_MARGIN: Span = Span::from_millis(700);
+
 /// How often the store was asked.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -84,7 +88,7 @@
     }
 
     /// Reads the rows of the control path.
-    pub async fn reading(&self) -> Result<Reading, Fault> {
+    pub(super) async fn reading(&self) -> Result<Reading, Fault> {
         let asked = (self.adapter.clock)();
         let (rows, _) = self.read(TABLE).await?;
         Ok(Reading::new(&rows, asked, (self.adapter.clock)()))
@@ -103,7 +107,7 @@
             after,
             wait,
         };
-        match self.call(ask, wait + PATIENCE).await? {
+        match self.call(ask, wait + POLL_MARGIN).await? {
             Told::Rows { rows, version } => Ok(Some((rows, version))),
             Told::Forgotten => Ok(None),
             _ => Err(unexpected()),
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -7,16 +7,20 @@
 use crate::direct::table::{Fault, Row, Version};
 use std::rc::Rc;
 
-/// How long a poll may wait. Calls are priced; a connection that fell silent for good is noticed
-/// only when the poll's time is over, and a configuration has to be in force 3 s after it was
-/// accepted.
-const WAIT: Span = Span::from_millis(2_000);
+/// How long a poll may wait at the steward, and at a VM that hears none: a connection that fell
+/// silent for good is noticed only when the poll's time is over, and a configuration has to be in
+/// force 3 s after it was accepted.
+const SHORT: Span = Span::from_secs(2);
+
+/// How long a poll may wait at a VM that hears the steward, which tells it of a configuration
+/// with each heartbeat. Calls are priced; the poll is the second way to the same.
+const LONG: Span = Span::from_secs(20);
 
 /// Follows the configuration until the process ends.
 pub(super) async fn run(control: Rc<Control>) {
     let mut backoff = Backoff::default();
     let mut after = None;
-    loop {
+    while !control.state.borrow().stopped {
         match step(&control, after).await {
             Ok(version) => {
                 after = version;
@@ -34,7 +38,13 @@
         learn(control, &rows);
         return Ok(Some(version));
     };
-    let Some((rows, version)) = control.store.follow(&id.table, after, WAIT).await? else {
+    let wait = if control.hears_steward() { LONG } else { SHORT };
+    let polled = tokio::select! {
+        polled = control.store.follow(&id.table, after, wait) => polled?,
+        // The steward is not heard any more: a poll that may be dead is no second way.
+        () = control.lost.notified(), if wait == LONG => return Ok(Some(after)),
+    };
+    let Some((rows, version)) = polled else {
         log::info!(after; "the history of the configuration is gone: reading it anew");
         return Ok(None);
     };
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -58,6 +58,8 @@
     /// Epochs up to this one were given up on somebody's word. Kept also for groups that no
     /// reading has shown yet: one that is on its way may still show the epoch that was given up.
     dropped: BTreeMap<GroupId, Epoch>,
+    /// Up to this epoch nothing new may start; what is under way may still end.
+    closed: BTreeMap<GroupId, Epoch>,
 }
 
 impl Book {
@@ -77,6 +79,13 @@
         *dropped = epoch.max(*dropped);
     }
 
+    /// Lets nothing new start on `epoch` of a group and all before it. What is under way still
+    /// holds its lease, until the epoch is given up.
+    pub fn close_epoch(&mut self, group: &GroupId, epoch: Epoch) {
+        let closed = self.closed.entry(group.clone()).or_default();
+        *closed = epoch.max(*closed);
+    }
+
     /// Gives up every epoch that is known.
     pub fn drop_all(&mut self) {
         let known = self.groups.iter();
@@ -86,23 +95,28 @@
         }
     }
 
-    /// The lease held on a group's primary at `now`.
+    /// The lease on a group's primary on which something may start at `now`.
     pub fn lease(&self, group: &GroupId, now: Time) -> Option<Lease> {
         let known = self.groups.get(group)?;
-        let until = known.asked + LEASE;
-        let dropped = self.dropped.get(group).copied().unwrap_or_default();
-        let usable = !known.lead.changing && known.lead.epoch > dropped && now < until;
+        let closed = self.closed.get(group).copied().unwrap_or_default();
+        let open = !known.lead.changing && known.lead.epoch > closed;
+        let usable = open && self.holds(group, known.lead.epoch, now);
         usable.then(|| Lease {
             epoch: known.lead.epoch,
             primary: known.lead.primary.clone(),
-            until,
+            until: known.asked + LEASE,
         })
     }
 
-    /// Whether `epoch` of a group may be acted on at `now`.
+    /// Whether what started on `epoch` of a group may still be acted on at `now`.
+    ///
+    /// That a replacement has begun does not end it: who replaces waits for this VM until it has
+    /// given the epoch up, or its last reading from before has lapsed.
     pub fn holds(&self, group: &GroupId, epoch: Epoch, now: Time) -> bool {
-        self.lease(group, now)
-            .is_some_and(|lease| lease.epoch == epoch)
+        let dropped = self.dropped.get(group).copied().unwrap_or_default();
+        self.groups.get(group).is_some_and(|known| {
+            known.lead.epoch == epoch && epoch > dropped && now < known.asked + LEASE
+        })
     }
 
     /// What the newest reading of a group showed, and when it was asked.
@@ -119,10 +133,14 @@
 
 impl Known {
     fn learn(&mut self, lead: Lead, asked: Time) {
-        let newer = (lead.epoch, lead.changing) >= (self.lead.epoch, self.lead.changing);
-        if newer {
-            self.lead = lead;
+        if (lead.epoch, lead.changing) < (self.lead.epoch, self.lead.changing) {
+            return;
+        }
+        // A reading that shows a change under way is no lease: it must not lengthen the one that
+        // stems from a reading before the change.
+        if !lead.changing || lead.epoch > self.lead.epoch {
             self.asked = self.asked.max(asked);
         }
+        self.lead = lead;
     }
 }
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -30,8 +30,13 @@
         /// The fencing token that it held.
         token: u64,
     },
-    /// There is something new: send a heartbeat at once.
-    Nudge,
+    /// There is something new, or a new steward: send it a heartbeat at once.
+    Nudge {
+        /// Where the steward listens.
+        address: SocketAddr,
+        /// Its fencing token.
+        token: u64,
+    },
 }
 
 /// What a VM tells with a heartbeat.
@@ -41,6 +46,8 @@
     pub vm: VmId,
     /// Its life.
     pub life: Life,
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
     /// The configuration that it has in force.
     pub config: Version,
     /// The digest of the register that it has.
@@ -74,6 +81,9 @@
     pub steward: bool,
     /// Which steward it follows, if it knows one.
     pub duty: Option<Heard>,
+    /// Whether the reading shows the asking VM's row. If not, no leads are told, and it has to
+    /// register.
+    pub member: bool,
     /// Who leads, with the age of that reading of the store when this answer was made.
     pub leads: Vec<(GroupId, Lead, Span)>,
     /// The configuration, if it is newer than the one told.
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -94,25 +94,31 @@
 
 /// How databases have answered this VM.
 #[derive(Debug, Clone, Default)]
-pub struct Reports(BTreeMap<DatabaseId, Seen>);
+pub struct Reports {
+    seen: BTreeMap<DatabaseId, Seen>,
+    alarm: Rc<Notify>,
+}
 
 impl Reports {
     /// A database answered, whatever it said.
     pub fn answered(&mut self, database: &DatabaseId, now: Time) {
-        let seen = self.0.entry(database.clone()).or_default();
+        let seen = self.seen.entry(database.clone()).or_default();
         seen.answered = Some(now);
         seen.failing = None;
     }
 
     /// A connection to a database could not be opened, broke, or stayed silent past its deadline.
     pub fn failed(&mut self, database: &DatabaseId, now: Time) {
-        let seen = self.0.entry(database.clone()).or_default();
-        seen.failing.get_or_insert(now);
+        let seen = self.seen.entry(database.clone()).or_default();
+        if seen.failing.is_none() {
+            seen.failing = Some(now);
+            self.alarm.notify_one();
+        }
     }
 
     /// How it answered, as of `now`.
     pub fn report(&self, database: &DatabaseId, now: Time) -> Report {
-        let seen = self.0.get(database).copied().unwrap_or_default();
+        let seen = self.seen.get(database).copied().unwrap_or_default();
         Report {
             answered: seen.answered.map(|at| now.since(at)),
             failing: seen.failing.map(|at| now.since(at)),
@@ -121,7 +127,18 @@
 
     /// Forgets databases that are not registered any more.
     pub fn retain(&mut self, keep: impl Fn(&DatabaseId) -> bool) {
-        self.0.retain(|database, _| keep(database));
+        self.seen.retain(|database, _| keep(database));
+    }
+
+    /// Rings when a database that answered begins to fail, so that the steward is told at once.
+    pub fn alarm(&self) -> Rc<Notify> {
+        self.alarm.clone()
+    }
+
+    /// All databases that were tried, as of `now`.
+    pub fn all(&self, now: Time) -> Vec<(DatabaseId, Report)> {
+        let all = self.seen.keys();
+        all.map(|id| (id.clone(), self.report(id, now))).collect()
     }
 }
 
@@ -147,6 +164,11 @@
         }
     }
 
+    /// Whether anything is under way at all.
+    pub fn is_any(&self) -> bool {
+        !self.0.is_empty()
+    }
+
     /// Whether anything is under way in this epoch.
     pub fn is_under_way(&self, group: &GroupId, epoch: Epoch) -> bool {
         self.0.contains_key(&(group.clone(), epoch))
