--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -2,6 +2,8 @@
 
 use crate::cmd::{Error, parse, single};
 use crate::core::node::Identity;
+use crate::direct::adapter::Build;
+use crate::net::direct::{self, Place};
 use crate::net::pg;
 use crate::net::platform::Client;
 use crate::net::proxy::{self, Setup};
@@ -16,10 +18,11 @@
 flight. Prints `ready` and the callers' address once it listens; GET /ready on the
 `admin` address answers 200 once it has a configuration.
 
-Usage: lentilspoke serve SETTINGS
+Usage: lentilspoke serve [SETTINGS]
 
 SETTINGS is a file of JSON with comments: the VM's name and failure domain, where it
-listens for callers, other proxies and operators, and where the platform is.
+listens for callers, other proxies and operators, and where the platform is. Left out,
+the platform's environment variable holds its path.
 
 Options:
     -h, --help    print this text
@@ -30,24 +33,43 @@
 }
 
 impl Args {
-    fn parse(words: &[String]) -> Result<Self, Error> {
+    fn parse(words: &[String], variable: &str) -> Result<Self, Error> {
         let matches = parse(&mut getopts::Options::new(), USAGE, words)?;
+        if matches.free.is_empty()
+            && let Ok(path) = std::env::var(variable)
+        {
+            return Ok(Self { path: path.into() });
+        }
         Ok(Self {
             path: single(&matches, "SETTINGS")?,
         })
     }
 }
 
-/// Runs the subcommand.
-pub fn run(words: &[String]) -> Result<(), Error> {
-    let args = Args::parse(words)?;
-    let text = std::fs::read_to_string(&*args.path)
-        .map_err(|error| Error::failed(format!("{}: {error}", args.path)))?;
-    let settings: Settings = text
-        .parse()
-        .map_err(|error| Error::failed(format!("{}:{error}", args.path)))?;
+/// Runs the subcommand. Without a path among `words`, `variable` of the environment holds it;
+/// `build` makes the platform's adapter where the settings ask for direct access.
+pub fn run(words: &[String], variable: &str, build: Build) -> Result<(), Error> {
+    let args = Args::parse(words, variable)?;
+    let settings = read(&args.path).map_err(Error::failed)?;
     util::log(settings.log.into());
-    actix_rt::System::new().block_on(serve(settings))
+    let system = actix_rt::System::new();
+    let Some(direct) = settings.direct.clone() else {
+        return system.block_on(serve(settings));
+    };
+    let place = Place {
+        settings,
+        direct,
+        read: Box::new(move || read(&args.path)),
+    };
+    system
+        .block_on(direct::run(place, build))
+        .map_err(Error::failed)
+}
+
+fn read(path: &str) -> Result<Settings, Box<str>> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+    let settings = text.parse().map_err(|error| format!("{path}:{error}"))?;
+    Ok(settings)
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
--- a/src/direct/adapter.rs
+++ b/src/direct/adapter.rs
@@ -104,6 +104,30 @@
 /// Reads the clock that counts pauses.
 pub type Clock = Rc<dyn Fn() -> Time>;
 
+/// What a platform's adapter is built from: where the platform is, and what the system gives.
+#[derive(Clone)]
+pub struct Outside {
+    /// The store's address.
+    pub store: SocketAddr,
+    /// Where orders go.
+    pub orders: SocketAddr,
+    /// Opens connections.
+    pub connect: Connect,
+    /// Opens connections that are reset as they are closed, so that nothing arrives later.
+    pub abrupt: Connect,
+    /// The time.
+    pub clock: Clock,
+}
+
+impl fmt::Debug for Outside {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Outside").finish_non_exhaustive()
+    }
+}
+
+/// Builds a platform's adapter.
+pub type Build = fn(Outside) -> Adapter;
+
 /// All that the product needs of its platform.
 #[derive(Clone)]
 pub struct Adapter {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,8 @@
 //! The command line's entry: dispatch to a subcommand and nothing else.
 
+#[path = "../platform/mod.rs"]
+mod platform;
+
 use lentilspoke::cmd::{self, Error};
 use std::process::ExitCode;
 
@@ -52,7 +55,7 @@
         "dump" => cmd::dump::run(rest),
         "model" => cmd::model::run(rest),
         "schedules" => cmd::schedules::run(rest),
-        "serve" => cmd::serve::run(rest),
+        "serve" => cmd::serve::run(rest, platform::SETTINGS, platform::adapter),
         "slopes" => cmd::slopes::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,9 @@
 //! The settings of one process: who it is, where it listens, and where the platform is.
 //!
-//! They are read once, at the start. All that operators change while it runs is in the
-//! configuration document (`config`).
+//! They are read at the start. All that operators change while it runs is in the configuration
+//! document (`config`).
 
+use crate::clock::Span;
 use crate::jsonc::{self, Fault};
 use crate::token::Key;
 use crate::types::{Domain, VmId};
@@ -11,6 +12,9 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+/// The least time for a planned stop: the balancer has to notice, and callers to go elsewhere.
+const GRACE_LEAST: Span = Span::from_secs(3);
+
 /// The settings of one process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -36,6 +40,25 @@
     /// What the process takes on at most.
     #[serde(default)]
     pub limits: Limits,
+    /// Where the platform replaces primaries: what direct access needs.
+    #[serde(default)]
+    pub direct: Option<Direct>,
+}
+
+/// The settings of direct access.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Direct {
+    /// Where the balancer asks whether callers may come.
+    pub ready: SocketAddr,
+    /// Where orders to promote a database go.
+    pub orders: SocketAddr,
+    /// `peers` of some VMs; they may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// The region of each failure domain.
+    pub regions: BTreeMap<Domain, Box<str>>,
+    /// How long a planned stop may take.
+    pub grace: Span,
 }
 
 /// How much is logged.
@@ -95,18 +118,23 @@
     }
 
     fn check(&self) -> Result<(), Fault> {
-        let listens = [
+        let mut listens = vec![
             ("callers", self.callers),
             ("peers", self.peers),
             ("admin", self.admin),
         ];
+        listens.extend(
+            self.direct
+                .iter()
+                .map(|direct| ("direct.ready", direct.ready)),
+        );
         let mut taken = BTreeMap::new();
         for (key, address) in listens {
             if let Some(other) = taken.insert(address, key)
                 && address.port() != 0
             {
                 let message = format!("`{other}` listens on {address} too: give each its own port");
-                return Err(Fault::new([key], message));
+                return Err(Fault::new(key.split('.'), message));
             }
         }
         if self.peers.ip().is_unspecified() {
@@ -117,6 +145,9 @@
             let message = "there is no address of the platform: write at least one IP:PORT";
             return Err(Fault::new(["platform"], message));
         }
+        if let Some(direct) = &self.direct {
+            direct.check()?;
+        }
         if let Some(Err(invalid)) = self.token_key.as_deref().map(Key::from_str) {
             return Err(Fault::new(["token_key"], invalid.to_string()));
         }
@@ -134,6 +165,16 @@
     }
 }
 
+impl Direct {
+    fn check(&self) -> Result<(), Fault> {
+        if self.grace < GRACE_LEAST {
+            let message = format!("a planned stop takes {GRACE_LEAST} at least: write more");
+            return Err(Fault::new(["direct", "grace"], message));
+        }
+        Ok(())
+    }
+}
+
 impl FromStr for Settings {
     type Err = jsonc::Error;
 
