Serve callers' sessions directly: first working path

Sessions, connections on demand, reads on replicas by position, writes and transactions on the primary under its lease.

--- /dev/null
+++ b/src/direct/connection.rs
@@ -0,0 +1,278 @@
+//! One connection to a database, and what is known to be true on it.
+
+use crate::clock::{Span, Time};
+use crate::direct::adapter::{Adapter, Garbled, Stream, Wire};
+use crate::direct::config::Database;
+use crate::direct::session::{Session, Shape};
+use crate::direct::statement::{Answer, Code, End, Order, Query, State};
+use crate::types::Position;
+use bytes::BytesMut;
+use futures_util::FutureExt;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Room made for each reading; a usual answer fits.
+const READ_SIZE: usize = 1024;
+
+/// Statements prepared on one connection before they are forgotten and begun anew.
+const MOST_SHAPES: usize = 256;
+
+/// Why an exchange with a database did not end.
+#[derive(Debug, thiserror::Error)]
+pub enum Lost {
+    /// The connection broke, or the answer was cut off.
+    #[error("the connection to the database broke: {0}")]
+    Broken(#[from] std::io::Error),
+    /// The database does not speak as agreed.
+    #[error("the database's answer is not understood: {0}")]
+    Garbled(#[from] Garbled),
+    /// No answer came in time.
+    #[error("the database did not answer in time")]
+    Silent,
+}
+
+/// Why a connection was not opened.
+#[derive(Debug, thiserror::Error)]
+pub enum Closed {
+    /// The database refused it.
+    #[error("the database refused the connection: {0:?}")]
+    Refused(Code),
+    /// It was not reached.
+    #[error(transparent)]
+    Lost(#[from] Lost),
+}
+
+/// A connection to a database.
+pub struct Connection {
+    wire: Wire,
+    stream: Box<dyn Stream>,
+    input: BytesMut,
+    values: BTreeMap<Box<str>, Box<str>>,
+    shapes: BTreeMap<Rc<Shape>, u32>,
+    /// Answers that are still to come.
+    owed: u32,
+    state: State,
+    /// When it was opened.
+    pub opened: Time,
+    /// When it was last given back.
+    pub used: Time,
+}
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection")
+            .field("owed", &self.owed)
+            .field("state", &self.state)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Connection {
+    /// Opens a session at a database within `span`.
+    pub async fn open(adapter: &Adapter, database: &Database, span: Span) -> Result<Self, Closed> {
+        let started = Self::start(adapter, database, span);
+        match tokio::time::timeout(span.into(), started).await {
+            Ok(result) => result,
+            Err(_) => Err(Lost::Silent.into()),
+        }
+    }
+
+    async fn start(adapter: &Adapter, database: &Database, span: Span) -> Result<Self, Closed> {
+        let connect = (adapter.connect)(database.address, span);
+        let stream = connect.await.map_err(Lost::from)?;
+        let now = (adapter.clock)();
+        let mut connection = Self {
+            wire: adapter.wire,
+            stream,
+            input: BytesMut::new(),
+            values: BTreeMap::new(),
+            shapes: BTreeMap::new(),
+            owed: 1,
+            state: State::Idle,
+            opened: now,
+            used: now,
+        };
+        let mut output = BytesMut::new();
+        (adapter.wire.write_start)(&mut output, &database.group, &database.id);
+        connection.write(&output).await?;
+        let answer = connection.read(true).await?;
+        match answer.end {
+            End::Done(_) => Ok(connection),
+            End::Error { code, .. } => Err(Closed::Refused(code)),
+        }
+    }
+
+    /// Whether it may be given to another session.
+    pub fn is_clean(&self) -> bool {
+        self.owed == 0 && self.state == State::Idle && self.input.is_empty()
+    }
+
+    /// Whether an idle connection is still open and silent, as far as is known here.
+    pub fn is_alive(&mut self) -> bool {
+        self.input.reserve(1);
+        let nothing_came = self
+            .stream
+            .read_buf(&mut self.input)
+            .now_or_never()
+            .is_none();
+        nothing_came && self.is_clean()
+    }
+
+    /// How many of a session's values it has, or none if it has one that the session lacks.
+    pub fn fit(&self, session: &Session) -> Option<usize> {
+        let fits = |name| session.values.contains_key(name);
+        self.values.keys().all(fits).then_some(())?;
+        let same =
+            |(name, value): &(&Box<str>, &Box<str>)| session.values.get(*name) == Some(*value);
+        Some(self.values.iter().filter(same).count())
+    }
+
+    /// Where it stands after the last answer.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Makes a session's values true, and then opens a transaction if `begin` says so. The first
+    /// answer that is an error ends it; nothing of a caller's has run then.
+    pub async fn prepare(
+        &mut self,
+        session: &Session,
+        begin: Option<Order>,
+    ) -> Result<Option<Code>, Lost> {
+        let mut output = BytesMut::new();
+        let mut orders = 0;
+        let mut order = |order: &Order| {
+            (self.wire.write_order)(&mut output, order);
+            orders += 1;
+        };
+        let foreign = |name| !session.values.contains_key(name);
+        let crowded = self.state == State::Idle && self.shapes.len() >= MOST_SHAPES;
+        if crowded || self.values.keys().any(foreign) {
+            order(&Order::Reset);
+            self.values.clear();
+            self.shapes.clear();
+        }
+        for (name, value) in &session.values {
+            if self.values.get(name) == Some(value) {
+                continue;
+            }
+            order(&Order::Set {
+                name: name.clone(),
+                value: value.clone(),
+            });
+            self.values.insert(name.clone(), value.clone());
+        }
+        if let Some(begin) = &begin {
+            order(begin);
+        }
+        if orders == 0 {
+            return Ok(None);
+        }
+        self.owed += orders;
+        self.write(&output).await?;
+        let settings = orders - u32::from(begin.is_some());
+        for _ in 0..settings {
+            let answer = self.read(false).await?;
+            if answer.end != End::Done(None) {
+                return Err(Garbled::Unclear("a session value was refused".into()).into());
+            }
+        }
+        if begin.is_none() {
+            return Ok(None);
+        }
+        match self.read(false).await?.end {
+            End::Done(_) => Ok(None),
+            End::Error { code, .. } => Ok(Some(code)),
+        }
+    }
+
+    /// Runs a caller's statement, after preparing what it needs.
+    ///
+    /// Preparing is sent in the same write: if it fails, the statement's name is not known, and
+    /// the statement does not run.
+    pub async fn run(
+        &mut self,
+        query: &Query,
+        shape: Option<&Rc<Shape>>,
+        after: Option<Position>,
+    ) -> Result<Answer, Lost> {
+        let mut output = BytesMut::new();
+        let mut prepares = 0;
+        let name = shape.map(|shape| {
+            let (number, known) = self.number(shape);
+            let name = format!("p{number}");
+            if !known {
+                let order = Order::Prepare {
+                    name: name.as_str().into(),
+                    writes: shape.writes,
+                    shape: shape.text.clone(),
+                };
+                (self.wire.write_order)(&mut output, &order);
+                prepares += 1;
+            }
+            name
+        });
+        (self.wire.write_query)(&mut output, query, name.as_deref(), after);
+        self.owed += prepares + 1;
+        self.write(&output).await?;
+        for _ in 0..prepares {
+            self.read(false).await?;
+        }
+        let answer = self.read(false).await?;
+        let forgotten = |end: &End| {
+            matches!(
+                end,
+                End::Error {
+                    code: Code::NoStatement,
+                    ..
+                }
+            )
+        };
+        if forgotten(&answer.end) {
+            self.shapes.clear();
+        }
+        Ok(answer)
+    }
+
+    /// Sends an order of our own and reads its answer.
+    pub async fn order(&mut self, order: &Order) -> Result<Answer, Lost> {
+        let mut output = BytesMut::new();
+        (self.wire.write_order)(&mut output, order);
+        self.owed += 1;
+        self.write(&output).await?;
+        self.read(false).await
+    }
+
+    /// The number of a shape on this connection, and whether it is prepared already. Numbers
+    /// belong to the connection, so that two shapes can never share a name.
+    fn number(&mut self, shape: &Rc<Shape>) -> (u32, bool) {
+        if let Some(number) = self.shapes.get(shape) {
+            return (*number, true);
+        }
+        let number = self.shapes.len() as u32;
+        self.shapes.insert(shape.clone(), number);
+        (number, false)
+    }
+
+    async fn write(&mut self, output: &[u8]) -> Result<(), Lost> {
+        self.stream.write_all(output).await?;
+        Ok(self.stream.flush().await?)
+    }
+
+    async fn read(&mut self, starting: bool) -> Result<Answer, Lost> {
+        loop {
+            if let Some(answer) = (self.wire.read_answer)(&mut self.input, starting)? {
+                self.owed -= 1;
+                self.state = answer.state;
+                return Ok(answer);
+            }
+            self.input.reserve(READ_SIZE);
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                let cut = std::io::ErrorKind::UnexpectedEof;
+                return Err(std::io::Error::from(cut).into());
+            }
+        }
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,8 +11,15 @@
 
 pub mod adapter;
 pub mod config;
+pub mod connection;
+pub mod fresh;
+pub mod front;
+pub mod gate;
 pub mod lead;
 pub mod mesh;
+pub mod pool;
+pub mod run;
+pub mod session;
 pub mod statement;
 pub mod table;
 pub mod view;
