--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -212,7 +212,7 @@
         };
         let answer = self.session.answer(end);
         let mut output = BytesMut::new();
-        (self.front.adapter.wire.write_answer)(&mut output, &answer, true);
+        (self.front.adapter.wire.write_answer)(&mut output, &answer, false);
         self.send(&output).await?;
         match known {
             true => Ok(()),
@@ -371,7 +371,7 @@
 
     async fn write(&mut self, answer: &Answer) -> Result<(), Gone> {
         let mut output = BytesMut::new();
-        (self.front.adapter.wire.write_answer)(&mut output, answer, false);
+        (self.front.adapter.wire.write_answer)(&mut output, answer, true);
         self.send(&output).await
     }
 
