--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -12,6 +12,7 @@
 pub mod adapter;
 pub mod config;
 pub mod connection;
+pub mod control;
 pub mod fresh;
 pub mod front;
 pub mod gate;
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -1,13 +1,37 @@
 //! One VM of direct access: its listeners, its parts, and the order in which it stops.
 
-use crate::direct::adapter::{Build, Outside};
+mod admin;
+mod reload;
+
+use crate::clock::Span;
+use crate::direct::adapter::{Adapter, Build, Outside, Stream};
+use crate::direct::control::{Control, Setup};
+use crate::direct::front::{self, Front};
 use crate::direct::view::Shared;
-use crate::net::http::{self, Reply};
-use crate::net::system;
+use crate::net::{http, mesh, system};
 use crate::settings::{Direct, Settings};
+use crate::types::Life;
 use crate::util;
-use ::http::StatusCode;
+use std::cell::Cell;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// How long callers still come after this VM has said that it is not ready: the balancer asks each
+/// second, and takes two answers to believe it.
+const BALANCED: Duration = Duration::from_millis(2_200);
+
+/// What is left of the grace when the process ends, so that it isn't killed.
+const LEFT_OVER: Span = Span::from_millis(500);
+
+/// How long to wait when no caller can be accepted, for want of descriptors as a rule.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Descriptors that callers may not take: files, connections to databases, other VMs, the store.
+const RESERVED: u32 = 1_000;
 
 /// What a process is told at its start, and how it reads that again.
 pub struct Place {
@@ -19,9 +43,27 @@
     pub read: Box<dyn Fn() -> Result<Settings, Box<str>>>,
 }
 
+impl fmt::Debug for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Place").finish_non_exhaustive()
+    }
+}
+
+/// One running VM.
+struct Vm {
+    shared: Rc<Shared>,
+    front: Rc<Front>,
+    control: Rc<Control>,
+    callers: Cell<u32>,
+    /// The most callers at once.
+    limit: Cell<u32>,
+    grace: Cell<Span>,
+}
+
 /// Runs the VM until a planned stop is over.
-pub async fn run(place: Place, build: Build) -> std::io::Result<()> {
+pub async fn run(place: Place, build: Build) -> io::Result<()> {
     let stop = util::asked_to_stop()?;
+    let listeners = Listeners::open(&place)?;
     let adapter = build(Outside {
         store: place.settings.platform[0],
         orders: place.direct.orders,
@@ -29,45 +71,129 @@
         abrupt: system::connect(true),
         clock: system::clock(),
     });
-    let shared = Rc::new(Shared::default());
-    let ready = system::listen(place.direct.ready)?;
-    let view = Rc::clone(&shared);
-    actix_rt::spawn(http::serve(ready, move |_| {
-        let view = Rc::clone(&view);
-        async move {
-            let ready = view.look().config.is_some();
-            Reply::new(
-                if ready {
-                    StatusCode::OK
-                } else {
-                    StatusCode::SERVICE_UNAVAILABLE
-                },
-                "",
-            )
-        }
-    }));
-    let callers = system::listen(place.settings.callers)?;
-    actix_rt::spawn(async move {
-        loop {
-            let _ = callers.accept().await;
-        }
-    });
-    let told = (adapter.store)(
-        crate::direct::table::Ask::Read("op".into()),
-        crate::clock::Span::from_secs(2),
-    )
-    .await;
-    log::info!("read {told:?}");
-    let config = adapter.documents.config.clone();
-    if let Ok(crate::direct::table::Told::Rows { rows, .. }) = told {
-        for row in rows {
-            if row.id == config {
-                let config = (adapter.documents.read_config)(&row.value.unwrap_or_default());
-                log::info!("config {config:?}");
-                shared.change(|view| view.config = config.ok().map(Rc::new));
+    let vm = Vm::start(&place, adapter);
+    let Listeners {
+        callers,
+        peers,
+        ready,
+        operators,
+    } = listeners;
+    let control = Rc::clone(&vm.control);
+    actix_rt::spawn(mesh::serve(
+        peers,
+        Rc::new(move |question| control.answer(question)),
+    ));
+    actix_rt::spawn(http::serve(ready, admin::ready(Rc::clone(&vm))));
+    actix_rt::spawn(http::serve(operators, admin::operators(Rc::clone(&vm))));
+    actix_rt::spawn(reload::watch(Rc::clone(&vm), place));
+    let door = actix_rt::spawn(admit(Rc::clone(&vm), callers));
+    stop.await;
+    log::info!("stopping: not ready, duties are handed over, what is in flight finishes");
+    vm.stop(door).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Where a VM is reached.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    ready: TcpListener,
+    operators: TcpListener,
+}
+
+impl Listeners {
+    fn open(place: &Place) -> io::Result<Self> {
+        Ok(Self {
+            callers: listen("callers", place.settings.callers)?,
+            peers: listen("peers", place.settings.peers)?,
+            ready: listen("direct.ready", place.direct.ready)?,
+            operators: listen("admin", place.settings.admin)?,
+        })
+    }
+}
+
+fn listen(key: &str, address: SocketAddr) -> io::Result<TcpListener> {
+    system::listen(address).map_err(|error| {
+        let text = format!("`{key}`: can't listen on {address}: {error}; change the settings");
+        io::Error::new(error.kind(), text)
+    })
+}
+
+/// The most callers that settings allow.
+fn callers_limit(settings: &Settings, direct: &Direct) -> u32 {
+    let free = direct.descriptors.saturating_sub(RESERVED);
+    settings.limits.connections.min(free.max(1))
+}
+
+impl Vm {
+    fn start(place: &Place, adapter: Adapter) -> Rc<Self> {
+        let (settings, direct) = (&place.settings, &place.direct);
+        let shared = Rc::new(Shared::default());
+        let control = Control::start(Setup {
+            adapter: adapter.clone(),
+            shared: Rc::clone(&shared),
+            call: mesh::call(),
+            vm: settings.vm.clone(),
+            life: Life(rand::random()),
+            domain: settings.domain.clone(),
+            address: settings.peers,
+            seeds: direct.seeds.clone(),
+        });
+        let place = front::Place {
+            domain: settings.domain.clone(),
+            regions: direct.regions.clone(),
+        };
+        Rc::new(Self {
+            front: Front::new(adapter, Rc::clone(&shared), place),
+            shared,
+            control,
+            callers: Cell::new(0),
+            limit: Cell::new(callers_limit(settings, direct)),
+            grace: Cell::new(direct.grace),
+        })
+    }
+
+    /// Failure: callers are still sent here for two of the balancer's questions after a stop began.
+    /// Symptom: their connections are refused. Enough, because the door stays open for that long,
+    /// and the front ends idle sessions only then.
+    async fn stop(&self, door: actix_rt::task::JoinHandle<()>) {
+        self.shared.change(|view| view.stopping = true);
+        let grace = Span(self.grace.get().0.saturating_sub(LEFT_OVER.0));
+        let close = async {
+            tokio::time::sleep(BALANCED).await;
+            door.abort();
+        };
+        let all = async { tokio::join!(close, self.control.stop(), self.front.stop(grace)) };
+        // Whatever is still open then would be cut by the kill that follows.
+        let _ = tokio::time::timeout(grace.into(), all).await;
+    }
+}
+
+/// Accepts callers until it is dropped.
+async fn admit(vm: Rc<Vm>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("could not accept a caller: {error}");
+                tokio::time::sleep(RETRY).await;
+                continue;
             }
+        };
+        if vm.callers.get() >= vm.limit.get() {
+            log::warn!(callers = vm.callers.get(); "a caller is turned away: raise `limits.connections`");
+            continue;
+        }
+        if system::prepare(&stream).is_err() {
+            continue;
         }
+        vm.callers.set(vm.callers.get() + 1);
+        let vm = Rc::clone(&vm);
+        actix_rt::spawn(async move {
+            let stream: Box<dyn Stream> = Box::new(stream);
+            Rc::clone(&vm.front).serve_stream(stream).await;
+            vm.callers.set(vm.callers.get() - 1);
+        });
     }
-    stop.await;
-    Ok(())
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -59,6 +59,8 @@
     pub regions: BTreeMap<Domain, Box<str>>,
     /// How long a planned stop may take.
     pub grace: Span,
+    /// How many descriptors the process may have open.
+    pub descriptors: u32,
 }
 
 /// How much is logged.
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -49,7 +49,7 @@
         found.insert(path.to_owned());
         return;
     };
-    let named = ["groups", "databases", "pools"]
+    let named = ["groups", "databases", "pools", "regions"]
         .iter()
         .any(|plural| path.rsplit('.').next() == Some(*plural));
     for (key, value) in fields {
