--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,9 +11,16 @@
 
 pub mod adapter;
 pub mod config;
+pub mod connection;
 pub mod control;
+pub mod fresh;
+pub mod front;
+pub mod gate;
 pub mod lead;
 pub mod mesh;
+pub mod pool;
+pub mod run;
+pub mod session;
 pub mod statement;
 pub mod table;
 pub mod view;
