--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -18,6 +18,9 @@
 /// How long a connection attempt may take; some round trips between regions.
 const DIAL: Duration = Duration::from_millis(700);
 
+/// With less time left no new connection is tried.
+const WORTH_DIALING: Span = Span::from_millis(30);
+
 /// How many questions of other VMs may wait for this one; each VM has a few under way.
 const WAITING: usize = 4_096;
 
@@ -34,24 +37,47 @@
         let channels = Rc::clone(&channels);
         Box::pin(async move {
             let kept = channels.borrow().get(&address).cloned();
-            let channel = match kept {
-                Some(channel) => channel,
-                None => {
-                    let channel = open(address)?;
-                    channels.borrow_mut().insert(address, channel.clone());
-                    channel
+            let asked = tokio::time::Instant::now();
+            if let Some(channel) = kept {
+                match ask(channel, question.clone(), within).await {
+                    Ok(answer) => return Some(answer),
+                    Err(status) => log::debug!(address:%; "a VM gave no answer: {status}"),
                 }
-            };
-            let answer = ask(channel, question, within).await;
-            if let Err(status) = &answer {
                 channels.borrow_mut().remove(&address);
-                log::debug!(address:%; "a VM gave no answer: {status}");
             }
-            answer.ok()
+            // A kept channel that broke at once says nothing of the VM: a new one does.
+            let left = Span(within.0.saturating_sub(Span::from(asked.elapsed()).0));
+            if left < WORTH_DIALING {
+                return None;
+            }
+            let channel = open(address)?;
+            match ask(channel.clone(), question, left).await {
+                Ok(answer) => {
+                    channels.borrow_mut().insert(address, channel);
+                    Some(answer)
+                }
+                Err(status) => {
+                    log::debug!(address:%; "a VM gave no answer: {status}");
+                    is_refused(&status).then_some(Answer::Absent)
+                }
+            }
         })
     })
 }
 
+/// Whether nobody listens there.
+fn is_refused(status: &Status) -> bool {
+    let mut cause = std::error::Error::source(status);
+    while let Some(error) = cause {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 fn open(address: SocketAddr) -> Option<Channel> {
     let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
     Some(
