--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -6,6 +6,7 @@
 use crate::direct::control::Control;
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::duty::{Extra, Renewed};
+use crate::direct::control::evidence;
 use crate::direct::control::probe::{self, Link};
 use crate::direct::control::promotion::{Choice, Drops, Permit, Pick, Word};
 use crate::direct::control::rows::{Member, MemberId, encode, lead_row};
@@ -56,6 +57,7 @@
     /// Replaces a group's primary.
     pub(super) async fn change_primary(self: &Rc<Self>, token: u64, group: &GroupId, cause: Cause) {
         let began = self.now();
+        self.log_cause(group, cause);
         match self.try_change(token, group, cause).await {
             Ok(Some(primary)) => log::warn!(
                 group:%, primary:%, cause:?, took_ms = self.now().since(began).0 / 1_000;
@@ -68,6 +70,31 @@
         let _ = self.read_rows().await;
     }
 
+    fn log_cause(&self, group: &GroupId, cause: Cause) {
+        let state = self.state.borrow();
+        let lead = state.reading.as_ref().and_then(|r| r.leads.get(group));
+        let Some((lead, _)) = lead else { return };
+        let now = self.now();
+        let witnesses = state.heard.values().filter_map(|heard| {
+            let report = *heard.reports.get(&lead.primary)?;
+            Some(evidence::Witness {
+                heard: heard.at,
+                report,
+            })
+        });
+        let votes = evidence::count(witnesses, now);
+        let ago = |at: Option<Time>| at.map(|at| now.since(at).0 / 1_000);
+        let tried = state.tried.get(&lead.primary);
+        log::warn!(
+            group:%, primary:% = lead.primary, epoch = lead.epoch, cause:?, silent = votes.silent,
+            long = votes.long, fine = votes.fine, failing_ms:? = ago(votes.since),
+            answered_ms:? = ago(votes.answered), tried:? = tried.map(|tried| tried.attempt),
+            tried_ms:? = ago(tried.map(|tried| tried.ended)),
+            registered = state.register.databases().contains_key(&lead.primary);
+            "the primary is to be replaced"
+        );
+    }
+
     async fn try_change(
         self: &Rc<Self>,
         token: u64,
@@ -232,10 +259,12 @@
     ) -> Result<DatabaseId, Lost> {
         let mut not_running = Vec::new();
         loop {
+            let began = self.now();
             let (id, position) = self.choose(work, target, &not_running).await?;
             log::info!(
                 group:% = work.group, database:% = id, position:%,
-                target:? = target.map(|t| t.to_string()); "a database is chosen to lead"
+                target:? = target.map(|t| t.to_string()),
+                took_ms = self.now().since(began).0 / 1_000; "a database is chosen to lead"
             );
             match self.order_one(work, &id).await? {
                 true => return Ok(id),
@@ -333,7 +362,8 @@
             let candidates = self.candidates(work, not);
             let ids: Vec<_> = candidates.iter().map(|d| d.id.clone()).collect();
             if ids != asked || choice.pick(self.now()) == Pick::Nobody {
-                let named = candidates.iter().map(|d| (d.id.clone(), d.domain.clone()));
+                let named = candidates.iter();
+                let named = named.map(|d| (d.id.clone(), d.domain.clone(), d.id == work.old));
                 choice = Choice::new(self.now(), self.domain(work), target, named);
                 asked = ids;
             }
@@ -364,6 +394,7 @@
             if let Some(link) = link {
                 links.insert(id.clone(), link);
             }
+            log::info!(database:% = id, word:?; "a candidate says how it stands");
             choice.say(&id, word);
             if let Pick::Take(id, position) = choice.pick(self.now()) {
                 return Some((id, position));
@@ -400,8 +431,10 @@
             return;
         };
         reading.leads.insert(group.clone(), (lead.clone(), version));
+        let epoch = (lead.epoch, self.now());
         let asked = reading.asked;
         let lease = reading.is_lease_for(&self.id, self.setup.life);
+        state.epochs.insert(group.clone(), epoch);
         drop(state);
         if lease {
             self.learn_lead(group, lead, asked);
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -3,11 +3,13 @@
 use crate::clock::{Span, Time};
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::rows::{Duty, MemberId, duty_row, encode};
-use crate::direct::control::state::Held;
+use crate::direct::control::state::{Beaten, Held, State};
 use crate::direct::control::{Control, errands};
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::{Change, Row, RowId, Version};
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -97,14 +99,18 @@
         }
     }
 
-    /// Takes the duty by compare-and-set from the row that was last read.
+    /// Takes the duty by compare-and-set from the version of its row that is known.
     async fn take(self: &Rc<Self>) -> bool {
-        let known = self.state.borrow().reading.as_ref().map(|r| r.duty.clone());
-        let Some(known) = known.filter(|_| !self.is_steward()) else {
+        if self.is_steward() {
             return false;
+        }
+        let (version, token) = {
+            let state = self.state.borrow();
+            let read = state.reading.as_ref().and_then(|r| r.duty.as_ref());
+            let read = read.map_or(0, |(duty, _)| duty.token);
+            let told = state.post.as_ref().map_or(0, |post| post.token);
+            (state.watch.version(), read.max(told) + 1)
         };
-        let version = known.as_ref().map_or(0, |(_, version)| *version);
-        let token = known.as_ref().map_or(0, |(duty, _)| duty.token) + 1;
         let change = Change {
             expect: vec![(duty_row(), version)],
             writes: vec![(duty_row(), self.duty(token, 0))],
@@ -145,9 +151,11 @@
             .as_ref()
             .map(|post| held.since.since(post.hearing.since).0 / 1_000);
         log::warn!(vm:% = self.id, token, version = held.version, silent_ms:? = silent; "this VM is the steward");
+        state.heard.clear();
+        let before = silent_before(&state);
+        state.heard.extend(before);
         state.held = Some(held);
         state.post = None;
-        state.heard.clear();
         state.tried.clear();
         drop(state);
         errands::start(self, token);
@@ -272,7 +280,7 @@
         }
     }
 
-    /// Offers the duty to the other VMs, one after the other. While that lasts nothing is ordered,
+    /// Offers the duty to the other VMs. While that lasts nothing is ordered,
     /// so the one that takes it need not wait.
     pub(super) async fn hand_over(self: &Rc<Self>, reason: &str) -> bool {
         let token = self.state.borrow().held.as_ref().map(|held| held.token);
@@ -288,9 +296,13 @@
         {
             tokio::time::sleep(ORDER_ENDS).await;
         }
-        for (vm, address) in self.others() {
-            let question = Question::HandOver { token };
-            let answer = (self.setup.call)(address, question, OFFER).await;
+        let calls = self.others().into_iter().map(|(vm, address)| {
+            let call = (self.setup.call)(address, Question::HandOver { token }, OFFER);
+            async move { (vm, address, call.await) }
+        });
+        // All at once: where the store turns all away, one after the other would take seconds.
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        while let Some((vm, address, answer)) = calls.next().await {
             if answer == Some(Answer::Taken(true)) {
                 log::info!(to:% = vm, token, reason; "the duty is handed over");
                 self.resign(reason);
@@ -327,6 +339,19 @@
     }
 }
 
+/// The steward before counts as silent since it was last heard here, not only since now.
+fn silent_before(state: &State) -> Option<(MemberId, Beaten)> {
+    let post = state.post.as_ref()?;
+    let mut members = state.reading.as_ref()?.members.iter();
+    let (id, (member, _)) = members.find(|(_, (m, _))| m.address == post.address)?;
+    let beaten = Beaten {
+        life: member.life,
+        at: post.hearing.since,
+        reports: BTreeMap::new(),
+    };
+    Some((id.clone(), beaten))
+}
+
 enum Settled {
     /// Ask again: only the version that was expected was old.
     Again,
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -22,8 +22,8 @@
 const READ_EVERY: Span = Span::from_secs(1);
 
 /// A steward that the store has not answered for this long offers the duty to others: it may be
-/// turned away where they are not.
-const TURNED_AWAY: Span = Span::from_millis(1_500);
+/// turned away where they are not. One reading may be late without that.
+const TURNED_AWAY: Span = Span::from_millis(1_200);
 
 /// The pause between two such offers.
 const OFFER_EVERY: Span = Span::from_secs(2);
@@ -59,8 +59,8 @@
             continue;
         }
         let now = control.now();
-        let down = control.store.health().down;
-        let turned_away = down.is_some_and(|down| down + TURNED_AWAY <= now);
+        let answered = control.store.health().answered;
+        let turned_away = answered.is_none_or(|at| at + TURNED_AWAY <= now);
         if turned_away && offered + OFFER_EVERY <= now {
             control.hand_over("the store does not answer here").await;
             offered = control.now();
@@ -174,16 +174,18 @@
         let began = self.now();
         let attempt = probe::open(&self.setup.adapter, &database).await.attempt();
         let ended = self.now();
-        log::info!(
-            database:% = id, attempt:?, took_ms = ended.since(began).0 / 1_000;
-            "a database that is said to fail was tried"
-        );
         let tried = Tried {
             began,
             ended,
             attempt,
         };
-        self.state.borrow_mut().tried.insert(id.clone(), tried);
+        let known = self.state.borrow_mut().tried.insert(id.clone(), tried);
+        if known.is_none_or(|known| known.attempt != attempt) {
+            log::info!(
+                database:% = id, attempt:?, took_ms = ended.since(began).0 / 1_000;
+                "a database that is said to fail was tried"
+            );
+        }
     }
 
     /// Tells a database that another one leads, by the term of that one.
--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -20,6 +20,10 @@
 /// How long a beat's answer is waited for: two round trips and a slow VM's turn.
 const PATIENCE: Span = Span::from_millis(400);
 
+/// After this long without an answer the rows are read meanwhile, to know since when the duty's
+/// row has the version that it has.
+const LATE: Span = Span::from_millis(150);
+
 /// How long it is waited for by a VM that already misses the steward's word: the VM has to look
 /// after itself meanwhile.
 const SHORT: Span = Span::from_millis(150);
@@ -71,14 +75,10 @@
         let Some(post) = post.filter(|_| self.is_member()) else {
             return self.look().await;
         };
-        let heard = self.beat_to(&post).await;
+        let heard = self.beat_or_look(&post).await?;
         let silent = self.misses_steward();
         self.note_contact(heard);
-        let due = {
-            let state = self.state.borrow();
-            let looked = state.looked.is_none_or(|at| at + LOOK_EVERY <= self.now());
-            looked && (silent || !heard || self.is_stale())
-        };
+        let due = self.may_look() && (silent || !heard || self.is_stale());
         match (due || !self.is_member(), silent) {
             (true, _) => self.look().await,
             (false, true) => self.consider(),
@@ -87,6 +87,25 @@
         }
     }
 
+    /// Beats; reads the rows meanwhile if the answer is late.
+    async fn beat_or_look(self: &Rc<Self>, post: &Post) -> Result<bool, Fault> {
+        let mut beat = std::pin::pin!(self.beat_to(post));
+        let late = tokio::time::timeout(Duration::from(LATE), &mut beat).await;
+        if let Ok(heard) = late {
+            return Ok(heard);
+        }
+        if !self.may_look() {
+            return Ok(beat.await);
+        }
+        let (heard, looked) = tokio::join!(beat, self.look());
+        looked.map(|_| heard)
+    }
+
+    fn may_look(&self) -> bool {
+        let looked = self.state.borrow().looked;
+        looked.is_none_or(|at| at + LOOK_EVERY <= self.now())
+    }
+
     async fn beat_to(&self, post: &Post) -> bool {
         let patience = if post.hearing.missed > 1 {
             SHORT
@@ -106,6 +125,10 @@
         match answer {
             Some(Answer::News(news)) if news.steward => {
                 known.hearing.answered(asked);
+                if let Some(version) = news.duty.as_ref().and_then(|duty| duty.version) {
+                    // Whatever this version allows to be ordered was asked before now.
+                    state.watch.note(version, now);
+                }
                 // The steward's reading may be older than this VM's row.
                 let settled = state.looked.is_none_or(|at| at + STALE < now);
                 drop(state);
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -65,6 +65,7 @@
             return Some(Heard {
                 address: self.setup.address,
                 token: held.token,
+                version: Some(held.version),
                 age: Span::ZERO,
             });
         }
@@ -75,6 +76,7 @@
         Some(Heard {
             address: post.address,
             token: post.token,
+            version: None,
             age: now.since(post.hearing.since),
         })
     }
--- a/src/direct/control/probe.rs
+++ b/src/direct/control/probe.rs
@@ -17,6 +17,11 @@
 /// that is five times as slow still answers within this.
 pub const PATIENCE: Span = Span::from_millis(350);
 
+/// The question takes a slot. A database whose slots are all taken says so at once, and one is
+/// free again within some milliseconds: the gap in service ends sooner if it is asked again soon.
+const BUSY_TRIES: u32 = 10;
+const BUSY_PAUSE: Duration = Duration::from_millis(5);
+
 /// A session of the steward's own at a database.
 pub struct Link {
     stream: Box<dyn Stream>,
@@ -124,12 +129,16 @@
             Opened::Full | Opened::Silent => return Word::Pending,
         },
     };
-    let Some(answer) = open.ask(&Order::Standing).await else {
-        return Word::Pending;
-    };
-    *link = Some(open);
-    match (adapter.wire.read_standing)(&answer) {
-        Some(standing) => Word::Stands(standing),
-        None => Word::Pending,
+    for _ in 0..BUSY_TRIES {
+        let Some(answer) = open.ask(&Order::Standing).await else {
+            return Word::Pending;
+        };
+        if let Some(standing) = (adapter.wire.read_standing)(&answer) {
+            *link = Some(open);
+            return Word::Stands(standing);
+        }
+        tokio::time::sleep(BUSY_PAUSE).await;
     }
+    *link = Some(open);
+    Word::Pending
 }
--- a/src/direct/control/promotion.rs
+++ b/src/direct/control/promotion.rs
@@ -100,6 +100,8 @@
     pub domain: Domain,
     /// What it said.
     pub word: Word,
+    /// Whether it is the old primary, which is not waited for: as a rule it is why this happens.
+    pub old: bool,
 }
 
 /// The choice of the next primary.
@@ -130,12 +132,13 @@
         now: Time,
         near: Option<Domain>,
         target: Option<Position>,
-        candidates: impl IntoIterator<Item = (DatabaseId, Domain)>,
+        candidates: impl IntoIterator<Item = (DatabaseId, Domain, bool)>,
     ) -> Self {
-        let candidate = |(id, domain)| Candidate {
+        let candidate = |(id, domain, old)| Candidate {
             id,
             domain,
             word: Word::Pending,
+            old,
         };
         Self {
             began: now,
@@ -159,9 +162,10 @@
 
     /// Whether the choice may be made.
     pub fn pick(&self, now: Time) -> Pick {
-        let pending = self.candidates.iter().any(|c| c.word == Word::Pending);
+        let waited = |c: &Candidate| c.word == Word::Pending && !c.old;
+        let pending = self.candidates.iter().any(waited);
         let Some((id, position)) = self.best() else {
-            return match pending {
+            return match self.candidates.iter().any(|c| c.word == Word::Pending) {
                 true => Pick::Wait(now + ANSWERS_WITHIN),
                 false => Pick::Nobody,
             };
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Span, Time};
 use crate::core::detect::Damper;
 use crate::direct::config::Database;
-use crate::direct::control::evidence::{Tried, Verdict, Witness, count, judge};
+use crate::direct::control::evidence::{Attempt, Tried, Verdict, Votes, Witness, count, judge};
 use crate::direct::control::promotion::lapsed_at;
 use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Topic;
@@ -17,8 +17,10 @@
 /// replacement a wait of a lease, unless it is marked before.
 const MEMBER_SILENT: Span = Span::from_secs(2);
 
-/// The pause between two attempts to reach a database that is said to fail.
+/// The pause between two attempts to reach a database that is said to fail, and after one that it
+/// answered: each takes a connection for 12 ms.
 const TRY_EVERY: Span = Span::from_millis(150);
+const TRY_ANSWERED: Span = Span::from_millis(600);
 
 /// How long a primary may be registered as a replica before it is believed: a promotion takes up
 /// to a second, and its report to the register another two.
@@ -148,7 +150,7 @@
             }
             return false;
         };
-        let votes = count(self.witnesses(&primary.id), self.now);
+        let votes = self.votes(&primary.id);
         let tried = self.tried.get(&primary.id).copied();
         let verdict = judge(&votes, tried, self.now);
         let cause = match verdict {
@@ -159,24 +161,26 @@
             _ => None,
         };
         if let Some(cause) = cause {
-            log::warn!(
-                group:%, primary:% = primary.id, epoch = lead.epoch, cause:?, silent = votes.silent,
-                fine = votes.fine, failing_ms:? = votes.since.map(|at| self.now.since(at).0 / 1_000),
-                answered_ms:? = votes.answered.map(|at| self.now.since(at).0 / 1_000),
-                tried:? = tried.map(|tried| tried.attempt);
-                "the primary is to be replaced"
-            );
             errands.push(Errand::Change(group.clone(), cause));
             return false;
         }
         let suspicious = verdict != Verdict::Fine;
-        let rested = tried.is_none_or(|tried| tried.ended + TRY_EVERY <= self.now);
+        let rested = tried.is_none_or(|tried| {
+            let answered = tried.attempt == Attempt::Answered;
+            let rest = if answered { TRY_ANSWERED } else { TRY_EVERY };
+            tried.ended + rest <= self.now
+        });
         if suspicious && rested {
             errands.push(Errand::Try(primary.id.clone()));
         }
         suspicious
     }
 
+    /// The votes on a database.
+    pub fn votes(&self, database: &DatabaseId) -> Votes {
+        count(self.witnesses(database), self.now)
+    }
+
     fn witnesses<'a>(&'a self, database: &'a DatabaseId) -> impl Iterator<Item = Witness> + 'a {
         self.told.values().filter_map(|told| {
             let report = *told.reports.get(database)?;
@@ -193,7 +197,7 @@
         if damper.is_some_and(|damper| self.now < damper.allows_at()) {
             return false;
         }
-        let fails = |id: &DatabaseId| count(self.witnesses(id), self.now).long;
+        let fails = |id: &DatabaseId| self.votes(id).long;
         let failing = fails(&primary.id);
         let others = self.databases.values().filter(|d| d.group == *group);
         let mut others = others.filter(|d| d.id != primary.id && !d.leaving);
@@ -207,7 +211,9 @@
 
     fn is_unled(&self, group: &GroupId, primary: &Database) -> bool {
         let settled = |at: Time| at + UNLED <= self.now;
-        let known = self.epochs.get(group).is_some_and(|(_, at)| settled(*at));
+        let epoch = self.reading.leads.get(group).map(|(lead, _)| lead.epoch);
+        let known = self.epochs.get(group);
+        let known = known.is_some_and(|(known, at)| Some(*known) == epoch && settled(*at));
         !primary.primary && known && settled(self.since) && self.up.is_some_and(settled)
     }
 
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -10,6 +10,10 @@
 /// 500 ms where it is slow.
 const PATIENCE: Span = Span::from_millis(1_500);
 
+/// The same for a table, which a slow store reads in 240 ms: a steward that is turned away
+/// without an answer notices by this, and offers the duty to others.
+const READ_PATIENCE: Span = Span::from_millis(800);
+
 /// What a poll may take beyond its wait: a connection that fell silent for good is noticed only
 /// when this is over, and a configuration has to be in force 3 s after it was accepted.
 const POLL_MARGIN: Span = Span::from_millis(700);
@@ -34,6 +38,8 @@
     pub up: Option<Time>,
     /// The first fault since the last answer.
     pub down: Option<Time>,
+    /// When the last call was asked that was answered.
+    pub answered: Option<Time>,
 }
 
 impl Health {
@@ -41,6 +47,7 @@
     pub fn note(&mut self, good: bool, asked: Time, now: Time) -> bool {
         if good {
             self.up.get_or_insert(asked);
+            self.answered = self.answered.max(Some(asked));
             return self.down.take().is_some();
         }
         self.up = None;
@@ -81,7 +88,7 @@
     /// Reads a table.
     pub async fn read(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
         self.count(|counts| counts.reads += 1);
-        match self.call(Ask::Read(table.into()), PATIENCE).await? {
+        match self.call(Ask::Read(table.into()), READ_PATIENCE).await? {
             Told::Rows { rows, version } => Ok((rows, version)),
             _ => Err(unexpected()),
         }
--- a/src/direct/control/takeover.rs
+++ b/src/direct/control/takeover.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// The version noted, under whose condition the duty is taken.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
     /// From when the duty may be taken by the VM of this rank (0 is first), under the condition
     /// that the row still has the version noted. None: not for now.
     pub fn takes_at(&self, hearing: Option<&Hearing>, rank: usize, now: Time) -> Option<Time> {
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -99,6 +99,8 @@
     pub address: SocketAddr,
     /// Its fencing token.
     pub token: u64,
+    /// The version of the duty's row, if it is the answering VM that holds it.
+    pub version: Option<crate::direct::table::Version>,
     /// How long ago it last answered.
     pub age: Span,
 }
