--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -7,7 +7,6 @@
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::duty::{Extra, Renewed};
 use crate::direct::control::evidence;
-use crate::direct::control::probe::{self, Link};
 use crate::direct::control::promotion::{Choice, Drops, Permit, Pick, Word};
 use crate::direct::control::rows::{Member, MemberId, encode, lead_row};
 use crate::direct::control::steward::Cause;
@@ -33,6 +32,9 @@
 /// Changes of a primary that still runs are this far apart at least.
 const DAMPING: Span = Span::from_secs(10);
 
+/// How long a promotion may take before it is ordered again: a second as a rule.
+const LEADS_WITHIN: Span = Span::from_secs(3);
+
 /// How long a database may refuse to be promoted before another one is chosen.
 const REFUSES: Span = Span::from_secs(3);
 
@@ -75,12 +77,13 @@
         let lead = state.reading.as_ref().and_then(|r| r.leads.get(group));
         let Some((lead, _)) = lead else { return };
         let now = self.now();
-        let witnesses = state.heard.values().filter_map(|heard| {
-            let report = *heard.reports.get(&lead.primary)?;
-            Some(evidence::Witness {
-                heard: heard.at,
-                report,
-            })
+        let witnesses = state.heard.values().map(|heard| evidence::Witness {
+            heard: heard.at,
+            report: heard
+                .reports
+                .get(&lead.primary)
+                .copied()
+                .unwrap_or_default(),
         });
         let votes = evidence::count(witnesses, now);
         let ago = |at: Option<Time>| at.map(|at| now.since(at).0 / 1_000);
@@ -240,9 +243,8 @@
             return None;
         }
         let old = self.setup.shared.look().databases.get(&work.old).cloned()?;
-        let mut link = None;
         for _ in 0..5 {
-            let word = probe::standing(&self.setup.adapter, &old, &mut link).await;
+            let word = self.standing(&old).await;
             if let Word::Stands(standing) = word {
                 return Some(standing.received);
             }
@@ -293,7 +295,12 @@
                 renewed_ms = self.now().since(asked).0 / 1_000; "a promotion was ordered"
             );
             match promoted {
-                Promoted::Done => return Ok(true),
+                Promoted::Done => {
+                    if let Some(leads) = self.leads(work, id).await {
+                        return Ok(leads);
+                    }
+                    unknown = true;
+                }
                 Promoted::NotRunning => return Ok(false),
                 Promoted::Refused if !unknown && began + REFUSES <= self.now() => return Ok(false),
                 Promoted::Refused => {}
@@ -303,6 +310,34 @@
         }
     }
 
+    /// Waits until a database that was ordered to lead does; false if it has ended, none if it
+    /// takes too long.
+    ///
+    /// **Failure answered.** A promotion takes up to a second. Until then the database is a
+    /// replica: it answers reads by what it has applied, and if another replacement began now and
+    /// ordered the old primary, the platform would say that nothing has to be done.
+    /// **Symptom without it.** Reads that lack what was acknowledged; two databases that count as
+    /// primary in turn. **Why it suffices.** The new lead is written, and another replacement
+    /// begun, only once the database itself says that it leads.
+    async fn leads(&self, work: &Work, id: &DatabaseId) -> Option<bool> {
+        let until = self.now() + LEADS_WITHIN;
+        while self.now() < until {
+            let known = self.setup.shared.look().databases.get(id).cloned();
+            let Some(database) = known else {
+                return Some(false);
+            };
+            match self.standing(&database).await {
+                Word::Stands(standing) if standing.primary => {
+                    log::info!(group:% = work.group, database:% = id, term:% = standing.term; "it leads");
+                    return Some(true);
+                }
+                Word::Absent => return Some(false),
+                _ => tokio::time::sleep(AGAIN).await,
+            }
+        }
+        None
+    }
+
     async fn order_once(&self, work: &Work, id: &DatabaseId, asked: Time) -> Option<Promoted> {
         let now = self.now();
         let deadline = Permit::new(asked).deadline(now)?;
@@ -332,9 +367,10 @@
     fn candidates(&self, work: &Work, not: &[DatabaseId]) -> Vec<Database> {
         let view = self.setup.shared.look();
         let stays = |d: &&Database| {
-            // Where the old primary still runs, or ended for good, it is no candidate.
-            let out = work.cause.is_planned() && d.id == work.old;
-            !out && !not.contains(&d.id)
+            // The old primary is one only if it was lost. A steward before may have ordered another
+            // database to lead, which takes effect whatever the old one says now.
+            let out = work.cause.is_planned() || work.cause == Cause::Unfinished;
+            !(out && d.id == work.old) && !not.contains(&d.id)
         };
         let members: Vec<_> = view.members(&work.group).filter(stays).cloned().collect();
         let staying: Vec<_> = members.iter().filter(|d| !d.leaving).cloned().collect();
@@ -352,7 +388,6 @@
         target: Option<Position>,
         not: &[DatabaseId],
     ) -> Result<(DatabaseId, Position), Lost> {
-        let mut links: BTreeMap<DatabaseId, Link> = BTreeMap::new();
         let mut asked: Vec<DatabaseId> = Vec::new();
         let mut choice = Choice::new(self.now(), None, None, []);
         loop {
@@ -367,7 +402,7 @@
                 choice = Choice::new(self.now(), self.domain(work), target, named);
                 asked = ids;
             }
-            if let Some(taken) = self.ask_round(&candidates, &mut choice, &mut links).await {
+            if let Some(taken) = self.ask_round(&candidates, &mut choice).await {
                 return Ok(taken);
             }
             tokio::time::sleep(AGAIN).await;
@@ -379,23 +414,15 @@
         &self,
         candidates: &[Database],
         choice: &mut Choice,
-        links: &mut BTreeMap<DatabaseId, Link>,
     ) -> Option<(DatabaseId, Position)> {
         let mut asks = FuturesUnordered::new();
         for database in candidates {
-            let mut link = links.remove(&database.id);
-            asks.push(async move {
-                let adapter = &self.setup.adapter;
-                let word = probe::standing(adapter, database, &mut link).await;
-                (database.id.clone(), word, link)
-            });
+            asks.push(async move { (database.id.clone(), self.standing(database).await) });
         }
-        while let Some((id, word, link)) = asks.next().await {
-            if let Some(link) = link {
-                links.insert(id.clone(), link);
+        while let Some((id, word)) = asks.next().await {
+            if choice.say(&id, word) {
+                log::info!(database:% = id, word:?; "a candidate says how it stands");
             }
-            log::info!(database:% = id, word:?; "a candidate says how it stands");
-            choice.say(&id, word);
             if let Pick::Take(id, position) = choice.pick(self.now()) {
                 return Some((id, position));
             }
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -165,6 +165,7 @@
     /// Gives the duty up.
     pub(super) fn resign(&self, reason: &str) {
         let held = self.state.borrow_mut().held.take();
+        self.links.borrow_mut().clear();
         if let Some(held) = held {
             log::warn!(vm:% = self.id, token = held.token, reason; "this VM is no steward any more");
             self.wake.notify_one();
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -1,6 +1,7 @@
 //! The steward's tasks: it reads the store for all, looks what has to be done, and does it.
 
 use crate::clock::{Span, Time};
+use crate::direct::config::Database;
 use crate::direct::control::Control;
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::evidence::Tried;
@@ -54,6 +55,7 @@
         control.wake.notify_one();
         if rows.is_ok() && register.is_ok() {
             backoff.reset();
+            control.keep_links().await;
             let rest = READ_EVERY.0.saturating_sub(control.now().since(began).0);
             tokio::time::sleep(Duration::from(Span(rest))).await;
             continue;
@@ -168,6 +170,47 @@
         self.nudge_all();
     }
 
+    /// Asks a database how it stands, by the session that is kept open to it.
+    pub(super) async fn standing(&self, database: &Database) -> Word {
+        let mut link = self.links.borrow_mut().remove(&database.id);
+        let kept = link.is_some();
+        let mut word = probe::standing(&self.setup.adapter, database, &mut link).await;
+        if kept && link.is_none() {
+            // The session broke: that says nothing of the database.
+            word = probe::standing(&self.setup.adapter, database, &mut link).await;
+        }
+        if let Some(link) = link {
+            self.links.borrow_mut().insert(database.id.clone(), link);
+        }
+        word
+    }
+
+    /// Opens a session to each database that has none, and closes those to databases that are
+    /// gone.
+    ///
+    /// **Pattern answered.** A primary is lost, its load falls on the replicas, and they have no
+    /// connection left for whoever asks how far they are. **Without it** nothing is promoted until
+    /// the load falls, which it does not before something is promoted.
+    async fn keep_links(&self) {
+        let databases: Vec<_> = {
+            let view = self.setup.shared.look();
+            let mut links = self.links.borrow_mut();
+            links.retain(|id, _| view.databases.contains_key(id));
+            let lacking = view
+                .databases
+                .values()
+                .filter(|d| !links.contains_key(&d.id));
+            lacking.cloned().collect()
+        };
+        let opened = databases.iter().map(async |database| {
+            if let probe::Opened::Link(link) = probe::open(&self.setup.adapter, database).await {
+                let mut links = self.links.borrow_mut();
+                links.entry(database.id.clone()).or_insert(link);
+            }
+        });
+        futures_util::future::join_all(opened).await;
+    }
+
     async fn try_database(&self, id: &DatabaseId) {
         let database = self.setup.shared.look().databases.get(id).cloned();
         let Some(database) = database else { return };
@@ -200,7 +243,7 @@
         if let (Some(leader), Some(database)) = (leader, database) {
             let adapter = &self.setup.adapter;
             if let probe::Opened::Link(mut link) = probe::open(adapter, &database).await
-                && let Word::Stands(standing) = probe::standing(adapter, &leader, &mut None).await
+                && let Word::Stands(standing) = self.standing(&leader).await
                 && standing.primary
             {
                 let answer = link.ask(&Order::StepDown(standing.term)).await;
--- a/src/direct/control/evidence.rs
+++ b/src/direct/control/evidence.rs
@@ -23,9 +23,10 @@
 /// How long a primary that only some VMs reach is left.
 const SPLIT: Span = Span::from_millis(1_200);
 
-/// One in so many of the VMs that tried has to fail before a primary that others reach is
-/// replaced.
+/// One in so many of the VMs that are heard has to fail before a primary that others reach is
+/// replaced, and this many at least.
 const SPLIT_SHARE: usize = 3;
+const SPLIT_LEAST: usize = 2;
 
 /// How long the word of a connection attempt counts.
 const TRIED: Span = Span::from_secs(1);
@@ -83,6 +84,8 @@
     pub long: usize,
     /// VMs that it has answered of late, and that do not see it fail.
     pub fine: usize,
+    /// VMs that were heard.
+    pub heard: usize,
     /// When the first failure was that no answer to that VM followed.
     pub since: Option<Time>,
     /// The last answer to any VM.
@@ -96,6 +99,7 @@
         if heard + HEARD < now {
             continue;
         }
+        votes.heard += 1;
         let answered = report.answered.map(|ago| heard - ago);
         votes.answered = votes.answered.max(answered);
         let Some(failing) = report.failing.map(|ago| heard - ago) else {
@@ -114,7 +118,7 @@
     let Some(since) = votes.since else {
         return Verdict::Fine;
     };
-    let split = votes.long > 0 && votes.long * SPLIT_SHARE >= votes.long + votes.fine;
+    let split = votes.long >= SPLIT_LEAST && votes.long * SPLIT_SHARE >= votes.heard;
     if votes.fine > 0 && split {
         return Verdict::Split;
     }
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -30,13 +30,14 @@
 use crate::clock::{Span, Time};
 use crate::core::detect::Damper;
 use crate::direct::adapter::{Adapter, Later};
+use crate::direct::control::probe::Link;
 use crate::direct::control::rows::MemberId;
 use crate::direct::control::state::State;
 use crate::direct::control::store::{Counts, Store};
 use crate::direct::lead::{Epoch, LEASE};
 use crate::direct::mesh::{Answer, Call, Question};
 use crate::direct::view::Shared;
-use crate::types::{Domain, GroupId, Life, VmId};
+use crate::types::{DatabaseId, Domain, GroupId, Life, VmId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -82,6 +83,8 @@
     id: MemberId,
     store: Store,
     state: RefCell<State>,
+    /// The steward's sessions at databases.
+    links: RefCell<BTreeMap<DatabaseId, Link>>,
     dampers: RefCell<BTreeMap<GroupId, Damper>>,
     /// Whether the newest reading known here, or at the steward, shows this VM's row.
     member: Cell<bool>,
@@ -102,6 +105,7 @@
             id: MemberId::new(&setup.vm, setup.address.ip()),
             store: Store::new(setup.adapter.clone()),
             state: RefCell::default(),
+            links: RefCell::default(),
             dampers: RefCell::default(),
             member: Cell::new(false),
             writing: Mutex::new(()),
--- a/src/direct/control/promotion.rs
+++ b/src/direct/control/promotion.rs
@@ -26,6 +26,10 @@
 /// longer would add to the gap more than a crashed replica's refusal, which ends the wait at once.
 const ANSWERS_WITHIN: Span = Span::from_millis(900);
 
+/// How long the old primary is waited for. If it is back, or was only cut off, it has all that
+/// was acknowledged; but as a rule it is why this happens, and each wait is a gap in service.
+const OLD_WITHIN: Span = Span::from_millis(150);
+
 /// How long a replica may take to get what the old primary has, when that one still runs.
 const CATCH_UP: Span = Span::from_millis(1_500);
 
@@ -100,7 +104,7 @@
     pub domain: Domain,
     /// What it said.
     pub word: Word,
-    /// Whether it is the old primary, which is not waited for: as a rule it is why this happens.
+    /// Whether it is the old primary, which is hardly waited for.
     pub old: bool,
 }
 
@@ -153,17 +157,26 @@
         &self.candidates
     }
 
-    /// A database said how it stands.
-    pub fn say(&mut self, id: &DatabaseId, word: Word) {
-        for candidate in self.candidates.iter_mut().filter(|c| c.id == *id) {
-            candidate.word = word;
+    /// A database said how it stands; returns whether that is new. One that is too busy to say
+    /// it once more still has what it had.
+    pub fn say(&mut self, id: &DatabaseId, word: Word) -> bool {
+        let mut candidates = self.candidates.iter_mut();
+        let Some(candidate) = candidates.find(|c| c.id == *id) else {
+            return false;
+        };
+        if word == Word::Pending || word == candidate.word {
+            return false;
         }
+        candidate.word = word;
+        true
     }
 
     /// Whether the choice may be made.
     pub fn pick(&self, now: Time) -> Pick {
-        let waited = |c: &Candidate| c.word == Word::Pending && !c.old;
-        let pending = self.candidates.iter().any(waited);
+        let pending = |old: bool| {
+            let mut candidates = self.candidates.iter();
+            candidates.any(|c| c.word == Word::Pending && c.old == old)
+        };
         let Some((id, position)) = self.best() else {
             return match self.candidates.iter().any(|c| c.word == Word::Pending) {
                 true => Pick::Wait(now + ANSWERS_WITHIN),
@@ -171,9 +184,13 @@
             };
         };
         let answers = self.began + ANSWERS_WITHIN;
-        if pending && now < answers {
+        if pending(false) && now < answers {
             return Pick::Wait(answers);
         }
+        let old = self.began + OLD_WITHIN;
+        if pending(true) && now < old {
+            return Pick::Wait(old);
+        }
         let behind = self.target.is_some_and(|target| position < target);
         let catch_up = self.began + CATCH_UP;
         if behind && now < catch_up {
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -182,12 +182,13 @@
     }
 
     fn witnesses<'a>(&'a self, database: &'a DatabaseId) -> impl Iterator<Item = Witness> + 'a {
-        self.told.values().filter_map(|told| {
-            let report = *told.reports.get(database)?;
-            Some(Witness {
+        self.told.values().map(|told| {
+            // A VM that never tried has no vote, but it is one of those that are heard.
+            let report = told.reports.get(database).copied().unwrap_or_default();
+            Witness {
                 heard: told.at,
                 report,
-            })
+            }
         })
     }
 
