Start processes and mark databases as leaving in one place of the tests

Change: tests/command has Process and broker; mark_leaving and write_unreplicated name the set-ups. No assertion changed.

--- a/tests/command/mod.rs
+++ b/tests/command/mod.rs
@@ -1,9 +1,12 @@
 //! Runs the binary as an operator would.
 #![allow(dead_code, reason = "each test file uses its part")]
 
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Command;
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use tokio_postgres::{Client, NoTls};
 
 pub const DOCUMENT: &str = r#"{
     "groups": {
@@ -29,6 +32,51 @@
     format!("exit {code}\n{said}")
 }
 
+/// A process of the binary that goes on running, killed when the test ends.
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub line: String,
+}
+
+impl Process {
+    /// Starts it, and waits for its first line.
+    pub fn start(words: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lentilspoke"))
+            .args(words)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let output = child.stdout.take().unwrap();
+        BufReader::new(output).read_line(&mut line).unwrap();
+        Self { child, line }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Connects to a proxy as a broker of `ledger1`, with these startup options.
+pub async fn broker(address: SocketAddr, options: &str) -> Result<Client, tokio_postgres::Error> {
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user("broker")
+        .dbname("ledger1")
+        .options(options);
+    let (client, connection) = config.connect(NoTls).await?;
+    actix_rt::spawn(async {
+        let _ = connection.await;
+    });
+    Ok(client)
+}
+
 /// A file that is gone after the test.
 pub struct File(PathBuf);
 
--- a/tests/node_session.rs
+++ b/tests/node_session.rs
@@ -134,19 +134,25 @@
     assert!(world.now.since(asked) < Span::from_millis(10));
 }
 
-/// Replicas cut off from their primary go on answering. Once their proven age is past what a
-/// phone accepts, its read goes to the primary, never to a replica.
-#[test]
-fn a_replica_without_proof_serves_no_aged_read() {
-    let mut world = World::ready(3);
-    for (one, other) in [("a", "b"), ("a", "c")] {
-        world.cut(one, other);
+/// Cuts the primary off from its replicas, writes `lot-1` where it need not reach them, and lets
+/// every proof of a replica's age grow old.
+fn write_unreplicated(world: &mut World) {
+    for replica in ["b", "c"] {
+        world.cut("a", replica);
     }
     let mut request = world.request(9, Kind::Write, "w lot-1");
     request.pool = id("fast");
     world.submit("vm1", request);
     world.wait(9, 1);
     world.run(Span::from_secs(2));
+}
+
+/// Replicas cut off from their primary go on answering. Once their proven age is past what a
+/// phone accepts, its read goes to the primary, never to a replica.
+#[test]
+fn a_replica_without_proof_serves_no_aged_read() {
+    let mut world = World::ready(3);
+    write_unreplicated(&mut world);
     let mut request = world.request(1, Kind::Read, "r");
     request.max_age = Some(Span::from_secs(1));
     world.submit("vm1", request);
@@ -165,14 +171,7 @@
         pool.max_age = Some(Span::from_secs(1));
     });
     world.input(&id("vm1"), Input::Accepted(accepted));
-    for (one, other) in [("a", "b"), ("a", "c")] {
-        world.cut(one, other);
-    }
-    let mut request = world.request(9, Kind::Write, "w lot-1");
-    request.pool = id("fast");
-    world.submit("vm1", request);
-    world.wait(9, 1);
-    world.run(Span::from_secs(2));
+    write_unreplicated(&mut world);
     let request = world.request(1, Kind::Read, "r");
     world.submit("vm1", request);
     world.wait(1, 1);
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -93,6 +93,16 @@
     }
 }
 
+/// Marks `database` as leaving in a new configuration, which reaches `vm` first.
+fn mark_leaving(world: &mut World, vm: &str, database: &str) {
+    let changed = world.change(|document| {
+        let group = document.groups.get_mut(&id("ledger")).unwrap();
+        let database = group.databases.get_mut(&id(database)).unwrap();
+        database.leaving = true;
+    });
+    world.input(&id(vm), Input::Accepted(changed));
+}
+
 /// An operator marks a replica as leaving. Within a few seconds it gets no new work and its
 /// connections are closed; its readers go elsewhere.
 #[test]
@@ -102,17 +112,7 @@
         world.read("vm1", link);
         world.wait(link, 1);
     }
-    let changed = world.change(|document| {
-        let group = document
-            .groups
-            .get_mut(&id::<lentilspoke::types::GroupId>("ledger"));
-        let databases = &mut group.unwrap().databases;
-        databases
-            .get_mut(&id::<lentilspoke::types::DatabaseId>("b"))
-            .unwrap()
-            .leaving = true;
-    });
-    world.input(&id("vm2"), Input::Accepted(changed));
+    mark_leaving(&mut world, "vm2", "b");
     world.run(Span::from_secs(3));
     let runs = world.database("b").runs;
     for link in 11..20 {
@@ -131,17 +131,7 @@
     let mut world = World::ready(3);
     world.write("vm1", 1, "lot-1");
     world.wait(1, 1);
-    let changed = world.change(|document| {
-        let group = document
-            .groups
-            .get_mut(&id::<lentilspoke::types::GroupId>("ledger"));
-        let databases = &mut group.unwrap().databases;
-        databases
-            .get_mut(&id::<lentilspoke::types::DatabaseId>("a"))
-            .unwrap()
-            .leaving = true;
-    });
-    world.input(&id("vm0"), Input::Accepted(changed));
+    mark_leaving(&mut world, "vm0", "a");
     for count in 2..300 {
         world.write("vm1", 1, &format!("lot-{count}"));
         world.wait(1, count);
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -2,39 +2,30 @@
 
 mod command;
 
-use command::{File, lentilspoke};
+use command::{File, broker, lentilspoke};
 use lentilspoke::config::{Document, Group};
 use lentilspoke::core::member::Member;
 use lentilspoke::standin::database::{self, Spec};
 use lentilspoke::standin::platform::{self, Platform};
-use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio_postgres::{Client, NoTls};
+use tokio_postgres::Client;
 
-/// A proxy's process, killed when the test ends.
-struct Process {
-    child: Child,
+/// A proxy's process, and where it listens.
+struct Proxy {
     callers: SocketAddr,
     admin: SocketAddr,
+    _process: command::Process,
     _settings: File,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// An address that was free a moment ago.
 fn free() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
 
-fn serve(vm: &str, platform: &platform::Handle) -> Process {
+fn serve(vm: &str, platform: &platform::Handle) -> Proxy {
     let (callers, peers, admin) = (free(), free(), free());
     let settings = File::new(&format!(
         r#"{{
@@ -45,25 +36,18 @@
         }}"#,
         platform.address()
     ));
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lentilspoke"))
-        .args(["serve", settings.path()])
-        .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut line = String::new();
-    let output = child.stdout.take().unwrap();
-    BufReader::new(output).read_line(&mut line).unwrap();
-    assert_eq!(line, format!("ready {callers}\n"));
+    let process = command::Process::start(&["serve", settings.path()]);
+    assert_eq!(process.line, format!("ready {callers}\n"));
     platform.join(Member {
         vm: vm.parse().unwrap(),
         address: peers,
         domain: "mombasa".parse().unwrap(),
         leaving: false,
     });
-    Process {
-        child,
+    Proxy {
         callers,
         admin,
+        _process: process,
         _settings: settings,
     }
 }
@@ -79,18 +63,7 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Client, tokio_postgres::Error> {
-    let mut config = tokio_postgres::Config::new();
-    config
-        .host(address.ip().to_string())
-        .port(address.port())
-        .user("broker")
-        .dbname("ledger1")
-        .options("-c lentilspoke.session=broker-17");
-    let (client, connection) = config.connect(NoTls).await?;
-    actix_rt::spawn(async {
-        let _ = connection.await;
-    });
-    Ok(client)
+    broker(address, "-c lentilspoke.session=broker-17").await
 }
 
 /// Writes a row of this id as soon as the system takes it. "Not run" is sent again, and so is
