--- /dev/null
+++ b/src/direct/caller.rs
@@ -0,0 +1,329 @@
+//! One caller's session: reads its messages, and answers each before the next.
+
+use crate::clock::{Span, Time};
+use crate::direct::adapter::{Garbled, Stream};
+use crate::direct::config::{Config, Route};
+use crate::direct::front::{Front, Stopping};
+use crate::direct::job::{Job, Part};
+use crate::direct::session::{Begun, Phase, Session, Shape, Step, error};
+use crate::direct::statement::{Answer, Code, End, Message, Query};
+use crate::direct::transaction::Transaction;
+use bytes::BytesMut;
+use futures_util::FutureExt;
+use std::fmt;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::watch;
+
+/// Room made for each reading of a caller's input; most sessions are idle most of the time.
+const READ_SIZE: usize = 512;
+
+/// How long a new session may take to say what it wants.
+const GREETING: Span = Span::from_secs(5);
+
+/// How long a new session waits for the first configuration: callers give up after 2 s.
+const CONFIGURED: Span = Span::from_millis(1_500);
+
+/// How long the end of a session may take to be sent.
+const FAREWELL: Span = Span::from_millis(200);
+
+/// How long an answer may take to be read by its caller before the session is given up.
+const SLOW_CALLER: Span = Span::from_secs(15);
+
+/// Why a session ends.
+#[derive(Debug)]
+enum Gone {
+    /// The caller left, or sent what is no message.
+    Left,
+    /// A planned stop closes it.
+    Stopped,
+}
+
+impl From<std::io::Error> for Gone {
+    fn from(_: std::io::Error) -> Self {
+        Gone::Left
+    }
+}
+
+/// One caller.
+pub struct Caller {
+    front: Rc<Front>,
+    stream: Box<dyn Stream>,
+    input: BytesMut,
+    session: Session,
+    transaction: Option<Transaction>,
+    database: Box<str>,
+    /// The route of `database` in a configuration.
+    routed: Option<(Rc<Config>, Rc<Route>)>,
+    stopping: watch::Receiver<Stopping>,
+}
+
+impl fmt::Debug for Caller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Caller").finish_non_exhaustive()
+    }
+}
+
+impl Caller {
+    /// A caller that has just connected.
+    pub fn new(
+        front: Rc<Front>,
+        stream: Box<dyn Stream>,
+        stopping: watch::Receiver<Stopping>,
+    ) -> Self {
+        Self {
+            front,
+            stream,
+            input: BytesMut::new(),
+            session: Session::default(),
+            transaction: None,
+            database: Box::default(),
+            routed: None,
+            stopping,
+        }
+    }
+
+    /// Serves the session to its end.
+    pub async fn serve(mut self) {
+        let gone = self.talk().await;
+        self.roll_back();
+        if let Ok(()) | Err(Gone::Stopped) = gone {
+            let _ = tokio::time::timeout(FAREWELL.into(), self.stream.shutdown()).await;
+        }
+    }
+
+    async fn talk(&mut self) -> Result<(), Gone> {
+        self.greet().await?;
+        loop {
+            match self.next().await? {
+                Ok(Message::Query(query)) => {
+                    let answer = self.answer(&query).await;
+                    self.write(&answer).await?;
+                }
+                Ok(Message::Bye) => return Ok(()),
+                Ok(Message::Start { .. }) | Err(Garbled::Long(_)) => {
+                    let text = "not allowed within a session";
+                    let answer = self.session.answer(error(Code::Malformed, text));
+                    return self.write(&answer).await;
+                }
+                Err(Garbled::Unclear(_)) => {
+                    let answer = self.session.answer(error(Code::Malformed, "not a message"));
+                    self.write(&answer).await?;
+                }
+            }
+        }
+    }
+
+    async fn greet(&mut self) -> Result<(), Gone> {
+        let first = tokio::time::timeout(GREETING.into(), self.next()).await;
+        let Ok(Ok(Message::Start { database, .. })) = first.map_err(|_| Gone::Left)? else {
+            return Err(Gone::Left);
+        };
+        self.database = database;
+        self.wait_for_config().await;
+        let known = self.route().is_some();
+        let end = match known {
+            true => End::Done(None),
+            false => error(Code::NoDatabase, "no route has that name"),
+        };
+        let answer = self.session.answer(end);
+        let mut output = BytesMut::new();
+        (self.front.adapter.wire.write_answer)(&mut output, &answer, false);
+        self.send(&output).await?;
+        match known {
+            true => Ok(()),
+            false => Err(Gone::Left),
+        }
+    }
+
+    async fn wait_for_config(&self) {
+        let shared = &self.front.shared;
+        let configured = async {
+            loop {
+                let changed = shared.changed();
+                if shared.look().config.is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let _ = tokio::time::timeout(CONFIGURED.into(), configured).await;
+    }
+
+    /// The caller's next message.
+    async fn next(&mut self) -> Result<Result<Message, Garbled>, Gone> {
+        loop {
+            match (self.front.adapter.wire.read_message)(&mut self.input) {
+                Ok(Some(message)) => return Ok(Ok(message)),
+                Ok(None) => {}
+                Err(garbled) => return Ok(Err(garbled)),
+            }
+            self.input.reserve(READ_SIZE);
+            self.receive().await?;
+        }
+    }
+
+    /// Reads more input, or does what is due while none comes.
+    async fn receive(&mut self) -> Result<(), Gone> {
+        let stopping = *self.stopping.borrow_and_update();
+        if stopping != Stopping::No && self.end_for(stopping).await? {
+            return Ok(());
+        }
+        let idle = self.idle_span();
+        let limit = idle.unwrap_or(Span::from_secs(86_400));
+        tokio::select! {
+            biased;
+            read = self.stream.read_buf(&mut self.input) => match read? {
+                0 => Err(Gone::Left),
+                _ => Ok(()),
+            },
+            _ = self.stopping.changed() => Ok(()),
+            () = tokio::time::sleep(limit.into()), if idle.is_some() => {
+                self.break_off("the transaction was idle for too long");
+                Ok(())
+            }
+        }
+    }
+
+    /// How long the open transaction may stay idle.
+    fn idle_span(&self) -> Option<Span> {
+        self.transaction.as_ref()?;
+        let view = self.front.shared.look();
+        Some(view.config.as_ref()?.idle)
+    }
+
+    /// Ends what a planned stop ends, unless more input has come just now.
+    ///
+    /// A message that has come is answered: the caller sent it before it could see the end.
+    async fn end_for(&mut self, stopping: Stopping) -> Result<bool, Gone> {
+        match self.stream.read_buf(&mut self.input).now_or_never() {
+            Some(read) => {
+                return if read? == 0 {
+                    Err(Gone::Left)
+                } else {
+                    Ok(true)
+                };
+            }
+            None if stopping == Stopping::Transactions => self.break_off("this VM is stopping"),
+            None => {}
+        }
+        let idle = matches!(self.session.phase, Phase::Idle) && self.input.is_empty();
+        match idle {
+            true => Err(Gone::Stopped),
+            false => Ok(false),
+        }
+    }
+
+    /// Rolls the open transaction back; its caller learns so with its next statement.
+    fn break_off(&mut self, reason: &str) {
+        let Some(transaction) = self.transaction.take() else {
+            return;
+        };
+        log::info!(group:% = transaction.route().group; "a transaction is rolled back: {reason}");
+        self.front.runner.roll_back(transaction);
+        self.session.phase = Phase::Failed;
+    }
+
+    async fn answer(&mut self, query: &Query) -> Answer {
+        let now = self.front.now();
+        let Some(route) = self.route() else {
+            let end = error(Code::NoDatabase, "no route has that name any more");
+            return self.session.answer(end);
+        };
+        match self.session.step(now, &query.statement, &route) {
+            Step::Answer(answer) => answer,
+            Step::Break(answer) => {
+                self.roll_back();
+                answer
+            }
+            Step::Rollback => {
+                self.roll_back();
+                self.session.phase = Phase::Idle;
+                self.session.answer(End::Done(None))
+            }
+            Step::Run { writes, shape } => self.run(query, &route, now, writes, shape, false).await,
+            Step::Commit => self.run(query, &route, now, false, None, true).await,
+        }
+    }
+
+    /// The route of the transaction, which it keeps, or else the one in force.
+    fn route(&mut self) -> Option<Rc<Route>> {
+        if let Some(open) = &self.transaction {
+            return Some(open.route().clone());
+        }
+        if let Phase::Begun(begun) = &self.session.phase {
+            return Some(begun.route.clone());
+        }
+        let config = self.front.config()?;
+        if let Some((known, route)) = &self.routed
+            && Rc::ptr_eq(known, &config)
+        {
+            return Some(route.clone());
+        }
+        let found = config.routes.get(&self.database);
+        let route = found.map(|route| Rc::new(route.clone()));
+        if let Some(route) = &route {
+            self.routed = Some((config, route.clone()));
+        } else if self.session.phase == Phase::Failed {
+            return self.routed.as_ref().map(|(_, route)| route.clone());
+        }
+        route
+    }
+
+    fn roll_back(&mut self) {
+        if let Some(transaction) = self.transaction.take() {
+            self.front.runner.roll_back(transaction);
+        }
+    }
+
+    async fn run(
+        &mut self,
+        query: &Query,
+        route: &Rc<Route>,
+        now: Time,
+        writes: bool,
+        shape: Option<Rc<Shape>>,
+        commit: bool,
+    ) -> Answer {
+        let open = self.transaction.take();
+        let (part, since) = match &self.session.phase {
+            Phase::Begun(Begun { read, at, .. }) => (Part::First { read: *read }, *at),
+            Phase::Open { .. } => (Part::Next, now),
+            Phase::Idle | Phase::Failed => (Part::Single, now),
+        };
+        let job = Job {
+            route,
+            query,
+            shape: shape.as_ref(),
+            writes,
+            commit,
+            part,
+            since,
+            came: now,
+        };
+        let runner = &self.front.runner;
+        let (answer, transaction) = match open {
+            Some(open) => runner.next(&mut self.session, open, &job).await,
+            None => runner.start(&mut self.session, &job).await,
+        };
+        self.transaction = transaction;
+        answer
+    }
+
+    async fn write(&mut self, answer: &Answer) -> Result<(), Gone> {
+        let mut output = BytesMut::new();
+        (self.front.adapter.wire.write_answer)(&mut output, answer, true);
+        self.send(&output).await
+    }
+
+    async fn send(&mut self, output: &[u8]) -> Result<(), Gone> {
+        let written = async {
+            self.stream.write_all(output).await?;
+            self.stream.flush().await
+        };
+        match tokio::time::timeout(SLOW_CALLER.into(), written).await {
+            Ok(result) => Ok(result?),
+            Err(_) => Err(Gone::Left),
+        }
+    }
+}
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -104,9 +104,14 @@
         }
     }
 
+    /// Whether every answer has come, and nothing else.
+    pub fn is_settled(&self) -> bool {
+        self.owed == 0 && self.input.is_empty()
+    }
+
     /// Whether it may be given to another session.
     pub fn is_clean(&self) -> bool {
-        self.owed == 0 && self.state == State::Idle && self.input.is_empty()
+        self.is_settled() && self.state == State::Idle
     }
 
     /// Whether an idle connection is still open and silent, as far as is known here.
@@ -124,14 +129,9 @@
     pub fn fit(&self, session: &Session) -> Option<usize> {
         let fits = |name| session.values.contains_key(name);
         self.values.keys().all(fits).then_some(())?;
-        let same =
-            |(name, value): &(&Box<str>, &Box<str>)| session.values.get(*name) == Some(*value);
-        Some(self.values.iter().filter(same).count())
-    }
-
-    /// Where it stands after the last answer.
-    pub fn state(&self) -> State {
-        self.state
+        let values = self.values.iter();
+        let same = values.filter(|(name, value)| session.values.get(*name) == Some(*value));
+        Some(same.count())
     }
 
     /// Makes a session's values true, and then opens a transaction if `begin` says so. The first
--- /dev/null
+++ b/src/direct/job.rs
@@ -0,0 +1,102 @@
+//! One statement that has to run, and the moments that bound it.
+
+use crate::clock::{Span, Time};
+use crate::direct::config::{Kind, Route};
+use crate::direct::gate::{self, Urgency};
+use crate::direct::session::Shape;
+use crate::direct::statement::Query;
+use std::rc::Rc;
+
+/// How long a statement waits for a primary at most: a planned change takes less, and one after a
+/// crash little more, whereas a caller that waits longer has missed its objective anyway.
+const NEWS: Span = Span::from_millis(2_500);
+
+/// The part of the objective that work may wait for a busy database: what is refused later than
+/// this has cost its caller time in which another VM could have served it.
+const QUEUE_PERCENT: u64 = 25;
+
+/// The same for a statement of an open transaction, which loses all that ran before when it is
+/// refused, and holds a connection meanwhile.
+const OPEN_QUEUE_PERCENT: u64 = 50;
+
+/// What a statement is part of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// Of nothing: it stands alone.
+    Single,
+    /// It is the first of a transaction, which has to be opened.
+    First {
+        /// Whether the transaction only reads.
+        read: bool,
+    },
+    /// Of the transaction that is open.
+    Next,
+}
+
+/// One statement.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    /// The route.
+    pub route: &'a Rc<Route>,
+    /// The statement.
+    pub query: &'a Query,
+    /// The prepared statement that it runs.
+    pub shape: Option<&'a Rc<Shape>>,
+    /// Whether it writes.
+    pub writes: bool,
+    /// Whether it commits the transaction.
+    pub commit: bool,
+    /// What it is part of.
+    pub part: Part,
+    /// When it, or its transaction, came.
+    pub since: Time,
+    /// When it came.
+    pub came: Time,
+}
+
+impl Job<'_> {
+    /// When it is given up.
+    pub fn deadline(&self) -> Time {
+        self.came + self.route.timeout
+    }
+
+    /// Until when it may wait for a busy database.
+    pub fn queue_until(&self) -> Time {
+        let percent = match self.part {
+            Part::Next => OPEN_QUEUE_PERCENT,
+            Part::Single | Part::First { .. } => QUEUE_PERCENT,
+        };
+        self.came + self.route.objective.percent(percent)
+    }
+
+    /// Until when it may wait for a primary.
+    pub fn news_until(&self) -> Time {
+        self.came + self.route.timeout.min(NEWS)
+    }
+
+    /// Its place among others that wait.
+    pub fn urgency(&self) -> Urgency {
+        match self.part {
+            Part::Next => gate::OPEN,
+            Part::Single | Part::First { .. } => self.route.priority.saturating_add(1),
+        }
+    }
+
+    /// How old the data may be that it reads, if it need not be the newest.
+    pub fn staleness(&self) -> Option<Span> {
+        let reads = match self.part {
+            Part::First { read } => read,
+            Part::Single => !self.writes,
+            Part::Next => false,
+        };
+        match self.route.kind {
+            Kind::Bounded(span) | Kind::Session(span) if reads => Some(span),
+            _ => None,
+        }
+    }
+
+    /// Whether an answer that was lost may be asked for again: nothing else was told or kept.
+    pub fn is_repeatable(&self) -> bool {
+        self.part == Part::Single && !self.writes
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,16 +10,22 @@
 //! counts a pause of the VM, which the steady clock of the system does not.
 
 pub mod adapter;
+pub mod attempt;
+pub mod caller;
 pub mod config;
 pub mod connection;
 pub mod fresh;
 pub mod front;
 pub mod gate;
+pub mod job;
 pub mod lead;
 pub mod mesh;
+pub mod outcome;
 pub mod pool;
 pub mod run;
 pub mod session;
 pub mod statement;
 pub mod table;
+pub mod targets;
+pub mod transaction;
 pub mod view;
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -37,7 +37,6 @@
     /// Statements in flight.
     pub gate: Gate,
     idle: RefCell<Vec<Connection>>,
-    open: Cell<u32>,
     full_until: Cell<Time>,
     returned: Notify,
     sweeping: Cell<bool>,
@@ -46,35 +45,39 @@
 /// A connection in use; it is closed when dropped and not given back.
 #[derive(Debug)]
 pub struct Lent {
-    connection: Option<Connection>,
-    pool: Rc<Pool>,
+    connection: Connection,
+    seat: Seat,
 }
 
-impl Drop for Lent {
+/// Tells those that wait for a connection that there may be one.
+#[derive(Debug)]
+struct Seat(Rc<Pool>);
+
+impl Drop for Seat {
     fn drop(&mut self) {
-        self.pool.open.set(self.pool.open.get() - 1);
-        self.pool.returned.notify_one();
+        self.0.returned.notify_one();
     }
 }
 
 impl Lent {
     /// The connection.
-    pub fn connection(&mut self) -> Option<&mut Connection> {
-        self.connection.as_mut()
+    pub fn connection(&mut self) -> &mut Connection {
+        &mut self.connection
     }
 
     /// Gives the connection back for others to use, unless something on it is unaccounted for.
-    pub fn give_back(mut self, adapter: &Adapter) {
-        let Some(mut connection) = self.connection.take() else {
-            return;
-        };
+    pub fn give_back(self, adapter: &Adapter) {
+        let Self {
+            mut connection,
+            seat,
+        } = self;
         if !connection.is_clean() {
             return;
         }
         connection.used = (adapter.clock)();
-        self.pool.open.set(self.pool.open.get() + 1);
-        self.pool.idle.borrow_mut().push(connection);
-        self.pool.sweep(adapter);
+        let pool = seat.0.clone();
+        pool.idle.borrow_mut().push(connection);
+        pool.sweep(adapter);
     }
 }
 
@@ -84,95 +87,58 @@
         Rc::new(Self {
             gate: Gate::new(slots),
             idle: RefCell::default(),
-            open: Cell::new(0),
             full_until: Cell::default(),
             returned: Notify::new(),
             sweeping: Cell::new(false),
         })
     }
 
-    /// Takes an idle connection, or opens one, or waits within `patience` until one is free.
+    /// Takes an idle connection, or opens one.
     pub async fn take(
         self: &Rc<Self>,
         adapter: &Adapter,
         database: &Database,
         session: &Session,
-        patience: Span,
     ) -> Result<Lent, Closed> {
-        let until = (adapter.clock)() + patience;
-        loop {
-            if let Some(connection) = self.reuse(session) {
-                return Ok(self.lend(connection));
-            }
-            let now = (adapter.clock)();
-            if now >= self.full_until.get() {
-                match self.open(adapter, database).await {
-                    Err(Closed::Refused(Code::Full)) => {
-                        self.full_until.set((adapter.clock)() + FULL_PAUSE);
-                    }
-                    other => return other,
+        let seat = Seat(self.clone());
+        if let Some(connection) = self.reuse(session) {
+            return Ok(Lent { connection, seat });
+        }
+        if (adapter.clock)() < self.full_until.get() {
+            return Err(Closed::Refused(Code::Full));
+        }
+        match Connection::open(adapter, database, OPENING).await {
+            Ok(connection) => Ok(Lent { connection, seat }),
+            Err(closed) => {
+                if let Closed::Refused(Code::Full) = closed {
+                    self.full_until.set((adapter.clock)() + FULL_PAUSE);
                 }
+                Err(closed)
             }
-            let now = (adapter.clock)();
-            if now >= until {
-                return Err(Closed::Refused(Code::Full));
-            }
-            let wait = self.full_until.get().since(now).min(until.since(now));
-            let _ = tokio::time::timeout(wait.into(), self.returned.notified()).await;
         }
     }
 
-    /// Whether a statement could be sent without waiting for a connection to open.
-    pub fn has_idle(&self) -> bool {
-        !self.idle.borrow().is_empty()
+    /// Waits until a connection may be had, where none was.
+    pub async fn wait(&self) {
+        let _ = tokio::time::timeout(FULL_PAUSE.into(), self.returned.notified()).await;
     }
 
     /// Closes idle connections that were last used before `since`: whatever lost track of one
     /// connection has often lost track of those beside it.
     pub fn distrust(&self, since: Time) {
-        self.close_idle(|connection| connection.used < since);
-    }
-
-    /// Closes all idle connections.
-    pub fn close(&self) {
-        self.close_idle(|_| true);
-    }
-
-    fn close_idle(&self, close: impl Fn(&Connection) -> bool) {
-        let mut idle = self.idle.borrow_mut();
-        let before = idle.len();
-        idle.retain(|connection| !close(connection));
-        let closed = (before - idle.len()) as u32;
-        self.open.set(self.open.get() - closed);
-    }
-
-    fn lend(self: &Rc<Self>, connection: Connection) -> Lent {
-        Lent {
-            connection: Some(connection),
-            pool: self.clone(),
-        }
-    }
-
-    async fn open(self: &Rc<Self>, adapter: &Adapter, database: &Database) -> Result<Lent, Closed> {
-        self.open.set(self.open.get() + 1);
-        let mut lent = Lent {
-            connection: None,
-            pool: self.clone(),
-        };
-        lent.connection = Some(Connection::open(adapter, database, OPENING).await?);
-        Ok(lent)
+        let trusted = |connection: &Connection| connection.used >= since;
+        self.idle.borrow_mut().retain(trusted);
     }
 
     /// The idle connection whose values fit a session best, most recent first.
     fn reuse(&self, session: &Session) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
         loop {
-            let mut idle = self.idle.borrow_mut();
             let best = best_fit(&idle, session)?;
             let mut connection = idle.remove(best);
             if connection.is_alive() {
                 return Some(connection);
             }
-            self.open.set(self.open.get() - 1);
         }
     }
 
@@ -184,14 +150,19 @@
         let pool = self.clone();
         let clock = adapter.clock.clone();
         actix_rt::spawn(async move {
-            while pool.has_idle() {
-                tokio::time::sleep(IDLE.into()).await;
+            while let Some(oldest) = pool.oldest() {
+                let due = (oldest + IDLE).since(clock());
+                tokio::time::sleep(due.into()).await;
                 let now = clock();
-                pool.close_idle(|connection| now.since(connection.used) >= IDLE);
+                pool.distrust(now - IDLE + Span(1));
             }
             pool.sweeping.set(false);
         });
     }
+
+    fn oldest(&self) -> Option<Time> {
+        self.idle.borrow().iter().map(|idle| idle.used).min()
+    }
 }
 
 /// Which idle connection to use: values that differ cost a round trip, those that the session
--- a/src/direct/session.rs
+++ b/src/direct/session.rs
@@ -32,7 +32,10 @@
     /// One was begun, and nothing of it ran yet.
     Begun(Begun),
     /// One runs on a connection.
-    Open,
+    Open {
+        /// Whether it may only read.
+        read: bool,
+    },
     /// One failed, and waits for its end; nothing of it is kept.
     Failed,
 }
@@ -104,13 +107,13 @@
                 self.refuse(Code::Malformed, "no transaction is open")
             }
             (Phase::Begun(_), Statement::Rollback) => self.end(End::Done(None)),
-            (Phase::Open, Statement::Rollback) => Step::Rollback,
+            (Phase::Open { .. }, Statement::Rollback) => Step::Rollback,
             (_, Statement::Commit) => Step::Commit,
             (_, Statement::Begin { .. }) => {
                 self.refuse(Code::Malformed, "a transaction is open already")
             }
-            (_, Statement::Read) => run(false, None),
-            (_, Statement::Write) => run(true, None),
+            (_, Statement::Read) => self.run(false, None),
+            (_, Statement::Write) => self.run(true, None),
             (_, Statement::Set { name, value }) => self.set(name, value),
             (
                 _,
@@ -158,7 +161,7 @@
     pub fn state(&self) -> State {
         match self.phase {
             Phase::Idle => State::Idle,
-            Phase::Begun(_) | Phase::Open => State::Open,
+            Phase::Begun(_) | Phase::Open { .. } => State::Open,
             Phase::Failed => State::Failed,
         }
     }
@@ -184,7 +187,7 @@
 
     /// Refuses a statement; inside a transaction that fails the transaction.
     fn refuse(&mut self, code: Code, text: &str) -> Step {
-        let open = self.phase == Phase::Open;
+        let open = matches!(self.phase, Phase::Open { .. });
         if self.phase != Phase::Idle {
             self.phase = Phase::Failed;
         }
@@ -195,6 +198,21 @@
         Step::Answer(answer)
     }
 
+    fn run(&mut self, writes: bool, shape: Option<Rc<Shape>>) -> Step {
+        if writes && self.reads_only() {
+            return self.refuse(Code::NotPrimary, "the transaction only reads");
+        }
+        Step::Run { writes, shape }
+    }
+
+    fn reads_only(&self) -> bool {
+        match &self.phase {
+            Phase::Begun(begun) => begun.read,
+            Phase::Open { read } => *read,
+            Phase::Idle | Phase::Failed => false,
+        }
+    }
+
     fn set(&mut self, name: &str, value: &str) -> Step {
         if !self.reserve(name.len() + value.len()) {
             return self.refuse(Code::Malformed, "the session holds too much: reconnect");
@@ -215,7 +233,7 @@
 
     fn execute(&mut self, name: &str) -> Step {
         match self.prepared.get(name) {
-            Some(shape) => run(shape.writes, Some(shape.clone())),
+            Some(shape) => self.run(shape.writes, Some(shape.clone())),
             None => self.refuse(Code::NoStatement, "prepare it first"),
         }
     }
@@ -260,7 +278,3 @@
         text: text.into(),
     }
 }
-
-fn run(writes: bool, shape: Option<Rc<Shape>>) -> Step {
-    Step::Run { writes, shape }
-}
