--- /dev/null
+++ b/src/standin/direct/group.rs
@@ -0,0 +1,353 @@
+//! A group of databases: replication, promotion, crashes and planned changes.
+
+use crate::clock::Span;
+use crate::direct::adapter::Promoted;
+use crate::direct::table::RowId;
+use crate::standin::direct::database::Database;
+use crate::standin::direct::journal::{Commit, Journal, Reign, Write};
+use crate::standin::direct::network::{Network, Node};
+use crate::standin::direct::store::Store;
+use crate::types::{DatabaseId, GroupId};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+/// The table in which databases register.
+pub const REGISTER: &str = "databases";
+
+/// How long a database takes to tell the store of a change.
+const REPORT: Duration = Duration::from_millis(20);
+
+/// After how long of silence an entry of the register goes.
+const EXPIRY: Duration = Duration::from_millis(3_600);
+
+/// How long an old primary goes on after it reaches the new one.
+const HANGING_ON: Duration = Duration::from_secs(1);
+
+/// A group.
+pub struct Group {
+    /// Its id.
+    pub id: GroupId,
+    /// Whether a commit waits until a replica has it.
+    pub durable: bool,
+    /// How long a promotion takes.
+    pub promotion: Duration,
+    network: Rc<Network>,
+    store: Rc<Store>,
+    /// What happens.
+    pub journal: Journal,
+    members: RefCell<Vec<Rc<Database>>>,
+    leader: RefCell<DatabaseId>,
+    promoting: RefCell<Option<DatabaseId>>,
+    received: Notify,
+    replaced: Cell<u32>,
+}
+
+impl fmt::Debug for Group {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Group")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Group {
+    /// A group whose first member leads, registered.
+    pub fn new(
+        id: GroupId,
+        promotion: Duration,
+        network: Rc<Network>,
+        store: Rc<Store>,
+        journal: Journal,
+        members: Vec<Rc<Database>>,
+    ) -> Rc<Self> {
+        let leader = members[0].make.id.clone();
+        let group = Rc::new(Self {
+            id,
+            durable: false,
+            promotion,
+            network,
+            store,
+            journal,
+            members: RefCell::new(members),
+            leader: RefCell::new(leader),
+            promoting: RefCell::default(),
+            received: Notify::new(),
+            replaced: Cell::new(0),
+        });
+        for member in group.members() {
+            group.write_entry(&member);
+        }
+        group
+    }
+
+    /// Its databases, those that are down as well.
+    pub fn members(&self) -> Vec<Rc<Database>> {
+        self.members.borrow().clone()
+    }
+
+    /// One of them.
+    pub fn member(&self, id: &DatabaseId) -> Option<Rc<Database>> {
+        let members = self.members.borrow();
+        members.iter().find(|m| m.make.id == *id).cloned()
+    }
+
+    /// Who really leads.
+    pub fn leader(&self) -> DatabaseId {
+        self.leader.borrow().clone()
+    }
+
+    /// A commit at a database, told to its replicas. Nothing if it does not lead any more.
+    pub async fn commit(
+        self: &Rc<Self>,
+        database: &Rc<Database>,
+        writes: Vec<Write>,
+    ) -> Option<u64> {
+        if !database.state.borrow().primary {
+            return None;
+        }
+        let replaced = self.leader() != database.make.id;
+        let now = Instant::now();
+        let number = {
+            let mut journal = self.journal.borrow_mut();
+            let number = journal.commits.len() as u64;
+            journal.commits.push(Commit {
+                group: self.id.clone(),
+                database: database.make.id.clone(),
+                position: database.append(number),
+                writes,
+                at: now,
+                replaced,
+                lost: replaced.then_some(now),
+            });
+            number
+        };
+        let received = self.received.notified();
+        self.ship_all(database);
+        if self.durable {
+            received.await;
+        }
+        Some(number)
+    }
+
+    /// Tells all others what a database has.
+    fn ship_all(self: &Rc<Self>, from: &Rc<Database>) {
+        for to in self.members() {
+            if to.make.id != from.make.id {
+                self.ship(from, &to);
+            }
+        }
+    }
+
+    fn ship(self: &Rc<Self>, from: &Rc<Database>, to: &Rc<Database>) {
+        let (group, from, to) = (self.clone(), from.clone(), to.clone());
+        self.network.spawn(async move {
+            group.shipping(&from, &to).await;
+        });
+    }
+
+    async fn shipping(self: &Rc<Self>, from: &Rc<Database>, to: &Rc<Database>) {
+        let life = from.life();
+        let (term, count) = {
+            let state = from.state.borrow();
+            (state.term, state.log.len())
+        };
+        sleep(self.network.delay(&from.node(), &to.node())).await;
+        if !self.flows(from, to) {
+            self.until_flows(from, to).await;
+        }
+        if to.state.borrow().primary && to.state.borrow().term < term {
+            sleep(HANGING_ON).await;
+            self.until_flows(from, to).await;
+        }
+        let log = {
+            let state = from.state.borrow();
+            if state.term != term || (from.life() != life) {
+                return;
+            }
+            state.log[..count].to_vec()
+        };
+        if to.receive(&log, term, count) {
+            self.report(to);
+        }
+        self.received.notify_waiters();
+        sleep(to.make.lag + to.trouble.lag.get()).await;
+        to.apply(term, count);
+    }
+
+    fn flows(&self, from: &Database, to: &Database) -> bool {
+        let reaches = self.network.reaches(&from.node(), &to.node());
+        reaches && to.life().is_some() && !to.trouble.deaf.get()
+    }
+
+    async fn until_flows(&self, from: &Database, to: &Database) {
+        loop {
+            let changed = to.changed.notified();
+            let network = self.network.change();
+            if self.flows(from, to) {
+                return;
+            }
+            tokio::select! {
+                biased;
+                () = changed => {}
+                () = network => {}
+            }
+        }
+    }
+
+    /// Takes an order to promote a database.
+    pub fn promote(self: &Rc<Self>, id: &DatabaseId) -> Promoted {
+        let Some(database) = self.member(id) else {
+            return Promoted::NotRunning;
+        };
+        let life = database.life();
+        if life.is_none() || !self.network.reaches(&Node::Orders, &database.node()) {
+            return Promoted::NotRunning;
+        }
+        if let Some(promoting) = &*self.promoting.borrow() {
+            return match promoting == id {
+                true => Promoted::Done,
+                false => Promoted::Refused,
+            };
+        }
+        if self.leader() == *id {
+            return Promoted::Done;
+        }
+        *self.promoting.borrow_mut() = Some(id.clone());
+        let group = self.clone();
+        self.network.spawn(async move {
+            sleep(group.promotion).await;
+            *group.promoting.borrow_mut() = None;
+            if database.life() == life {
+                group.lead(&database);
+            }
+        });
+        Promoted::Done
+    }
+
+    fn lead(self: &Rc<Self>, database: &Rc<Database>) {
+        let members = self.members();
+        let terms = members.iter().map(|m| m.state.borrow().term);
+        let term = terms.max().unwrap_or(0) + 1;
+        database.lead(term);
+        *self.leader.borrow_mut() = database.make.id.clone();
+        let kept: BTreeSet<u64> = database.saw().iter().copied().collect();
+        let now = Instant::now();
+        let mut journal = self.journal.borrow_mut();
+        for (number, commit) in journal.commits.iter_mut().enumerate() {
+            let lost = commit.group == self.id && !kept.contains(&(number as u64));
+            if lost {
+                commit.lost.get_or_insert(now);
+            }
+        }
+        journal.reigns.push(Reign {
+            group: self.id.clone(),
+            database: database.make.id.clone(),
+            at: now,
+        });
+        drop(journal);
+        self.report(database);
+        self.ship_all(database);
+    }
+
+    /// A database crashes; its entry goes after a while.
+    pub fn crash(self: &Rc<Self>, database: &Rc<Database>) {
+        database.set_up(false);
+        let node = database.node();
+        self.network.reset(|_, to| *to == node);
+        let (group, database) = (self.clone(), database.clone());
+        self.network.spawn(async move {
+            sleep(EXPIRY).await;
+            if database.life().is_none() {
+                group.remove_entry(&database);
+            }
+        });
+    }
+
+    /// A crashed database comes back with its log: as a replica if another leads.
+    pub fn restart(self: &Rc<Self>, database: &Rc<Database>) {
+        database.set_up(true);
+        if self.leader() != database.make.id {
+            database.state.borrow_mut().primary = false;
+        }
+        self.report(database);
+        if let Some(leader) = self.member(&self.leader()) {
+            self.ship(&leader, database);
+        }
+        self.ship_all_if_primary(database);
+    }
+
+    fn ship_all_if_primary(self: &Rc<Self>, database: &Rc<Database>) {
+        if database.state.borrow().primary {
+            self.ship_all(database);
+        }
+    }
+
+    /// A database is about to end, and is replaced by a new one at its address.
+    pub fn leave(self: &Rc<Self>, database: &Rc<Database>, drain: Span) {
+        database.state.borrow_mut().leaving = true;
+        self.report(database);
+        let (group, database) = (self.clone(), database.clone());
+        self.network.spawn(async move {
+            sleep(Duration::from(drain) + REPORT).await;
+            group.succeed(&database);
+        });
+    }
+
+    fn succeed(self: &Rc<Self>, old: &Rc<Database>) {
+        old.set_up(false);
+        let node = old.node();
+        self.network.reset(|_, to| *to == node);
+        self.remove_entry(old);
+        self.replaced.set(self.replaced.get() + 1);
+        let mut make = old.make.clone();
+        let id = format!("{}.{}", make.id, self.replaced.get());
+        let Ok(id) = id.parse() else { return };
+        make.id = id;
+        let (term, log) = {
+            let state = old.state.borrow();
+            (state.term, state.log.clone())
+        };
+        let new = Database::new(make, false, term, log);
+        self.network.place_like(&new.node(), &old.node());
+        let mut members = self.members.borrow_mut();
+        members.retain(|member| member.make.id != old.make.id);
+        members.push(new.clone());
+        drop(members);
+        self.report(&new);
+        if let Some(leader) = self.member(&self.leader()) {
+            self.ship(&leader, &new);
+        }
+    }
+
+    /// A database tells the store how it stands, as soon as it reaches it.
+    pub fn report(self: &Rc<Self>, database: &Rc<Database>) {
+        let (group, database) = (self.clone(), database.clone());
+        self.network.spawn(async move {
+            sleep(REPORT).await;
+            group.network.reach(&database.node(), &Node::Store).await;
+            if database.life().is_some() {
+                group.write_entry(&database);
+            }
+        });
+    }
+
+    fn row(database: &Database) -> RowId {
+        RowId::new(REGISTER, database.make.id.as_str())
+    }
+
+    fn write_entry(&self, database: &Database) {
+        let value = serde_json::to_vec(&database.entry()).unwrap_or_default();
+        self.store
+            .put(Self::row(database), Some(Bytes::from(value)));
+    }
+
+    fn remove_entry(&self, database: &Database) {
+        self.store.put(Self::row(database), None);
+    }
+}
--- /dev/null
+++ b/src/standin/direct/host.rs
@@ -0,0 +1,98 @@
+//! A process on virtual time: tasks that can be frozen and killed together.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::task::LocalSet;
+
+/// Handles a running process.
+#[derive(Debug, Default)]
+pub struct Host {
+    frozen: Cell<bool>,
+    killed: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// The process itself, which whoever started it has to drive.
+#[derive(Debug)]
+pub struct Process {
+    tasks: Option<LocalSet>,
+    host: Rc<Host>,
+}
+
+impl Host {
+    /// A process of one first task, which may start more by `spawn_local`.
+    pub fn start(first: impl Future<Output = ()> + 'static) -> (Rc<Host>, Process) {
+        let host = Rc::new(Host::default());
+        let tasks = LocalSet::new();
+        tasks.spawn_local(first);
+        let process = Process {
+            tasks: Some(tasks),
+            host: host.clone(),
+        };
+        (host, process)
+    }
+
+    /// Stops or goes on running the process. Its timers go off when it wakes.
+    pub fn freeze(&self, frozen: bool) {
+        self.frozen.set(frozen);
+        self.wake();
+    }
+
+    /// Ends the process at once, in the midst of what it does.
+    pub fn kill(&self) {
+        self.killed.set(true);
+        self.wake();
+    }
+
+    /// Whether it was killed.
+    pub fn is_killed(&self) -> bool {
+        self.killed.get()
+    }
+
+    /// Whether it is frozen.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen.get()
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+impl Future for Process {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        *self.host.waker.borrow_mut() = Some(context.waker().clone());
+        if !self.host.killed.get() && !self.host.frozen.get() {
+            let Some(tasks) = &mut self.tasks else {
+                return Poll::Ready(());
+            };
+            let ended = Pin::new(tasks).poll(context).is_ready();
+            if ended {
+                self.host.killed.set(true);
+            }
+        }
+        if !self.host.killed.get() {
+            return Poll::Pending;
+        }
+        self.tasks = None;
+        Poll::Ready(())
+    }
+}
+
+/// Plays a future and all that it spawns locally, on a clock of its own that jumps from timer to
+/// timer.
+pub fn play<T>(future: impl Future<Output = T>) -> std::io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()?;
+    let tasks = LocalSet::new();
+    Ok(tasks.block_on(&runtime, future))
+}
--- /dev/null
+++ b/src/standin/direct/journal.rs
@@ -0,0 +1,121 @@
+//! What really happened at the databases, against which callers' answers are checked.
+
+use crate::types::{DatabaseId, GroupId, Position};
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// One statement that a database ran.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Its id.
+    pub id: Box<str>,
+    /// Its text as it came.
+    pub text: Box<str>,
+    /// At which database.
+    pub database: DatabaseId,
+    /// Of which group.
+    pub group: GroupId,
+    /// On which connection.
+    pub connection: u64,
+    /// In which transaction of all; none outside one.
+    pub transaction: Option<u64>,
+    /// The session's values.
+    pub values: BTreeMap<Box<str>, Box<str>>,
+    /// The shape of the prepared statement that was run.
+    pub shape: Option<Box<str>>,
+    /// The commits that it saw.
+    pub saw: Rc<[u64]>,
+    /// When it was run.
+    pub at: Instant,
+    /// The signature.
+    pub signature: Box<str>,
+    /// The rows.
+    pub rows: Vec<Bytes>,
+    /// The commit that it made.
+    pub commit: Option<u64>,
+}
+
+/// One commit that wrote.
+#[derive(Debug, Clone)]
+pub struct Commit {
+    /// In which group.
+    pub group: GroupId,
+    /// At which database.
+    pub database: DatabaseId,
+    /// Where in its log.
+    pub position: Position,
+    /// The ids of the writes, and what they wrote.
+    pub writes: Vec<Write>,
+    /// When.
+    pub at: Instant,
+    /// Whether another database led already.
+    pub replaced: bool,
+    /// Since when it is lost, by a promotion.
+    pub lost: Option<Instant>,
+}
+
+/// One write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The statement's id.
+    pub id: Box<str>,
+    /// What was written.
+    pub item: Box<str>,
+    /// Its data.
+    pub data: Box<str>,
+}
+
+/// An order to promote that arrived.
+#[derive(Debug, Clone)]
+pub struct Ordered {
+    /// Who gave it.
+    pub holder: crate::types::VmId,
+    /// Under which token.
+    pub token: u64,
+    /// Which group.
+    pub group: GroupId,
+    /// Who shall lead.
+    pub database: DatabaseId,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// A primary that has taken over.
+#[derive(Debug, Clone)]
+pub struct Reign {
+    /// Of which group.
+    pub group: GroupId,
+    /// Who leads.
+    pub database: DatabaseId,
+    /// Since when.
+    pub at: Instant,
+}
+
+/// All that happened.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// Statements that ran, in order.
+    pub runs: Vec<Run>,
+    /// Commits that wrote, by their numbers.
+    pub commits: Vec<Commit>,
+    /// Orders, in order.
+    pub orders: Vec<Ordered>,
+    /// Changes of primary, in order.
+    pub reigns: Vec<Reign>,
+    /// Ids of connections and transactions given out.
+    pub given: u64,
+}
+
+/// The journal as all databases write it.
+pub type Journal = Rc<RefCell<Book>>;
+
+impl Book {
+    /// The next number.
+    pub fn number(&mut self) -> u64 {
+        self.given += 1;
+        self.given
+    }
+}
--- /dev/null
+++ b/src/standin/direct/network.rs
@@ -0,0 +1,239 @@
+//! Who reaches whom, and how long bytes are under way.
+
+use crate::direct::adapter::Later;
+use crate::standin::direct::link::{self, Link, Stream};
+use crate::types::{DatabaseId, VmId};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+
+/// After how long a database gives up a connection whose other end is not reached.
+const UNREACHED: Duration = Duration::from_secs(3);
+
+/// A machine.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Node {
+    /// One of ours.
+    Vm(VmId),
+    /// A database's.
+    Database(DatabaseId),
+    /// The store's.
+    Store,
+    /// The platform's, which takes orders.
+    Orders,
+    /// Callers' of a failure domain.
+    Callers(usize),
+}
+
+/// Whether whoever sent something still holds its connection open.
+#[derive(Debug, Clone)]
+pub struct Sender(Rc<Cell<bool>>);
+
+/// Resets the connection of a call when it is dropped.
+#[derive(Debug)]
+pub struct Hold(Rc<Cell<bool>>);
+
+impl Sender {
+    /// A call that lasts until the hold is dropped.
+    pub fn new() -> (Sender, Hold) {
+        let open = Rc::new(Cell::new(true));
+        (Sender(open.clone()), Hold(open))
+    }
+
+    /// Whether the call is still waited for.
+    pub fn is_open(&self) -> bool {
+        self.0.get()
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+/// The network.
+pub struct Network {
+    /// The place of each machine: failure domain and region.
+    places: RefCell<BTreeMap<Node, (usize, usize)>>,
+    cuts: RefCell<BTreeSet<(Node, Node)>>,
+    dark: RefCell<BTreeSet<Node>>,
+    links: RefCell<Vec<(Node, Node, Link)>>,
+    changed: Notify,
+    domain_delay: Duration,
+    region_delay: Duration,
+    outside: mpsc::UnboundedSender<Later<()>>,
+}
+
+impl fmt::Debug for Network {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Network").finish_non_exhaustive()
+    }
+}
+
+impl Network {
+    /// A network whose tasks run in the `LocalSet` that this is called in.
+    pub fn new(domain_delay: Duration, region_delay: Duration) -> Rc<Self> {
+        let (outside, mut tasks) = mpsc::unbounded_channel::<Later<()>>();
+        tokio::task::spawn_local(async move {
+            while let Some(task) = tasks.recv().await {
+                tokio::task::spawn_local(task);
+            }
+        });
+        Rc::new(Self {
+            places: RefCell::default(),
+            cuts: RefCell::default(),
+            dark: RefCell::default(),
+            links: RefCell::default(),
+            changed: Notify::new(),
+            domain_delay,
+            region_delay,
+            outside,
+        })
+    }
+
+    /// Runs something outside all VMs, whoever calls.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        let _ = self.outside.send(Box::pin(task));
+    }
+
+    /// Puts a machine into a failure domain.
+    pub fn place(&self, node: Node, domain: usize, region: usize) {
+        self.places.borrow_mut().insert(node, (domain, region));
+    }
+
+    /// Puts a machine where another is.
+    pub fn place_like(&self, node: &Node, other: &Node) {
+        let mut places = self.places.borrow_mut();
+        if let Some(place) = places.get(other).copied() {
+            places.insert(node.clone(), place);
+        }
+    }
+
+    /// How long bytes are under way; nowhere is near everything.
+    pub fn delay(&self, a: &Node, b: &Node) -> Duration {
+        let places = self.places.borrow();
+        match (places.get(a), places.get(b)) {
+            (Some(a), Some(b)) if a.1 != b.1 => self.region_delay,
+            (Some(a), Some(b)) if a.0 == b.0 => self.domain_delay / 5,
+            _ => self.domain_delay,
+        }
+    }
+
+    /// Cuts two machines from each other.
+    pub fn cut(&self, a: &Node, b: &Node) {
+        let mut cuts = self.cuts.borrow_mut();
+        cuts.insert((a.clone(), b.clone()));
+        cuts.insert((b.clone(), a.clone()));
+        drop(cuts);
+        self.apply();
+    }
+
+    /// Ends a cut.
+    pub fn mend(&self, a: &Node, b: &Node) {
+        let mut cuts = self.cuts.borrow_mut();
+        cuts.remove(&(a.clone(), b.clone()));
+        cuts.remove(&(b.clone(), a.clone()));
+        drop(cuts);
+        self.apply();
+    }
+
+    /// Cuts a machine from all others, or ends that.
+    pub fn darken(&self, node: &Node, dark: bool) {
+        match dark {
+            true => self.dark.borrow_mut().insert(node.clone()),
+            false => self.dark.borrow_mut().remove(node),
+        };
+        self.apply();
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&self) {
+        self.cuts.borrow_mut().clear();
+        self.dark.borrow_mut().clear();
+        self.apply();
+    }
+
+    /// Whether two machines reach each other.
+    pub fn reaches(&self, a: &Node, b: &Node) -> bool {
+        let dark = self.dark.borrow();
+        let cut = (a.clone(), b.clone());
+        !dark.contains(a) && !dark.contains(b) && !self.cuts.borrow().contains(&cut)
+    }
+
+    /// Completes with the next change of cuts.
+    pub async fn change(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Completes once two machines reach each other.
+    pub async fn reach(&self, a: &Node, b: &Node) {
+        while !self.reaches(a, b) {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Takes a message from `a` to `b`. It is lost, and this false, if whoever sent it gave up
+    /// while it was held back.
+    pub async fn travel(&self, a: &Node, b: &Node, sender: &Sender) -> bool {
+        tokio::time::sleep(self.delay(a, b)).await;
+        if self.reaches(a, b) {
+            return true;
+        }
+        self.reach(a, b).await;
+        sender.is_open()
+    }
+
+    /// Connects two machines that reach each other.
+    pub fn connect(self: &Rc<Self>, a: &Node, b: &Node) -> (Stream, Stream) {
+        let (near, far, link) = link::pair(self.delay(a, b));
+        link.hold(!self.reaches(a, b));
+        let mut links = self.links.borrow_mut();
+        links.retain(|(_, _, link)| !link.is_over());
+        links.push((a.clone(), b.clone(), link));
+        (near, far)
+    }
+
+    /// Breaks the connections that `which` chooses.
+    pub fn reset(&self, which: impl Fn(&Node, &Node) -> bool) {
+        self.each(which, Link::reset);
+    }
+
+    /// Silences the connections that `which` chooses; new ones work.
+    pub fn silence(&self, which: impl Fn(&Node, &Node) -> bool) {
+        self.each(which, Link::silence);
+    }
+
+    fn each(&self, which: impl Fn(&Node, &Node) -> bool, what: fn(&Link)) {
+        for (a, b, link) in self.links.borrow().iter() {
+            if which(a, b) || which(b, a) {
+                what(link);
+            }
+        }
+    }
+
+    fn apply(&self) {
+        for (a, b, link) in self.links.borrow().iter() {
+            let held = !self.reaches(a, b);
+            link.hold(held);
+            if held && matches!(b, Node::Database(_)) {
+                self.give_up(link.clone());
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// A database gives up a connection that stays held back.
+    fn give_up(&self, link: Link) {
+        self.spawn(async move {
+            tokio::time::sleep(UNREACHED).await;
+            if link.is_held() {
+                link.give_up();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/standin/direct/orders.rs
@@ -0,0 +1,121 @@
+//! The platform's end that takes orders to promote.
+
+use crate::clock::Time;
+use crate::direct::adapter::{Clock, Promote, Promoted, Promotion};
+use crate::standin::direct::group::Group;
+use crate::standin::direct::journal::{Journal, Ordered};
+use crate::standin::direct::network::{Network, Node, Sender};
+use crate::types::GroupId;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+/// How orders are taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Health {
+    /// As they should be.
+    #[default]
+    Well,
+    /// Turned away.
+    Refusing,
+    /// Done, and the answer is lost.
+    Losing,
+}
+
+/// Takes orders.
+pub struct Orders {
+    network: Rc<Network>,
+    groups: BTreeMap<GroupId, Rc<Group>>,
+    journal: Journal,
+    health: Cell<Health>,
+}
+
+impl fmt::Debug for Orders {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Orders").finish_non_exhaustive()
+    }
+}
+
+impl Orders {
+    /// Takes orders for some groups.
+    pub fn new(network: Rc<Network>, groups: &[Rc<Group>], journal: Journal) -> Rc<Self> {
+        let groups = groups.iter().map(|group| (group.id.clone(), group.clone()));
+        Rc::new(Self {
+            network,
+            groups: groups.collect(),
+            journal,
+            health: Cell::default(),
+        })
+    }
+
+    /// How orders are taken from now on.
+    pub fn set_health(&self, health: Health) {
+        self.health.set(health);
+    }
+
+    /// The way by which a VM gives orders. An order leaves as soon as it is given, and is on its
+    /// way until its deadline resets the connection; a VM that is frozen resets nothing.
+    pub fn way(self: &Rc<Self>, clock: Clock) -> Promote {
+        let orders = self.clone();
+        Rc::new(move |promotion| {
+            let (orders, clock) = (orders.clone(), clock.clone());
+            Box::pin(async move { orders.give(promotion, clock()).await })
+        })
+    }
+
+    async fn give(self: Rc<Self>, promotion: Promotion, now: Time) -> Promoted {
+        if now >= promotion.deadline {
+            return Promoted::Refused;
+        }
+        let left = promotion.deadline.since(now);
+        let (answer, answered) = oneshot::channel();
+        let (sender, hold) = Sender::new();
+        let network = self.network.clone();
+        network.spawn(async move { self.arrive(promotion, sender, answer).await });
+        let result = timeout(left.into(), answered).await;
+        drop(hold);
+        match result {
+            Ok(Ok(promoted)) => promoted,
+            _ => Promoted::Unknown,
+        }
+    }
+
+    async fn arrive(
+        self: Rc<Self>,
+        promotion: Promotion,
+        sender: Sender,
+        answer: oneshot::Sender<Promoted>,
+    ) {
+        let from = Node::Vm(promotion.holder.clone());
+        if !self.network.travel(&from, &Node::Orders, &sender).await {
+            return;
+        }
+        let promoted = match self.health.get() {
+            Health::Refusing => Promoted::Refused,
+            _ => self.take(&promotion),
+        };
+        if self.health.get() == Health::Losing {
+            return;
+        }
+        if self.network.travel(&Node::Orders, &from, &sender).await {
+            let _ = answer.send(promoted);
+        }
+    }
+
+    fn take(&self, promotion: &Promotion) -> Promoted {
+        self.journal.borrow_mut().orders.push(Ordered {
+            holder: promotion.holder.clone(),
+            token: promotion.token,
+            group: promotion.group.clone(),
+            database: promotion.database.clone(),
+            at: Instant::now(),
+        });
+        let group = self.groups.get(&promotion.group);
+        group.map_or(Promoted::NotRunning, |group| {
+            group.promote(&promotion.database)
+        })
+    }
+}
--- /dev/null
+++ b/src/standin/direct/store.rs
@@ -0,0 +1,321 @@
+//! The platform's store: rows by table and key with one version that rises, read, followed and
+//! written as [`crate::direct::table`] says, and its troubles.
+
+use crate::clock::Span;
+use crate::direct::adapter::{CallStore, Later};
+use crate::direct::table::{Ask, Change, Fault, Row, RowId, Told, Version};
+use crate::standin::direct::network::{Hold, Network, Node, Sender};
+use crate::types::VmId;
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+
+/// How long a call takes of itself.
+const WORK: Duration = Duration::from_millis(4);
+
+/// How the store takes a call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Health {
+    /// As it should.
+    #[default]
+    Well,
+    /// It turns the call away: nothing was done.
+    Refusing,
+    /// It says nothing.
+    Silent,
+    /// It breaks the connection; nothing was done, which the caller can't know.
+    Reset,
+}
+
+/// What becomes of writes whose answers are lost.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Losing {
+    /// No answer is lost.
+    #[default]
+    None,
+    /// They are done at once.
+    Now,
+    /// They are done after this long, if their condition still holds.
+    Later(Span),
+}
+
+/// A row that was written, for whoever looks at what happened.
+#[derive(Debug, Clone)]
+pub struct Written {
+    /// By which VM; none for the platform's own.
+    pub by: Option<VmId>,
+    /// The rows, with what they hold now.
+    pub rows: Vec<Row>,
+}
+
+/// The store.
+pub struct Store {
+    network: Rc<Network>,
+    rows: RefCell<BTreeMap<RowId, (Bytes, Version)>>,
+    /// Changes, oldest first.
+    history: RefCell<Vec<Row>>,
+    version: Cell<Version>,
+    /// Up to which version the history is gone.
+    forgotten: Cell<Version>,
+    health: Cell<Health>,
+    only: RefCell<Option<BTreeSet<VmId>>>,
+    slow: Cell<Span>,
+    losing: Cell<Losing>,
+    changed: Notify,
+    log: RefCell<Vec<Written>>,
+    calls: Cell<u64>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("version", &self.version)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// An empty store.
+    pub fn new(network: Rc<Network>) -> Rc<Self> {
+        Rc::new(Self {
+            network,
+            rows: RefCell::default(),
+            history: RefCell::default(),
+            version: Cell::new(0),
+            forgotten: Cell::new(0),
+            health: Cell::default(),
+            only: RefCell::default(),
+            slow: Cell::default(),
+            losing: Cell::default(),
+            changed: Notify::new(),
+            log: RefCell::default(),
+            calls: Cell::new(0),
+        })
+    }
+
+    /// How it takes calls from now on: of all VMs, or of some only.
+    pub fn set_health(&self, health: Health, only: Option<BTreeSet<VmId>>) {
+        self.health.set(health);
+        *self.only.borrow_mut() = only;
+        self.changed.notify_waiters();
+    }
+
+    /// How much longer each call takes from now on.
+    pub fn set_slow(&self, slow: Span) {
+        self.slow.set(slow);
+    }
+
+    /// What becomes of writes from now on.
+    pub fn set_losing(&self, losing: Losing) {
+        self.losing.set(losing);
+    }
+
+    /// Forgets its history.
+    pub fn forget(&self) {
+        self.forgotten.set(self.version.get());
+        self.history.borrow_mut().clear();
+        self.changed.notify_waiters();
+    }
+
+    /// How many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// All that was written.
+    pub fn log(&self) -> Vec<Written> {
+        self.log.borrow().clone()
+    }
+
+    /// A row's value.
+    pub fn get(&self, id: &RowId) -> Option<Bytes> {
+        self.rows.borrow().get(id).map(|(value, _)| value.clone())
+    }
+
+    /// The platform writes a row, in any state of the store.
+    pub fn put(&self, id: RowId, value: Option<Bytes>) -> Version {
+        let mut change = Change::default();
+        match value {
+            Some(value) => change.writes.push((id, value)),
+            None => change.remove.push(id),
+        }
+        self.write(None, &change);
+        self.version.get()
+    }
+
+    /// The calls of a VM, which run on outside it.
+    pub fn calls_of(self: &Rc<Self>, vm: &VmId) -> CallStore {
+        let (store, vm) = (self.clone(), vm.clone());
+        Rc::new(move |ask, span| store.call(vm.clone(), ask, span))
+    }
+
+    fn call(self: &Rc<Self>, vm: VmId, ask: Ask, span: Span) -> Later<Result<Told, Fault>> {
+        let (store, network) = (self.clone(), self.network.clone());
+        Box::pin(async move {
+            let (answer, answered) = oneshot::channel();
+            let (sender, hold) = Sender::new();
+            network.spawn(async move { store.serve(vm, ask, sender, answer).await });
+            let result = tokio::time::timeout(span.into(), answered).await;
+            drop::<Hold>(hold);
+            match result {
+                Ok(Ok(result)) => result,
+                Ok(Err(_)) => Err(Fault::Unknown("the connection broke".into())),
+                Err(_) => Err(Fault::Unknown("no answer in time".into())),
+            }
+        })
+    }
+
+    async fn serve(
+        self: Rc<Self>,
+        vm: VmId,
+        ask: Ask,
+        sender: Sender,
+        answer: oneshot::Sender<Result<Told, Fault>>,
+    ) {
+        let from = Node::Vm(vm.clone());
+        if !self.network.travel(&from, &Node::Store, &sender).await {
+            return;
+        }
+        self.calls.set(self.calls.get() + 1);
+        tokio::time::sleep(WORK + self.slow.get().into()).await;
+        let told = match self.health_for(&vm) {
+            Health::Well => self.run(&vm, ask).await,
+            Health::Refusing => Some(Err(Fault::Refused("down".into()))),
+            Health::Reset => None,
+            Health::Silent => return hang(answer).await,
+        };
+        let Some(told) = told else {
+            return;
+        };
+        if self.network.travel(&Node::Store, &from, &sender).await {
+            let _ = answer.send(told);
+        }
+    }
+
+    fn health_for(&self, vm: &VmId) -> Health {
+        let only = self.only.borrow();
+        match &*only {
+            Some(only) if !only.contains(vm) => Health::Well,
+            _ => self.health.get(),
+        }
+    }
+
+    async fn run(self: &Rc<Self>, vm: &VmId, ask: Ask) -> Option<Result<Told, Fault>> {
+        match ask {
+            Ask::Read(table) => Some(Ok(self.read(&table))),
+            Ask::Follow { table, after, wait } => self.follow(vm, &table, after, wait).await,
+            Ask::Write(change) => match self.losing.get() {
+                Losing::None => Some(Ok(self.write(Some(vm), &change))),
+                Losing::Now => {
+                    self.write(Some(vm), &change);
+                    None
+                }
+                Losing::Later(span) => {
+                    let (store, vm) = (self.clone(), vm.clone());
+                    self.network.spawn(async move {
+                        tokio::time::sleep(span.into()).await;
+                        store.write(Some(&vm), &change);
+                    });
+                    None
+                }
+            },
+        }
+    }
+
+    fn read(&self, table: &str) -> Told {
+        let rows = self.rows.borrow();
+        let rows = rows.iter().filter(|(id, _)| &*id.table == table);
+        let rows = rows.map(|(id, (value, version))| Row {
+            id: id.clone(),
+            value: Some(value.clone()),
+            version: *version,
+        });
+        Told::Rows {
+            rows: rows.collect(),
+            version: self.version.get(),
+        }
+    }
+
+    async fn follow(
+        &self,
+        vm: &VmId,
+        table: &str,
+        after: Version,
+        wait: Span,
+    ) -> Option<Result<Told, Fault>> {
+        let deadline = tokio::time::Instant::now() + wait.into();
+        loop {
+            let changed = self.changed.notified();
+            if self.health_for(vm) != Health::Well {
+                return None;
+            }
+            if after < self.forgotten.get() {
+                return Some(Ok(Told::Forgotten));
+            }
+            let rows = self.since(table, after);
+            let version = self.version.get();
+            if !rows.is_empty() || tokio::time::Instant::now() >= deadline {
+                return Some(Ok(Told::Rows { rows, version }));
+            }
+            let _ = tokio::time::timeout_at(deadline, changed).await;
+        }
+    }
+
+    fn since(&self, table: &str, after: Version) -> Vec<Row> {
+        let history = self.history.borrow();
+        let rows = history.iter();
+        let rows = rows.filter(|row| row.version > after && &*row.id.table == table);
+        rows.cloned().collect()
+    }
+
+    fn write(&self, by: Option<&VmId>, change: &Change) -> Told {
+        let mut rows = self.rows.borrow_mut();
+        let version_of = |rows: &BTreeMap<RowId, (Bytes, Version)>, id: &RowId| {
+            rows.get(id).map_or(0, |(_, version)| *version)
+        };
+        let mut expect = change.expect.iter();
+        if !expect.all(|(id, version)| version_of(&rows, id) == *version) {
+            let now = change.expect.iter().filter_map(|(id, _)| {
+                let (value, version) = rows.get(id)?;
+                Some(Row {
+                    id: id.clone(),
+                    value: Some(value.clone()),
+                    version: *version,
+                })
+            });
+            return Told::Conflict(now.collect());
+        }
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let mut changed = Vec::new();
+        for (id, value) in &change.writes {
+            rows.insert(id.clone(), (value.clone(), version));
+            changed.push((id, Some(value.clone())));
+        }
+        for id in &change.remove {
+            if rows.remove(id).is_some() {
+                changed.push((id, None));
+            }
+        }
+        let changed = changed.into_iter().map(|(id, value)| Row {
+            id: id.clone(),
+            value,
+            version,
+        });
+        let rows: Vec<Row> = changed.collect();
+        self.history.borrow_mut().extend(rows.iter().cloned());
+        let by = by.cloned();
+        self.log.borrow_mut().push(Written { by, rows });
+        self.changed.notify_waiters();
+        Told::Written(version)
+    }
+}
+
+/// Keeps a call open without an answer until nobody waits for it.
+async fn hang(mut answer: oneshot::Sender<Result<Told, Fault>>) {
+    answer.closed().await;
+}
--- /dev/null
+++ b/src/standin/direct/world.rs
@@ -0,0 +1,540 @@
+//! VMs, databases, the store and callers together.
+
+use crate::clock::{Span, Time};
+use crate::direct::adapter::{self, Adapter, Clock, Connect, Documents, Later};
+use crate::direct::config::{self, Config, Kind, Route};
+use crate::direct::mesh::{Answer, Call, Question};
+use crate::direct::table::RowId;
+use crate::standin::direct::database::{Database, Make};
+use crate::standin::direct::group::{Group, REGISTER};
+use crate::standin::direct::host::Host;
+use crate::standin::direct::journal::Journal;
+use crate::standin::direct::link::Stream;
+use crate::standin::direct::network::{Network, Node, Sender};
+use crate::standin::direct::orders::Orders;
+use crate::standin::direct::session;
+use crate::standin::direct::store::Store;
+use crate::standin::direct::wire;
+use crate::types::{DatabaseId, Domain, Invalid, Life, Version, VmId};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+
+/// The failure domains and their regions.
+pub const DOMAINS: [(&str, usize); 3] = [("nairobi", 0), ("kisumu", 0), ("mombasa", 1)];
+
+/// The port on which VMs talk to each other.
+const MESH_PORT: u16 = 7_000;
+
+/// The port of databases.
+const DATABASE_PORT: u16 = 5_000;
+
+/// What every clock shows at the start.
+const BOOTED: Time = Time(1_000_000_000);
+
+/// What a world is made of.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// How many VMs.
+    pub vms: usize,
+    /// How many groups, of one database a failure domain.
+    pub groups: usize,
+    /// Statements that run at once on a database.
+    pub slots: u32,
+    /// Connections that a database takes.
+    pub connections: u32,
+    /// How long a promotion takes.
+    pub promotion: Duration,
+    /// One way between failure domains.
+    pub domain_delay: Duration,
+    /// One way between regions.
+    pub region_delay: Duration,
+}
+
+impl Default for Setup {
+    /// The traders' association, with fewer VMs and one group.
+    fn default() -> Self {
+        Self {
+            vms: 3,
+            groups: 1,
+            slots: 3,
+            connections: 23,
+            promotion: Duration::from_millis(1_000),
+            domain_delay: Duration::from_micros(500),
+            region_delay: Duration::from_millis(8),
+        }
+    }
+}
+
+/// What a VM's program is given.
+#[derive(Debug)]
+pub struct Machine {
+    /// The platform.
+    pub adapter: Adapter,
+    /// Calls of other VMs.
+    pub call: Wrapped<Call>,
+    /// The VM.
+    pub vm: VmId,
+    /// Its life.
+    pub life: Life,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// The region of each failure domain.
+    pub regions: BTreeMap<Domain, Box<str>>,
+    /// Where other VMs ask it.
+    pub address: SocketAddr,
+    /// Some VMs' addresses.
+    pub seeds: Vec<SocketAddr>,
+    /// Callers' connections.
+    pub streams: mpsc::UnboundedReceiver<Stream>,
+    /// Other VMs' questions.
+    pub questions: mpsc::UnboundedReceiver<(Question, oneshot::Sender<Answer>)>,
+    /// Completes when the VM shall stop, with how long it may take.
+    pub stop: oneshot::Receiver<Span>,
+    /// Whether it takes new callers.
+    pub ready: Rc<Cell<bool>>,
+}
+
+/// A closure, which has nothing to print.
+#[derive(Clone)]
+pub struct Wrapped<T>(pub T);
+
+impl<T> fmt::Debug for Wrapped<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("closure")
+    }
+}
+
+/// What runs on each VM.
+pub type Program = Rc<dyn Fn(Machine) -> Later<()>>;
+
+/// A VM that was started.
+#[derive(Debug)]
+struct Running {
+    host: Rc<Host>,
+    streams: mpsc::UnboundedSender<Stream>,
+    questions: mpsc::UnboundedSender<(Question, oneshot::Sender<Answer>)>,
+    stop: Option<oneshot::Sender<Span>>,
+    ready: Rc<Cell<bool>>,
+}
+
+/// The world.
+pub struct World {
+    /// What it is made of.
+    pub setup: Setup,
+    /// Who reaches whom.
+    pub network: Rc<Network>,
+    /// The store.
+    pub store: Rc<Store>,
+    /// What really happened.
+    pub journal: Journal,
+    /// The groups.
+    pub groups: Vec<Rc<Group>>,
+    /// The end that takes orders.
+    pub orders: Rc<Orders>,
+    /// Each configuration that was in force, with since when.
+    pub configs: RefCell<Vec<(Instant, Config)>>,
+    program: Program,
+    vms: RefCell<BTreeMap<VmId, Running>>,
+    /// How far each VM's clock is ahead.
+    ahead: RefCell<BTreeMap<VmId, Rc<Cell<Span>>>>,
+    started: Instant,
+    lives: Cell<u64>,
+}
+
+impl fmt::Debug for World {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("World")
+            .field("setup", &self.setup)
+            .finish_non_exhaustive()
+    }
+}
+
+fn address(domain: usize, host: usize, port: u16) -> SocketAddr {
+    let octet = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
+    let ip = Ipv4Addr::new(10, octet(domain + 1), 0, octet(host));
+    SocketAddr::from((ip, port))
+}
+
+/// The row of the configuration.
+pub fn config_row() -> RowId {
+    RowId::new("operator", "config")
+}
+
+fn documents() -> Documents {
+    Documents {
+        config: config_row(),
+        register: REGISTER.into(),
+        read_config: |value| serde_json::from_slice(value).map_err(|e| e.to_string().into()),
+        read_database: |_, value| serde_json::from_slice(value).map_err(|e| e.to_string().into()),
+    }
+}
+
+impl World {
+    /// A world in the `LocalSet` that this is called in, with its VMs started.
+    pub fn start(setup: Setup, program: Program) -> Result<Rc<Self>, Invalid> {
+        let network = Network::new(setup.domain_delay, setup.region_delay);
+        let store = Store::new(network.clone());
+        let journal = Journal::default();
+        let mut groups = Vec::new();
+        for number in 0..setup.groups {
+            let members = members(&setup, &network, number)?;
+            groups.push(Group::new(
+                format!("ledger{number}").parse()?,
+                setup.promotion,
+                network.clone(),
+                store.clone(),
+                journal.clone(),
+                members,
+            ));
+        }
+        let orders = Orders::new(network.clone(), &groups, journal.clone());
+        let world = Rc::new(Self {
+            network,
+            store,
+            journal,
+            groups,
+            orders,
+            configs: RefCell::default(),
+            program,
+            vms: RefCell::default(),
+            ahead: RefCell::default(),
+            started: Instant::now(),
+            lives: Cell::new(0),
+            setup,
+        });
+        world.configure(world.first_config());
+        for number in 0..world.setup.vms {
+            world.start_vm(number)?;
+        }
+        Ok(world)
+    }
+
+    /// A route of each kind to each group: `primary0`, `bounded0`, `session0` and so on.
+    fn first_config(&self) -> Config {
+        let kinds = [
+            ("primary", Kind::Primary),
+            ("bounded", Kind::Bounded(Span::from_millis(1_500))),
+            ("session", Kind::Session(Span::from_millis(2_500))),
+        ];
+        let mut routes = BTreeMap::new();
+        let mut groups = BTreeMap::new();
+        for (number, group) in self.groups.iter().enumerate() {
+            for (priority, (name, kind)) in kinds.iter().enumerate() {
+                let route = Route {
+                    group: group.id.clone(),
+                    kind: *kind,
+                    timeout: Span::from_secs(5),
+                    objective: Span::from_millis(400),
+                    priority: priority as u8,
+                };
+                routes.insert(format!("{name}{number}").into(), route);
+            }
+            let limits = config::Group {
+                connections: self.setup.connections,
+                durable: group.durable,
+            };
+            groups.insert(group.id.clone(), limits);
+        }
+        Config {
+            version: Version(1),
+            routes,
+            groups,
+            idle: Span::from_secs(10),
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, config: Config) {
+        let value = serde_json::to_vec(&config).unwrap_or_default();
+        self.store.put(config_row(), Some(Bytes::from(value)));
+        self.configs.borrow_mut().push((Instant::now(), config));
+    }
+
+    /// The name of a VM by its number.
+    pub fn vm(number: usize) -> Result<VmId, Invalid> {
+        format!("vm{}", number + 1).parse()
+    }
+
+    /// The failure domain of a VM.
+    pub fn domain_of(number: usize) -> usize {
+        number % DOMAINS.len()
+    }
+
+    fn mesh_address(number: usize) -> SocketAddr {
+        address(Self::domain_of(number), number + 1, MESH_PORT)
+    }
+
+    /// Starts a VM; one that runs is left as it is.
+    pub fn start_vm(self: &Rc<Self>, number: usize) -> Result<(), Invalid> {
+        let vm = Self::vm(number)?;
+        if self.is_running(&vm) {
+            return Ok(());
+        }
+        let domain = Self::domain_of(number);
+        self.network
+            .place(Node::Vm(vm.clone()), domain, DOMAINS[domain].1);
+        self.lives.set(self.lives.get() + 1);
+        let (streams, streams_in) = mpsc::unbounded_channel();
+        let (questions, questions_in) = mpsc::unbounded_channel();
+        let (stop, stopped) = oneshot::channel();
+        let ready = Rc::new(Cell::new(false));
+        let mut regions = BTreeMap::new();
+        for (name, region) in DOMAINS {
+            regions.insert(name.parse()?, format!("region{region}").into());
+        }
+        let machine = Machine {
+            adapter: self.adapter(&vm),
+            call: Wrapped(self.call_of(&vm)),
+            vm: vm.clone(),
+            life: Life(self.lives.get()),
+            domain: DOMAINS[domain].0.parse()?,
+            regions,
+            address: Self::mesh_address(number),
+            seeds: (0..self.setup.vms.min(3)).map(Self::mesh_address).collect(),
+            streams: streams_in,
+            questions: questions_in,
+            stop: stopped,
+            ready: ready.clone(),
+        };
+        let (host, process) = Host::start((self.program)(machine));
+        self.network.spawn(process);
+        let running = Running {
+            host,
+            streams,
+            questions,
+            stop: Some(stop),
+            ready,
+        };
+        self.vms.borrow_mut().insert(vm, running);
+        Ok(())
+    }
+
+    /// Kills a VM.
+    pub fn kill_vm(&self, vm: &VmId) {
+        if let Some(running) = self.vms.borrow_mut().get_mut(vm) {
+            running.host.kill();
+            running.ready.set(false);
+        }
+    }
+
+    /// Freezes a VM or lets it go on. Its clock counts the time.
+    pub fn freeze_vm(&self, vm: &VmId, frozen: bool) {
+        if let Some(running) = self.vms.borrow().get(vm) {
+            running.host.freeze(frozen);
+        }
+    }
+
+    /// Asks a VM to stop, and kills it after the grace.
+    pub fn stop_vm(self: &Rc<Self>, vm: &VmId, grace: Span) {
+        let mut vms = self.vms.borrow_mut();
+        let Some(running) = vms.get_mut(vm) else {
+            return;
+        };
+        let Some(stop) = running.stop.take() else {
+            return;
+        };
+        let _ = stop.send(grace);
+        running.ready.set(false);
+        let (host, ready) = (running.host.clone(), running.ready.clone());
+        self.network.spawn(async move {
+            sleep(grace.into()).await;
+            host.kill();
+            ready.set(false);
+        });
+    }
+
+    /// A VM's clock goes on by a span that its timers don't count.
+    pub fn jump_clock(&self, vm: &VmId, span: Span) {
+        let ahead = self.ahead_of(vm);
+        ahead.set(ahead.get() + span);
+    }
+
+    /// Whether a VM runs, frozen or not.
+    pub fn is_running(&self, vm: &VmId) -> bool {
+        let vms = self.vms.borrow();
+        vms.get(vm).is_some_and(|running| !running.host.is_killed())
+    }
+
+    /// Whether a VM says that it takes callers.
+    pub fn is_ready(&self, vm: &VmId) -> bool {
+        let vms = self.vms.borrow();
+        vms.get(vm).is_some_and(|running| running.ready.get()) && self.is_running(vm)
+    }
+
+    /// All VMs that run.
+    pub fn running(&self) -> Vec<VmId> {
+        let vms = self.vms.borrow();
+        let running = vms.iter().filter(|(_, r)| !r.host.is_killed());
+        running.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Connects a caller of a failure domain to a VM; nothing comes of it if it does not run.
+    pub async fn call_on(self: &Rc<Self>, domain: usize, vm: &VmId) -> Option<Stream> {
+        let from = Node::Callers(domain);
+        self.network.place(from.clone(), domain, DOMAINS[domain].1);
+        let to = Node::Vm(vm.clone());
+        sleep(self.network.delay(&from, &to)).await;
+        let vms = self.vms.borrow();
+        let running = vms.get(vm).filter(|running| !running.host.is_killed())?;
+        let (near, far) = self.network.connect(&from, &to);
+        running.streams.send(far).ok()?;
+        Some(near)
+    }
+
+    /// A database by its id.
+    pub fn database(&self, id: &DatabaseId) -> Option<(Rc<Group>, Rc<Database>)> {
+        let mut found = self.groups.iter().map(|group| (group, group.member(id)));
+        found.find_map(|(group, member)| Some((group.clone(), member?)))
+    }
+
+    fn ahead_of(&self, vm: &VmId) -> Rc<Cell<Span>> {
+        let mut ahead = self.ahead.borrow_mut();
+        ahead.entry(vm.clone()).or_default().clone()
+    }
+
+    fn clock_of(&self, vm: &VmId) -> Clock {
+        let (started, ahead) = (self.started, self.ahead_of(vm));
+        Rc::new(move || BOOTED + Span::from(started.elapsed()) + ahead.get())
+    }
+
+    fn adapter(self: &Rc<Self>, vm: &VmId) -> Adapter {
+        let clock = self.clock_of(vm);
+        Adapter {
+            wire: wire::wire(),
+            documents: documents(),
+            store: self.store.calls_of(vm),
+            promote: self.orders.way(clock.clone()),
+            connect: self.connect_of(vm),
+            clock,
+        }
+    }
+
+    fn connect_of(self: &Rc<Self>, vm: &VmId) -> Connect {
+        let (world, vm) = (self.clone(), vm.clone());
+        Rc::new(move |address, span| {
+            let (world, vm) = (world.clone(), vm.clone());
+            Box::pin(async move {
+                let (answer, answered) = oneshot::channel();
+                let (sender, hold) = Sender::new();
+                let network = world.network.clone();
+                network.spawn(async move { world.accept(vm, address, sender, answer).await });
+                let result = timeout(span.into(), answered).await;
+                drop(hold);
+                let stream = result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+                let stream =
+                    stream.map_err(|_| io::Error::from(io::ErrorKind::ConnectionRefused))?;
+                Ok(Box::new(stream) as Box<dyn adapter::Stream>)
+            })
+        })
+    }
+
+    async fn accept(
+        self: Rc<Self>,
+        vm: VmId,
+        address: SocketAddr,
+        sender: Sender,
+        answer: oneshot::Sender<Stream>,
+    ) {
+        let members = self.groups.iter().flat_map(|g| {
+            let members = g.members();
+            members.into_iter().map(|member| (g.clone(), member))
+        });
+        let mut listening = members.filter(|(_, member)| member.make.address == address);
+        let Some((group, database)) = listening.next() else {
+            return;
+        };
+        let (from, to) = (Node::Vm(vm), database.node());
+        if !self.network.travel(&from, &to, &sender).await || database.life().is_none() {
+            return;
+        }
+        let (near, far) = self.network.connect(&from, &to);
+        self.network.spawn(session::serve(group, database, far));
+        if self.network.travel(&to, &from, &sender).await {
+            let _ = answer.send(near);
+        }
+    }
+
+    fn call_of(self: &Rc<Self>, vm: &VmId) -> Call {
+        let (world, vm) = (self.clone(), vm.clone());
+        Rc::new(move |address, question, span| {
+            let (world, vm) = (world.clone(), vm.clone());
+            Box::pin(async move {
+                let (answer, answered) = oneshot::channel();
+                let (sender, hold) = Sender::new();
+                let network = world.network.clone();
+                network.spawn(async move {
+                    world.ask(vm, address, question, sender, answer).await;
+                });
+                let result = timeout(span.into(), answered).await;
+                drop(hold);
+                result.ok()?.ok()
+            })
+        })
+    }
+
+    async fn ask(
+        self: Rc<Self>,
+        vm: VmId,
+        address: SocketAddr,
+        question: Question,
+        sender: Sender,
+        answer: oneshot::Sender<Answer>,
+    ) {
+        let known = (0..self.setup.vms).find(|n| Self::mesh_address(*n) == address);
+        let Some(Ok(other)) = known.map(Self::vm) else {
+            return;
+        };
+        let (from, to) = (Node::Vm(vm), Node::Vm(other.clone()));
+        if !self.network.travel(&from, &to, &sender).await {
+            return;
+        }
+        let (reply, replied) = oneshot::channel();
+        {
+            let vms = self.vms.borrow();
+            let Some(running) = vms.get(&other) else {
+                return;
+            };
+            if running.questions.send((question, reply)).is_err() {
+                return;
+            }
+        }
+        let Ok(told) = replied.await else {
+            return;
+        };
+        if self.network.travel(&to, &from, &sender).await {
+            let _ = answer.send(told);
+        }
+    }
+}
+
+fn members(setup: &Setup, network: &Network, group: usize) -> Result<Vec<Rc<Database>>, Invalid> {
+    let mut members = Vec::new();
+    for turn in 0..DOMAINS.len() {
+        let domain = (group + turn) % DOMAINS.len();
+        let (name, region) = DOMAINS[domain];
+        let make = Make {
+            id: format!("db{group}{}", ["a", "b", "c"][turn]).parse()?,
+            group: format!("ledger{group}").parse()?,
+            address: address(domain, 100 + group, DATABASE_PORT),
+            domain: name.parse()?,
+            slots: setup.slots,
+            queue: 4 * setup.slots,
+            connections: setup.connections,
+            cold: Duration::from_millis(12),
+            work: Duration::from_millis(6),
+            lag: Duration::from_millis(8),
+        };
+        let database = Database::new(make, turn == 0, 1, Vec::new());
+        network.place(database.node(), domain, region);
+        members.push(database);
+    }
+    Ok(members)
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,5 +4,6 @@
 pub mod database;
 pub mod demo;
 pub mod deployment;
+pub mod direct;
 pub mod fake;
 pub mod platform;
--- /dev/null
+++ b/tests/direct_standin.rs
@@ -0,0 +1,257 @@
+//! The stand-ins of direct access by themselves.
+
+use bytes::{Bytes, BytesMut};
+use lentilspoke::clock::Span;
+use lentilspoke::direct::adapter::{Promoted, Promotion};
+use lentilspoke::direct::statement::{Answer, Code, End, Order, State};
+use lentilspoke::direct::table::{Ask, Change, Fault, RowId, Told};
+use lentilspoke::standin::direct::host::play;
+use lentilspoke::standin::direct::store::{Health, Losing};
+use lentilspoke::standin::direct::world::{Machine, Setup, World};
+use lentilspoke::types::{DatabaseId, Position};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+const SECOND: Span = Span::from_secs(1);
+
+/// A world whose VMs hand their machines over and do nothing.
+async fn idle_world() -> (Rc<World>, Machine) {
+    let (machines, mut machine) = mpsc::unbounded_channel();
+    let setup = Setup {
+        vms: 1,
+        ..Setup::default()
+    };
+    let program = move |machine| {
+        let _ = machines.send(machine);
+        Box::pin(std::future::pending()) as _
+    };
+    let world = World::start(setup, Rc::new(program)).unwrap();
+    (world, machine.recv().await.unwrap())
+}
+
+fn write(key: &str, value: &'static str, version: u64) -> Ask {
+    let row = RowId::new("t", key);
+    Ask::Write(Change {
+        expect: vec![(row.clone(), version)],
+        writes: vec![(row, Bytes::from_static(value.as_bytes()))],
+        remove: Vec::new(),
+    })
+}
+
+/// A session at a database.
+struct Session {
+    stream: Box<dyn lentilspoke::direct::adapter::Stream>,
+    machine: Rc<Machine>,
+    input: BytesMut,
+}
+
+impl Session {
+    async fn open(world: &World, machine: &Rc<Machine>, id: &str) -> (Self, Answer) {
+        let id: DatabaseId = id.parse().unwrap();
+        let (group, database) = world.database(&id).unwrap();
+        let connect = &machine.adapter.connect;
+        let stream = connect(database.make.address, SECOND).await.unwrap();
+        let mut session = Self {
+            stream,
+            machine: machine.clone(),
+            input: BytesMut::new(),
+        };
+        let mut output = BytesMut::new();
+        (machine.adapter.wire.write_start)(&mut output, &group.id, &id);
+        let answer = session.send(output, true).await;
+        (session, answer)
+    }
+
+    async fn ask(&mut self, text: &str) -> Answer {
+        let line = format!("ask q {text}\n");
+        self.send(BytesMut::from(line.as_bytes()), false).await
+    }
+
+    async fn order(&mut self, order: Order) -> Answer {
+        let mut output = BytesMut::new();
+        (self.machine.adapter.wire.write_order)(&mut output, &order);
+        self.send(output, false).await
+    }
+
+    async fn send(&mut self, output: BytesMut, starting: bool) -> Answer {
+        self.stream.write_all(&output).await.unwrap();
+        loop {
+            let read = self.machine.adapter.wire.read_answer;
+            if let Some(answer) = read(&mut self.input, starting).unwrap() {
+                return answer;
+            }
+            assert_ne!(self.stream.read_buf(&mut self.input).await.unwrap(), 0);
+        }
+    }
+}
+
+fn code(answer: &Answer) -> Option<Code> {
+    match answer.end {
+        End::Error { code, .. } => Some(code),
+        End::Done(_) => None,
+    }
+}
+
+fn at(term: u64, offset: u64) -> Option<Position> {
+    Some(format!("{term}/{offset}").parse().unwrap())
+}
+
+#[test]
+fn store_changes_rows_under_conditions() {
+    play(async {
+        let (world, machine) = idle_world().await;
+        let store = &machine.adapter.store;
+        let Ok(Told::Written(version)) = store(write("a", "1", 0), SECOND).await else {
+            panic!("not written");
+        };
+        let told = store(write("a", "2", 0), SECOND).await.unwrap();
+        assert!(matches!(told, Told::Conflict(rows) if rows[0].version == version));
+        let follow = |after, wait| Ask::Follow {
+            table: "t".into(),
+            after,
+            wait,
+        };
+        let told = store(follow(version - 1, SECOND), SECOND).await.unwrap();
+        assert!(matches!(told, Told::Rows { rows, .. } if rows.len() == 1));
+        let told = store(follow(version, Span(1)), SECOND).await.unwrap();
+        assert!(matches!(told, Told::Rows { rows, .. } if rows.is_empty()));
+        world.store.put(RowId::new("t", "b"), None);
+        world.store.forget();
+        let told = store(follow(version, SECOND), SECOND).await.unwrap();
+        assert_eq!(told, Told::Forgotten);
+    })
+    .unwrap();
+}
+
+#[test]
+fn store_fails_in_each_way() {
+    play(async {
+        let (world, machine) = idle_world().await;
+        let store = &machine.adapter.store;
+        for (health, refused) in [
+            (Health::Refusing, true),
+            (Health::Silent, false),
+            (Health::Reset, false),
+        ] {
+            world.store.set_health(health, None);
+            let fault = store(write("a", "1", 0), SECOND).await.unwrap_err();
+            assert_eq!(matches!(fault, Fault::Refused(_)), refused);
+        }
+        let others = [World::vm(7).unwrap()].into();
+        world.store.set_health(Health::Silent, Some(others));
+        world.store.set_losing(Losing::Later(SECOND));
+        let row = RowId::new("t", "a");
+        let fault = store(write("a", "1", 0), SECOND).await.unwrap_err();
+        assert!(matches!(fault, Fault::Unknown(_)));
+        assert_eq!(world.store.get(&row), None);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(world.store.get(&row), Some(Bytes::from_static(b"1")));
+    })
+    .unwrap();
+}
+
+#[test]
+fn database_tells_what_it_cannot_do() {
+    play(async {
+        let (world, machine) = idle_world().await;
+        let machine = Rc::new(machine);
+        let (mut primary, answer) = Session::open(&world, &machine, "db0a").await;
+        assert_eq!((code(&answer), answer.position), (None, at(1, 0)));
+        let answer = primary.ask("write i1 v1").await;
+        assert_eq!((code(&answer), answer.position), (None, at(1, 1)));
+        let (mut replica, _) = Session::open(&world, &machine, "db0b").await;
+        let answer = replica.ask("after 1/9 read i1").await;
+        assert_eq!(code(&answer), Some(Code::Behind));
+        let answer = replica.ask("after 1/1 read i1").await;
+        assert_eq!(answer.rows[0], "i1 in 1 commits");
+        assert_eq!(
+            code(&replica.ask("write i1 v2").await),
+            Some(Code::NotPrimary)
+        );
+        assert_eq!(
+            code(&primary.ask("exec s1 i1").await),
+            Some(Code::NoStatement)
+        );
+        let answer = primary.order(Order::Standing).await;
+        let standing = (machine.adapter.wire.read_standing)(&answer).unwrap();
+        assert!(standing.primary);
+        assert_eq!(Some(standing.received), at(1, 1));
+    })
+    .unwrap();
+}
+
+/// The old primary answers on after another was promoted, and what it takes is lost.
+#[test]
+fn promotion_takes_what_was_received() {
+    play(async {
+        let (world, machine) = idle_world().await;
+        let machine = Rc::new(machine);
+        let (mut old, _) = Session::open(&world, &machine, "db0a").await;
+        assert_eq!(code(&old.ask("begin").await), None);
+        let (group, replica) = world.database(&"db0b".parse().unwrap()).unwrap();
+        replica.trouble.deaf.set(true);
+        old.ask("write i1 v1").await;
+        old.ask("commit").await;
+        let now = (machine.adapter.clock)();
+        let promoted = (machine.adapter.promote)(Promotion {
+            group: group.id.clone(),
+            database: replica.make.id.clone(),
+            holder: machine.vm.clone(),
+            token: 1,
+            deadline: now + SECOND,
+        });
+        assert_eq!(promoted.await, Promoted::Done);
+        sleep(Duration::from_millis(1_100)).await;
+        let answer = old.ask("write i1 v2").await;
+        assert_eq!(code(&answer), None);
+        sleep(Duration::from_secs(3)).await;
+        let answer = old.ask("write i1 v3").await;
+        assert_eq!(code(&answer), Some(Code::NotPrimary));
+        let (mut new, _) = Session::open(&world, &machine, "db0b").await;
+        let answer = new.ask("write i1 v4").await;
+        assert_eq!((answer.state, answer.position), (State::Idle, at(2, 1)));
+        let journal = RefCell::borrow(&world.journal);
+        let lost: Vec<bool> = journal.commits.iter().map(|c| c.lost.is_some()).collect();
+        assert_eq!(lost, [true, true, false]);
+    })
+    .unwrap();
+}
+
+#[test]
+fn frozen_vm_does_nothing_and_dead_one_never() {
+    play(async {
+        let ticks = Rc::new(RefCell::new(0));
+        let counted = ticks.clone();
+        let program = move |_: Machine| {
+            let ticks = counted.clone();
+            Box::pin(async move {
+                for _ in 0..100 {
+                    sleep(Duration::from_secs(1)).await;
+                    *ticks.borrow_mut() += 1;
+                }
+            }) as _
+        };
+        let setup = Setup {
+            vms: 1,
+            ..Setup::default()
+        };
+        let world = World::start(setup, Rc::new(program)).unwrap();
+        let vm = World::vm(0).unwrap();
+        sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(*ticks.borrow(), 1);
+        world.freeze_vm(&vm, true);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(*ticks.borrow(), 1);
+        world.freeze_vm(&vm, false);
+        sleep(Duration::from_millis(1)).await;
+        assert_eq!(*ticks.borrow(), 2);
+        world.kill_vm(&vm);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(*ticks.borrow(), 2);
+    })
+    .unwrap();
+}
