--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod caller;
 pub mod config;
 pub mod connection;
+pub mod control;
 pub mod fresh;
 pub mod front;
 pub mod gate;
