Write logs to standard output without ever waiting for its reader; count what direct access does

Cause: logs went to stderr by blocking writes on the one thread that serves, and direct access had no counters.

--- /dev/null
+++ b/src/direct/meter.rs
@@ -0,0 +1,379 @@
+//! What one VM counts while it serves, for a Prometheus scraper.
+
+use crate::clock::Span;
+use crate::direct::config::Kind;
+use crate::direct::statement::Code;
+use crate::direct::table::{Ask, Fault, Told};
+use crate::types::{DatabaseId, GroupId};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use std::fmt::Write;
+
+/// Bounds in seconds, around latency objectives of 300 to 800 ms and queue waits of some ms.
+const BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4,
+];
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// Values that go up and down, read when the scraper asks.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Levels {
+    /// Callers connected.
+    pub callers: u64,
+    /// Connections to databases that are open.
+    pub connections: u64,
+    /// Requests that wait for a slot or a connection.
+    pub queued: u64,
+    /// The configuration in force.
+    pub config: u64,
+    /// Groups on whose primary a lease is held.
+    pub leases: u64,
+    /// Whether this VM is the steward.
+    pub steward: bool,
+    /// Resident memory in bytes.
+    pub resident: u64,
+    /// Processor time since the process started, in microseconds.
+    pub processor: u64,
+    /// Log lines that found no room, since the process started.
+    pub logs_dropped: u64,
+}
+
+/// A label's value; what is counted with each request has a fixed one.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Text {
+    Fixed(&'static str),
+    Name(Box<str>),
+}
+
+impl From<&GroupId> for Text {
+    fn from(group: &GroupId) -> Self {
+        Self::Name(group.as_str().into())
+    }
+}
+
+impl From<&DatabaseId> for Text {
+    fn from(database: &DatabaseId) -> Self {
+        Self::Name(database.as_str().into())
+    }
+}
+
+impl EncodeLabelValue for Text {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+        encoder.write_str(match self {
+            Self::Fixed(text) => text,
+            Self::Name(text) => text,
+        })
+    }
+}
+
+macro_rules! labels {
+    ($name:ident: $($label:ident),+) => {
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+        struct $name {
+            $($label: Text,)+
+        }
+    };
+}
+
+labels!(OfGroup: group);
+labels!(OfDatabase: database);
+labels!(OfCode: group, code);
+labels!(OfCall: call, outcome);
+labels!(OfKind: kind);
+labels!(OfRole: by);
+
+type Histograms = Family<OfKind, Histogram, fn() -> Histogram>;
+
+/// The counters and histograms of one process.
+#[derive(Debug)]
+pub struct Meter {
+    registry: Registry,
+    refused: Family<OfCode, Counter>,
+    served: Histograms,
+    reads: Family<OfRole, Counter>,
+    store_calls: Family<OfCall, Counter>,
+    opened: Family<OfDatabase, Counter>,
+    not_opened: Family<OfDatabase, Counter>,
+    queue_wait: Histogram,
+    lapsed: Family<OfGroup, Counter>,
+    promoted: Family<OfGroup, Counter>,
+    promotion_time: Family<OfGroup, Counter>,
+    levels: Vec<(Gauge, Level)>,
+}
+
+/// What a gauge shows.
+type Level = fn(&Levels) -> u64;
+
+const LEVELS: [(&str, &str, Level); 9] = [
+    ("callers", "Callers connected", |l| l.callers),
+    (
+        "connections",
+        "Connections to databases that are open",
+        |l| l.connections,
+    ),
+    (
+        "queued",
+        "Requests that wait for a slot or a connection",
+        |l| l.queued,
+    ),
+    (
+        "config_version",
+        "Version of the configuration in force",
+        |l| l.config,
+    ),
+    ("leases", "Groups on whose primary a lease is held", |l| {
+        l.leases
+    }),
+    ("steward", "Whether this VM is the steward", |l| {
+        l.steward.into()
+    }),
+    ("resident_bytes", "Resident memory of this process", |l| {
+        l.resident
+    }),
+    (
+        "processor_microseconds",
+        "Processor time of this process since its start",
+        |l| l.processor,
+    ),
+    (
+        "logs_dropped",
+        "Log lines that found no room since the start",
+        |l| l.logs_dropped,
+    ),
+];
+
+fn histogram() -> Histogram {
+    Histogram::new(BOUNDS)
+}
+
+fn seconds(span: Span) -> f64 {
+    span.0 as f64 / MICROS_PER_SECOND
+}
+
+/// The name that logs and metrics give a code.
+pub fn code_name(code: Code) -> &'static str {
+    match code {
+        Code::Busy => "busy",
+        Code::RolledBack => "rolled_back",
+        Code::Behind => "behind",
+        Code::NotPrimary => "not_primary",
+        Code::OtherDatabase => "other_database",
+        Code::Full => "full",
+        Code::NoStatement => "no_statement",
+        Code::NoDatabase => "no_database",
+        Code::Malformed => "malformed",
+        Code::Failed => "failed",
+        Code::Late => "late",
+        Code::Unknown => "unknown",
+    }
+}
+
+fn call_labels(ask: &Ask, answer: &Result<Told, Fault>) -> OfCall {
+    let call = match ask {
+        Ask::Read(_) => "read",
+        Ask::Follow { .. } => "follow",
+        Ask::Write(_) => "write",
+    };
+    let outcome = match answer {
+        Ok(Told::Rows { .. } | Told::Written(_)) => "done",
+        Ok(Told::Conflict(_)) => "conflict",
+        Ok(Told::Forgotten) => "forgotten",
+        Err(Fault::Refused(_)) => "refused",
+        Err(Fault::Unknown(_)) => "unknown",
+    };
+    OfCall {
+        call: Text::Fixed(call),
+        outcome: Text::Fixed(outcome),
+    }
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Meter {
+    /// All at zero.
+    pub fn new() -> Self {
+        let mut meter = Self {
+            registry: Registry::with_prefix("lentilspoke"),
+            refused: Family::default(),
+            served: Family::new_with_constructor(histogram),
+            reads: Family::default(),
+            store_calls: Family::default(),
+            opened: Family::default(),
+            not_opened: Family::default(),
+            queue_wait: histogram(),
+            lapsed: Family::default(),
+            promoted: Family::default(),
+            promotion_time: Family::default(),
+            levels: Vec::new(),
+        };
+        meter.register_requests();
+        meter.register_control();
+        meter.register_levels();
+        meter
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "refused",
+            "Requests not answered with success, by code",
+            self.refused.clone(),
+        );
+        registry.register(
+            "served_seconds",
+            "Latency of requests served, by the freshness that their route asks for",
+            self.served.clone(),
+        );
+        registry.register(
+            "reads",
+            "Reads answered, by the database's role",
+            self.reads.clone(),
+        );
+        registry.register(
+            "queue_wait_seconds",
+            "How long requests waited for a slot or a connection",
+            self.queue_wait.clone(),
+        );
+        registry.register(
+            "connections_opened",
+            "Connections opened to a database",
+            self.opened.clone(),
+        );
+        registry.register(
+            "connections_failed",
+            "Connections to a database that could not be opened",
+            self.not_opened.clone(),
+        );
+    }
+
+    fn register_control(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "store_calls",
+            "Calls of the platform's store, by how they ended",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "leases_lapsed",
+            "Leases on a group's primary that ended without a newer one",
+            self.lapsed.clone(),
+        );
+        registry.register(
+            "promotions",
+            "Changes of primary made by this VM as steward",
+            self.promoted.clone(),
+        );
+        registry.register(
+            "promotion_microseconds",
+            "Time from intent to new primary, of changes made by this VM",
+            self.promotion_time.clone(),
+        );
+    }
+
+    fn register_levels(&mut self) {
+        for (name, help, level) in LEVELS {
+            let gauge = Gauge::default();
+            self.registry.register(name, help, gauge.clone());
+            self.levels.push((gauge, level));
+        }
+    }
+
+    /// A request was answered with something else than success.
+    pub fn refused(&self, group: &GroupId, code: Code) {
+        let labels = OfCode {
+            group: group.into(),
+            code: Text::Fixed(code_name(code)),
+        };
+        self.refused.get_or_create(&labels).inc();
+    }
+
+    /// A request of a route of this kind was answered with success.
+    pub fn served(&self, kind: Kind, took: Span) {
+        let kind = Text::Fixed(match kind {
+            Kind::Primary => "primary",
+            Kind::Bounded(_) => "bounded",
+            Kind::Session(_) => "session",
+        });
+        let histogram = self.served.get_or_create(&OfKind { kind });
+        histogram.observe(seconds(took));
+    }
+
+    /// A read was answered by a replica, or by the primary.
+    pub fn read(&self, by_replica: bool) {
+        let by = Text::Fixed(if by_replica { "replica" } else { "primary" });
+        self.reads.get_or_create(&OfRole { by }).inc();
+    }
+
+    /// A request waited this long for a slot or a connection.
+    pub fn queue_wait(&self, took: Span) {
+        self.queue_wait.observe(seconds(took));
+    }
+
+    /// A connection to a database was opened.
+    pub fn connection_opened(&self, database: &DatabaseId) {
+        let labels = OfDatabase {
+            database: database.into(),
+        };
+        self.opened.get_or_create(&labels).inc();
+    }
+
+    /// A connection to a database could not be opened.
+    pub fn connection_failed(&self, database: &DatabaseId) {
+        let labels = OfDatabase {
+            database: database.into(),
+        };
+        self.not_opened.get_or_create(&labels).inc();
+    }
+
+    /// Forgets a database that is not registered any more, as ids are never used again.
+    pub fn forget(&self, database: &DatabaseId) {
+        let labels = OfDatabase {
+            database: database.into(),
+        };
+        self.opened.remove(&labels);
+        self.not_opened.remove(&labels);
+    }
+
+    /// A call of the store ended.
+    pub fn store_call(&self, ask: &Ask, answer: &Result<Told, Fault>) {
+        let labels = call_labels(ask, answer);
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// The lease on a group's primary ended, and no newer one was there.
+    pub fn lease_lapsed(&self, group: &GroupId) {
+        let labels = OfGroup {
+            group: group.into(),
+        };
+        self.lapsed.get_or_create(&labels).inc();
+    }
+
+    /// This VM, as steward, has changed a group's primary, this long after the intent.
+    pub fn promoted(&self, group: &GroupId, took: Span) {
+        let labels = OfGroup {
+            group: group.into(),
+        };
+        self.promoted.get_or_create(&labels).inc();
+        self.promotion_time.get_or_create(&labels).inc_by(took.0);
+    }
+
+    /// The text that a scraper reads.
+    pub fn text(&self, levels: &Levels) -> Box<str> {
+        for (gauge, level) in &self.levels {
+            gauge.set(i64::try_from(level(levels)).unwrap_or(i64::MAX));
+        }
+        let mut text = String::new();
+        // Writing to a String does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text.into()
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod lead;
 pub mod mesh;
+pub mod meter;
 pub mod statement;
 pub mod table;
 pub mod view;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod experiment;
 pub mod jsonc;
 pub mod load;
+pub mod logs;
 pub mod model;
 pub mod net;
 pub mod process;
--- /dev/null
+++ b/tests/logs.rs
@@ -0,0 +1,92 @@
+//! Log lines: what they look like, how many are let through, and a reader that does not read.
+
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::logs::budget::{Budget, Verdict};
+use lentilspoke::logs::line;
+use lentilspoke::logs::queue::Queue;
+use std::io::Read;
+use std::time::Duration;
+
+const LINES: usize = 20_000;
+const LIMIT: usize = 4096;
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn told(dropped: u64) -> String {
+    format!("{dropped} dropped\n")
+}
+
+/// Callers see nothing: whoever reads the logs has stopped, the pipe is full, the writes block.
+/// Lines go on being taken, what does not fit is dropped, and once somebody reads again, a line
+/// says how many are missing. A write on the serving thread would never return here.
+#[test]
+fn a_reader_that_does_not_read_stops_nothing() {
+    let (mut reader, writer) = std::io::pipe().unwrap();
+    let queue = Queue::start(writer, LIMIT, told).unwrap();
+    for n in 0..LINES {
+        queue.push(format!("line {n}\n").as_bytes());
+    }
+    let dropped = queue.dropped();
+    assert!(dropped > 0, "the pipe and the queue took all lines");
+
+    let ended = std::thread::spawn(move || {
+        queue.drain(PATIENCE);
+        queue.push(b"end\n");
+    });
+    let mut text = String::new();
+    let mut part = [0; 4096];
+    while !text.ends_with("end\n") {
+        let length = reader.read(&mut part).unwrap();
+        text.push_str(std::str::from_utf8(&part[..length]).unwrap());
+    }
+    ended.join().unwrap();
+    let written = text.lines().filter(|l| l.starts_with("line ")).count();
+    let said = text.lines().filter_map(|l| l.strip_suffix(" dropped"));
+    let said: u64 = said.map(|n| n.parse::<u64>().unwrap()).sum();
+    assert_eq!(said, dropped);
+    assert_eq!(written as u64 + said, LINES as u64);
+}
+
+/// Whoever reads the logs has gone for good. Lines go nowhere, and nothing waits for them.
+#[test]
+fn a_reader_that_went_away_stops_nothing() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let queue = Queue::start(writer, LIMIT, told).unwrap();
+    queue.push(b"line\n");
+    queue.drain(PATIENCE);
+    queue.push(b"line\n");
+    queue.drain(PATIENCE);
+    assert_eq!(queue.dropped(), 0);
+}
+
+/// Overload: one target writes far more lines than are let through. They are counted, and those
+/// of another target all pass.
+#[test]
+fn a_storm_of_one_target_leaves_the_others_alone() {
+    let mut budget = Budget::new(3);
+    let start = Time(5);
+    let storm: Vec<Verdict> = (0..10).map(|_| budget.admit("refusals", start)).collect();
+    assert_eq!(&storm[..3], &[Verdict::Admit; 3]);
+    assert_eq!(&storm[3..], &[Verdict::Drop; 7]);
+    assert_eq!(budget.admit("leads", start), Verdict::Admit);
+    let later = start + Span::from_secs(1);
+    assert_eq!(budget.admit("refusals", later), Verdict::AdmitAfter(7));
+    assert_eq!(budget.admit("refusals", later), Verdict::Admit);
+}
+
+/// A caller chooses its request's id. Whatever is in it, it stays one value on one line.
+#[test]
+fn a_value_cannot_forge_a_line() {
+    let pairs = [
+        ("request", "5c0e7a21"),
+        ("caller", "x\n9 INFO leads changed group=a"),
+        ("empty", ""),
+    ];
+    let record = log::Record::builder()
+        .level(log::Level::Info)
+        .target("lentilspoke::direct::session")
+        .key_values(&pairs)
+        .args(format_args!("refused"))
+        .build();
+    insta::assert_snapshot!(line(Time(1_234_567), &record));
+}
