--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -19,6 +19,12 @@
     pub read: Box<dyn Fn() -> Result<Settings, Box<str>>>,
 }
 
+impl std::fmt::Debug for Place {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Place").finish_non_exhaustive()
+    }
+}
+
 /// Runs the VM until a planned stop is over.
 pub async fn run(place: Place, build: Build) -> std::io::Result<()> {
     let stop = util::asked_to_stop()?;
