--- /dev/null
+++ b/tests/adapter/cloud.rs
@@ -0,0 +1,109 @@
+//! Orders to promote, against a scripted stand-in.
+
+use crate::platform;
+use crate::script::{Script, Step, clock};
+use lentilspoke::clock::Span;
+use lentilspoke::direct::adapter::{Outside, Promoted, Promotion};
+use std::rc::Rc;
+use std::time::Duration;
+
+const DEADLINE: Span = Span::from_millis(1_500);
+/// Timers end on whole milliseconds, rounded up.
+const TICK: Duration = Duration::from_millis(1);
+
+struct Run {
+    promoted: Promoted,
+    took: Duration,
+}
+
+async fn play(script: &Rc<Script>, pause: Option<Duration>) -> Run {
+    let (clock, leap) = clock();
+    let address = "10.0.9.1:1".parse().unwrap();
+    let adapter = platform::adapter(Outside {
+        store: address,
+        orders: address,
+        connect: Rc::new(|_, _| panic!("an order takes a connection that can be reset")),
+        abrupt: script.connect(),
+        clock: Rc::clone(&clock),
+    });
+    let promotion = Promotion {
+        group: "huvo11a".parse().unwrap(),
+        database: "i-7f3a91c2".parse().unwrap(),
+        holder: "vm-1".parse().unwrap(),
+        token: 42,
+        deadline: clock() + DEADLINE,
+    };
+    let started = tokio::time::Instant::now();
+    let order = actix_rt::spawn((adapter.promote)(promotion));
+    if let Some(pause) = pause {
+        while script.seen.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        leap.set(pause);
+    }
+    let promoted = order.await.unwrap();
+    Run {
+        promoted,
+        took: started.elapsed(),
+    }
+}
+
+#[actix_rt::test]
+async fn answers_are_told_apart() {
+    tokio::time::pause();
+    let answers = [
+        (Step::Answer(200, ""), Promoted::Done),
+        (Step::Answer(409, ""), Promoted::NotRunning),
+        (Step::Answer(429, ""), Promoted::Refused),
+        (Step::Answer(503, ""), Promoted::Refused),
+        (Step::Answer(500, ""), Promoted::Unknown),
+        (Step::Close, Promoted::Unknown),
+        (Step::Silent, Promoted::Unknown),
+    ];
+    for (step, expected) in answers {
+        let script = Script::new([step.clone()]);
+        assert_eq!(play(&script, None).await.promoted, expected, "{step:?}");
+    }
+    let script = Script::new([]);
+    script.down.set(true);
+    assert_eq!(play(&script, None).await.promoted, Promoted::Refused);
+}
+
+#[actix_rt::test]
+async fn an_order_is_spelled_as_the_platform_does() {
+    let script = Script::new([Step::Answer(200, "")]);
+    play(&script, None).await;
+    insta::assert_snapshot!(script.seen.borrow()[0], @r#"
+    POST /promote HTTP/1.1
+    content-type: application/json
+    duty-holder: vm-1
+    fencing-token: 42
+    {"service":"huvo11a","id":"i-7f3a91c2"}
+    "#);
+}
+
+/// An order stays without an answer. It is broken off at its deadline, since another VM may have
+/// taken the duty over by then; whether it was done is not known.
+#[actix_rt::test]
+async fn an_order_ends_at_its_deadline() {
+    tokio::time::pause();
+    let run = play(&Script::new([Step::Silent]), None).await;
+    assert_eq!(run.promoted, Promoted::Unknown);
+    assert!(run.took >= Duration::from(DEADLINE));
+    assert!(run.took <= Duration::from(DEADLINE) + TICK);
+}
+
+/// The VM is paused while an order is under way. Timers don't count the pause, the clock does: the
+/// order is broken off at once, not when a timer would have ended.
+#[actix_rt::test]
+async fn a_pause_counts_against_the_deadline() {
+    tokio::time::pause();
+    let pause = Some(Duration::from_secs(4));
+    let run = play(&Script::new([Step::Silent]), pause).await;
+    assert_eq!(run.promoted, Promoted::Unknown);
+    assert!(
+        run.took <= Duration::from_millis(100) + TICK,
+        "{:?}",
+        run.took
+    );
+}
--- /dev/null
+++ b/tests/adapter/documents.rs
@@ -0,0 +1,139 @@
+//! The operator's manifest and the register of databases.
+
+use crate::platform::documents::documents;
+use quickcheck::quickcheck;
+use std::fmt::Write;
+
+const MANIFEST: &str = r#"{"version":7,"new":{"field":1},"routes":[
+    {"name":"r-1","host":"fiti832","path_prefix":"/","kind":"read_your_writes","timeout_ms":800,
+     "target_latency_ms":500,"priority":2,"service":"huvo11a","max_attempts":2,"max_staleness_ms":2500},
+    {"name":"r-2","host":"lepu270","kind":"primary","timeout_ms":800.5,"target_latency_ms":300,
+     "priority":1,"service":"huvo11a"}],
+    "services":[{"name":"huvo11a","max_conns":23,"sync_replicas":1}],"limits":{"tx_idle_ms":3000}}"#;
+
+const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"msa-hall","version":"v1",
+    "slots":3,"state":"ready","cold_ms":0,"db_role":"replica","seq":4}"#;
+
+#[test]
+fn a_manifest_is_read_whole_or_not_at_all() {
+    let read = documents().read_config;
+    insta::assert_debug_snapshot!(read(MANIFEST.as_bytes()).unwrap(), @r#"
+    Config {
+        version: Version(
+            7,
+        ),
+        routes: {
+            "fiti832": Route {
+                group: GroupId(
+                    "huvo11a",
+                ),
+                kind: Session(
+                    Span(
+                        2500000,
+                    ),
+                ),
+                timeout: Span(
+                    800000,
+                ),
+                objective: Span(
+                    500000,
+                ),
+                priority: 2,
+            },
+            "lepu270": Route {
+                group: GroupId(
+                    "huvo11a",
+                ),
+                kind: Primary,
+                timeout: Span(
+                    800500,
+                ),
+                objective: Span(
+                    300000,
+                ),
+                priority: 1,
+            },
+        },
+        groups: {
+            GroupId(
+                "huvo11a",
+            ): Group {
+                connections: 23,
+                durable: true,
+            },
+        },
+        idle: Span(
+            3000000,
+        ),
+    }
+    "#);
+    let edits = [
+        ("\"primary\"", "\"secondary\""),
+        ("\"timeout_ms\":800,", "\"timeout_ms\":-1,"),
+        ("\"service\":\"huvo11a\"}]", "\"service\":\"gone\"}]"),
+        ("\"name\":\"huvo11a\"", "\"name\":\"hu vo\""),
+        ("\"version\":7,", ""),
+        ("{\"version\"", "[\"version\""),
+    ];
+    let mut seen = String::new();
+    for (from, to) in edits {
+        assert!(MANIFEST.contains(from), "{from}");
+        let refused = read(MANIFEST.replace(from, to).as_bytes()).unwrap_err();
+        writeln!(seen, "{to}: {refused}").unwrap();
+    }
+    insta::assert_snapshot!(seen, @r#"
+    "secondary": unknown variant `secondary`, expected one of `primary`, `bounded_staleness`, `read_your_writes` at line 4 column 53
+    "timeout_ms":-1,: -1 ms is not a span of time
+    "service":"gone"}]: route lepu270 names no service of the manifest
+    "name":"hu vo": `hu vo` is not a name: use 1 to 63 letters, digits, `-`, `_` or `.`
+    : missing field `version` at line 6 column 98
+    ["version": invalid type: string "version", expected u64 at line 1 column 10
+    "#);
+}
+
+#[test]
+fn an_entry_is_read() {
+    let read = documents().read_database;
+    let entry = read("i-7f3a91c2", ENTRY.as_bytes()).unwrap();
+    insta::assert_debug_snapshot!(entry, @r#"
+    Database {
+        id: DatabaseId(
+            "i-7f3a91c2",
+        ),
+        group: GroupId(
+            "huvo11a",
+        ),
+        address: 10.128.0.9:8080,
+        domain: Domain(
+            "msa-hall",
+        ),
+        slots: 3,
+        leaving: false,
+        primary: false,
+    }
+    "#);
+    let draining = ENTRY
+        .replace("\"ready\"", "\"draining\"")
+        .replace("replica", "primary");
+    let entry = read("i-7f3a91c2", draining.as_bytes()).unwrap();
+    assert!(entry.leaving && entry.primary);
+    assert!(read("i 7", ENTRY.as_bytes()).is_err());
+    assert!(read("i-7", ENTRY.replace(":8080", "").as_bytes()).is_err());
+}
+
+quickcheck! {
+    fn any_bytes_are_read_or_refused(bytes: Vec<u8>, at: usize, byte: u8) -> bool {
+        let documents = documents();
+        let _ = (documents.read_config)(&bytes);
+        let _ = (documents.read_database)("i-7f", &bytes);
+        let mut manifest = MANIFEST.as_bytes().to_vec();
+        let place = at % manifest.len();
+        manifest[place] = byte;
+        let _ = (documents.read_config)(&manifest);
+        let mut entry = ENTRY.as_bytes().to_vec();
+        let place = at % entry.len();
+        entry[place] = byte;
+        let _ = (documents.read_database)("i-7f", &entry);
+        true
+    }
+}
--- /dev/null
+++ b/tests/adapter/script.rs
@@ -0,0 +1,121 @@
+//! A stand-in for the store and the cloud: connections whose answers are scripted.
+
+use lentilspoke::clock::Time;
+use lentilspoke::direct::adapter::{Clock, Connect, Stream};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+
+/// What happens to one call.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// It is answered so, and the connection stays open.
+    Answer(u16, &'static str),
+    /// It is answered so, and then the connection is closed.
+    Last(u16, &'static str),
+    /// The answer breaks off in its body.
+    Cut,
+    /// No byte comes back.
+    Silent,
+    /// The connection is closed once the call was read.
+    Close,
+}
+
+/// One end of a scripted world.
+#[derive(Default)]
+pub struct Script {
+    steps: RefCell<VecDeque<Step>>,
+    /// What was called: the request line, chosen headers, and the body.
+    pub seen: RefCell<Vec<String>>,
+    /// How many connections were opened.
+    pub opened: Cell<u32>,
+    /// Whether connections are refused.
+    pub down: Cell<bool>,
+}
+
+impl Script {
+    /// A world that goes through these steps.
+    pub fn new(steps: impl IntoIterator<Item = Step>) -> Rc<Self> {
+        let script = Self::default();
+        script.steps.borrow_mut().extend(steps);
+        Rc::new(script)
+    }
+
+    /// Opens connections to it.
+    pub fn connect(self: &Rc<Self>) -> Connect {
+        let script = Rc::clone(self);
+        Rc::new(move |_, _| {
+            let script = Rc::clone(&script);
+            Box::pin(async move {
+                if script.down.get() {
+                    return Err(io::ErrorKind::ConnectionRefused.into());
+                }
+                script.opened.set(script.opened.get() + 1);
+                let (near, far) = tokio::io::duplex(1 << 16);
+                actix_rt::spawn(async move { script.serve(far).await });
+                Ok(Box::new(near) as Box<dyn Stream>)
+            })
+        })
+    }
+
+    async fn serve(&self, mut stream: DuplexStream) -> Option<()> {
+        loop {
+            let call = read(&mut stream).await?;
+            self.seen.borrow_mut().push(call);
+            let step = self.steps.borrow_mut().pop_front()?;
+            let (status, body) = match step {
+                Step::Answer(status, body) | Step::Last(status, body) => (status, body),
+                Step::Cut => (200, "{\"row_version\":9"),
+                Step::Silent => return std::future::pending().await,
+                Step::Close => return None,
+            };
+            let length = body.len() + usize::from(matches!(step, Step::Cut)) * 9;
+            let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{body}");
+            stream.write_all(head.as_bytes()).await.ok()?;
+            if matches!(step, Step::Last(..) | Step::Cut) {
+                return None;
+            }
+        }
+    }
+}
+
+/// Reads one call: a head, and a body of the length that it names.
+async fn read(stream: &mut DuplexStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        bytes.push(stream.read_u8().await.ok()?);
+        if bytes.ends_with(b"\r\n\r\n") {
+            break;
+        }
+    }
+    let head = String::from_utf8(bytes).ok()?;
+    let mut kept = Vec::new();
+    let mut length = 0;
+    for line in head.trim_end().split("\r\n") {
+        let lower = line.to_lowercase();
+        if let Some(value) = lower.strip_prefix("content-length: ") {
+            length = value.parse().ok()?;
+        } else if !lower.starts_with("host: ") {
+            kept.push(line.to_owned());
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    kept.push(String::from_utf8(body).ok()?);
+    Some(kept.join("\n").trim_end().to_owned())
+}
+
+/// A clock that follows virtual time and can leap ahead, as after a pause of the VM.
+pub fn clock() -> (Clock, Rc<Cell<Duration>>) {
+    let leap = Rc::new(Cell::new(Duration::ZERO));
+    let origin = tokio::time::Instant::now();
+    let ahead = Rc::clone(&leap);
+    let clock = move || {
+        let passed = origin.elapsed() + ahead.get();
+        Time(u64::try_from(passed.as_micros()).unwrap())
+    };
+    (Rc::new(clock), leap)
+}
--- /dev/null
+++ b/tests/adapter/settings.rs
@@ -0,0 +1,37 @@
+//! The template of the settings, filled in as the platform would.
+
+use crate::platform;
+use lentilspoke::settings::Settings;
+
+const TEMPLATE: &str = include_str!("../../deploy/settings.jsonc");
+
+#[test]
+fn the_template_gives_settings_that_are_valid() {
+    assert_eq!(platform::SETTINGS, "LENTILSPOKE_CONFIG");
+    let filled = [
+        ("{{node}}", "front-msa-hall-1"),
+        ("{{zone}}", "msa-hall"),
+        ("{{listen.front}}", "10.1.0.8:8784"),
+        ("{{listen.control}}", "10.1.0.8:8782"),
+        ("{{listen.ready}}", "10.1.0.8:8785"),
+        ("{{ip}}", "10.1.0.8"),
+        ("{{internal_port_range.0}}", "7440"),
+        ("{{platform.address}}", "10.200.1.7:8783"),
+        ("{{cloud.address}}", "10.200.0.160:8783"),
+        (
+            "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
+            "\"10.1.0.8:8782\",\"10.2.0.6:8782\"",
+        ),
+        ("{{zones|json}}", "{\"msa-hall\":\"mombasa\"}"),
+        ("{{bounds.grace_s}}", "6.5"),
+        ("{{limits.max_fds}}", "4200"),
+    ];
+    let mut text = TEMPLATE.to_owned();
+    for (placeholder, value) in filled {
+        assert!(text.contains(placeholder), "{placeholder}");
+        text = text.replace(placeholder, value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    let settings: Settings = text.parse().unwrap();
+    assert_eq!(settings.direct.unwrap().grace.to_string(), "6s 500ms");
+}
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -166,7 +166,7 @@
         ),
     ];
     insta::assert_snapshot!(refused::<Settings>(SETTINGS, &edits), @r#"
-    2:10: unknown field `name`, expected one of `vm`, `domain`, `callers`, `peers`, `admin`, `platform`, `log`, `token_key`, `limits`: correct or remove it
+    2:10: unknown field `name`, expected one of `vm`, `domain`, `callers`, `peers`, `admin`, `platform`, `log`, `token_key`, `limits`, `direct`: correct or remove it
     2:21: `mombasa 1` is not a name: use 1 to 63 letters, digits, `-`, `_` or `.`
     5:28: peers: `callers` listens on 10.0.0.4:5432 too: give each its own port
     5:27: peers: other proxies connect from this address, too: write the VM's own IP
@@ -176,3 +176,28 @@
     8:31: limits.connections: 0 would turn everyone away: leave it out for the default
     "#);
 }
+
+#[test]
+fn settings_of_direct_access_are_checked() {
+    let direct = "\"direct\": {\"ready\": \"10.0.0.4:8785\", \"orders\": \"10.0.9.3:1\",
+        \"seeds\": [\"10.0.0.4:7000\"], \"regions\": {\"mombasa-1\": \"coast\"},
+        \"grace\": \"6s\", \"descriptors\": 4200}";
+    let settings = SETTINGS.replace("\"token_key\": \"0123456789abcdef\"", direct);
+    assert!(settings.parse::<Settings>().unwrap().direct.is_some());
+    let edits = [
+        ("10.0.0.4:8785", "10.0.0.4:7000"),
+        ("\"6s\"", "\"2s\""),
+        ("\"6s\"", "6"),
+        ("\"descriptors\": 4200", "\"descriptors\": -1"),
+        ("mombasa-1\": \"coast", "mombasa 1\": \"coast"),
+        ("\"orders\"", "\"order\""),
+    ];
+    insta::assert_snapshot!(refused::<Settings>(&settings, &edits), @r#"
+    8:39: direct.ready: `peers` listens on 10.0.0.4:7000 too: give each its own port
+    10:21: direct.grace: a planned stop takes 3s at least: write more
+    10:18: invalid type: integer `6`, expected a span of time in quotes with its unit, such as "250ms" or "5s"
+    10:40: invalid value: integer `-1`, expected a whole number
+    9:59: `mombasa 1` is not a name: use 1 to 63 letters, digits, `-`, `_` or `.`
+    8:48: unknown field `order`, expected one of `ready`, `orders`, `seeds`, `regions`, `grace`, `descriptors`: correct or remove it
+    "#);
+}
