--- /dev/null
+++ b/src/standin/direct/caller.rs
@@ -0,0 +1,407 @@
+//! Callers, which write down all that they say and are told.
+
+use crate::direct::config::Kind;
+use crate::direct::statement::{Answer, State};
+use crate::standin::direct::link::Stream;
+use crate::standin::direct::said::{Record, Said};
+use crate::standin::direct::wire;
+use crate::standin::direct::world::World;
+use crate::types::VmId;
+use bytes::BytesMut;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a caller waits for a session to start.
+const START: Duration = Duration::from_secs(2);
+
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// How many items there are.
+const ITEMS: u64 = 8;
+
+/// The names under which callers prepare statements, which collide.
+const NAMES: [&str; 2] = ["p1", "p2"];
+
+/// One open session.
+#[derive(Debug)]
+pub struct Session {
+    stream: Stream,
+    input: BytesMut,
+    record: Record,
+    number: u64,
+    vm: VmId,
+    route: Box<str>,
+    kind: Kind,
+    values: BTreeMap<Box<str>, Box<str>>,
+    prepared: BTreeMap<Box<str>, (bool, Box<str>)>,
+    operation: Option<Operation>,
+}
+
+/// What a statement is part of.
+#[derive(Debug, Clone, Copy)]
+struct Operation {
+    number: u64,
+    since: Instant,
+}
+
+/// The session is of no more use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closed;
+
+impl Session {
+    /// Opens a session of a caller in a failure domain at a VM.
+    pub async fn open(
+        world: &Rc<World>,
+        record: &Record,
+        domain: usize,
+        vm: &VmId,
+        route: &str,
+    ) -> Result<Self, Closed> {
+        let kind = world.kind_of(route).ok_or(Closed)?;
+        let stream = world.call_on(domain, vm).await.ok_or(Closed)?;
+        let number = world.journal.borrow_mut().number();
+        let mut session = Self {
+            stream,
+            input: BytesMut::new(),
+            record: record.clone(),
+            number,
+            vm: vm.clone(),
+            route: route.into(),
+            kind,
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            operation: None,
+        };
+        let mut output = BytesMut::new();
+        wire::write_caller_start(&mut output, route, &format!("u{number}"));
+        session.write(&output).await?;
+        let answer = timeout(START, session.answer(true)).await;
+        let answer = answer.map_err(|_| Closed)??;
+        match answer.end {
+            crate::direct::statement::End::Done(_) => Ok(session),
+            crate::direct::statement::End::Error { .. } => Err(Closed),
+        }
+    }
+
+    async fn write(&mut self, output: &[u8]) -> Result<(), Closed> {
+        self.stream.write_all(output).await.map_err(|_| Closed)
+    }
+
+    async fn answer(&mut self, starting: bool) -> Result<Answer, Closed> {
+        loop {
+            match wire::read_answer(&mut self.input, starting) {
+                Ok(Some(answer)) => return Ok(answer),
+                Ok(None) => {}
+                Err(_) => return Err(Closed),
+            }
+            let read = self.stream.read_buf(&mut self.input).await;
+            if read.map_err(|_| Closed)? == 0 {
+                return Err(Closed);
+            }
+        }
+    }
+
+    /// Says one statement and waits for its answer, outside a transaction or in the one that
+    /// [`Session::begin`] opened.
+    pub async fn say(&mut self, text: &str) -> Result<Answer, Closed> {
+        let index = self.note(text);
+        let id = self.record.borrow()[index].id.clone();
+        let mut output = BytesMut::new();
+        wire::write_caller_query(&mut output, &id, text);
+        self.write(&output).await?;
+        let answer = timeout(PATIENCE, self.answer(false)).await;
+        let mut record = self.record.borrow_mut();
+        let said = &mut record[index];
+        match answer {
+            Ok(Ok(answer)) => {
+                said.told = Some((Instant::now(), answer.clone()));
+                drop(record);
+                self.learn(text, &answer);
+                Ok(answer)
+            }
+            _ => {
+                said.broke = Some(Instant::now());
+                Err(Closed)
+            }
+        }
+    }
+
+    fn note(&self, text: &str) -> usize {
+        let mut record = self.record.borrow_mut();
+        let index = record.len();
+        let now = Instant::now();
+        let operation = self.operation;
+        let shape = text.strip_prefix("exec ").and_then(|rest| {
+            let name = rest.split(' ').next()?;
+            self.prepared.get(name).map(|(_, shape)| shape.clone())
+        });
+        record.push(Said {
+            id: format!("q{index}").into(),
+            text: text.into(),
+            session: self.number,
+            operation: operation.map_or(index as u64, |operation| operation.number),
+            transaction: operation.is_some(),
+            vm: self.vm.clone(),
+            route: self.route.clone(),
+            kind: self.kind,
+            values: self.values.clone(),
+            shape,
+            since: operation.map_or(now, |operation| operation.since),
+            sent: now,
+            told: None,
+            broke: None,
+        });
+        index
+    }
+
+    fn learn(&mut self, text: &str, answer: &Answer) {
+        use crate::direct::statement::{End, Statement};
+        if matches!(answer.end, End::Error { .. }) {
+            return;
+        }
+        match wire::statement(text) {
+            Statement::Set { name, value } => {
+                self.values.insert(name, value);
+            }
+            Statement::Prepare {
+                name,
+                writes,
+                shape,
+            } => {
+                self.prepared.insert(name, (writes, shape));
+            }
+            Statement::Deallocate { name } => {
+                self.prepared.remove(&name);
+            }
+            _ => {}
+        }
+    }
+
+    /// Opens a transaction.
+    pub async fn begin(&mut self, read: bool) -> Result<Answer, Closed> {
+        let number = self.record.borrow().len() as u64;
+        self.operation = Some(Operation {
+            number,
+            since: Instant::now(),
+        });
+        let text = if read { "begin read" } else { "begin" };
+        let answer = self.say(text).await;
+        if !matches!(&answer, Ok(answer) if answer.state == State::Open) {
+            self.operation = None;
+        }
+        answer
+    }
+
+    /// Ends a transaction.
+    pub async fn end(&mut self, commit: bool) -> Result<Answer, Closed> {
+        let answer = self.say(if commit { "commit" } else { "rollback" }).await;
+        self.operation = None;
+        answer
+    }
+
+    /// Ends the session as it should be.
+    pub async fn bye(mut self) {
+        let mut output = BytesMut::new();
+        wire::write_caller_bye(&mut output);
+        let _ = self.write(&output).await;
+    }
+}
+
+/// A caller that opens sessions and runs operations, as its random numbers tell.
+#[derive(Debug)]
+pub struct Caller {
+    /// The world.
+    pub world: Rc<World>,
+    /// Where it writes down.
+    pub record: Record,
+    /// Its failure domain.
+    pub domain: usize,
+    /// The route that it names.
+    pub route: Box<str>,
+    /// Its random numbers.
+    pub random: ChaCha8Rng,
+    /// How long it pauses at most.
+    pub pause: Duration,
+}
+
+impl Caller {
+    /// A caller of its own random numbers.
+    pub fn new(
+        world: &Rc<World>,
+        record: &Record,
+        domain: usize,
+        route: &str,
+        seed: u64,
+        pause: Duration,
+    ) -> Self {
+        Self {
+            world: world.clone(),
+            record: record.clone(),
+            domain,
+            route: route.into(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            pause,
+        }
+    }
+
+    /// Calls until a moment.
+    pub async fn run(mut self, until: Instant) {
+        while Instant::now() < until {
+            self.pause().await;
+            let Some(vm) = self.choose() else { continue };
+            let opened =
+                Session::open(&self.world, &self.record, self.domain, &vm, &self.route).await;
+            let Ok(session) = opened else { continue };
+            let operations = 1 + self.below(8);
+            let _ = self.session(session, operations, until).await;
+        }
+    }
+
+    async fn session(
+        &mut self,
+        mut session: Session,
+        operations: u64,
+        until: Instant,
+    ) -> Result<(), Closed> {
+        for _ in 0..operations {
+            self.operation(&mut session).await?;
+            if Instant::now() >= until {
+                break;
+            }
+            self.pause().await;
+        }
+        session.bye().await;
+        Ok(())
+    }
+
+    /// One operation; an error of it ends the session in some cases.
+    async fn operation(&mut self, session: &mut Session) -> Result<(), Closed> {
+        let writes = !matches!(session.kind, Kind::Bounded(_));
+        let answer = match self.below(12) {
+            0..=2 if writes => {
+                let text = self.write(session);
+                session.say(&text).await?
+            }
+            3 | 4 => return self.transaction(session, writes).await,
+            5 => {
+                let text = format!("set s{} {}", self.below(2), self.below(9));
+                return stays(session.say(&text).await?);
+            }
+            6 => {
+                let name = NAMES[self.below(2) as usize];
+                let kind = if writes && self.below(2) == 0 {
+                    "write"
+                } else {
+                    "read"
+                };
+                let text = format!("prepare {name} {kind} shape{}", self.below(3));
+                return stays(session.say(&text).await?);
+            }
+            7 => match session.prepared.keys().next().cloned() {
+                Some(name) if self.below(3) == 0 => {
+                    return stays(session.say(&format!("forget {name}")).await?);
+                }
+                _ => return Ok(()),
+            },
+            _ => {
+                let text = self.read(session);
+                session.say(&text).await?
+            }
+        };
+        match answer.state {
+            State::Idle => Ok(()),
+            _ => Err(Closed),
+        }
+    }
+
+    async fn transaction(&mut self, session: &mut Session, writes: bool) -> Result<(), Closed> {
+        let read = !writes || self.below(3) == 0;
+        if session.begin(read).await?.state != State::Open {
+            return Ok(());
+        }
+        for _ in 0..self.below(4) {
+            self.pause().await;
+            let text = match !read && self.below(2) == 0 {
+                true => self.write(session),
+                false => self.read(session),
+            };
+            let answer = session.say(&text).await?;
+            if answer.state != State::Open {
+                break;
+            }
+        }
+        self.pause().await;
+        if self.below(12) == 0 {
+            // Some leave in the midst.
+            return Err(Closed);
+        }
+        let commit = self.below(4) > 0;
+        let answer = session.end(commit).await?;
+        match answer.state {
+            State::Idle => Ok(()),
+            _ => Err(Closed),
+        }
+    }
+
+    fn write(&mut self, session: &Session) -> String {
+        let (item, data) = (self.below(ITEMS), self.random.next_u64() % 100_000);
+        match self.prepared(session, true) {
+            Some(name) => format!("exec {name} i{item} v{data}"),
+            None => format!("write i{item} v{data}"),
+        }
+    }
+
+    fn read(&mut self, session: &Session) -> String {
+        let item = self.below(ITEMS);
+        match self.prepared(session, false) {
+            Some(name) => format!("exec {name} i{item}"),
+            None => format!("read i{item}"),
+        }
+    }
+
+    fn prepared(&mut self, session: &Session, writes: bool) -> Option<Box<str>> {
+        let mut known = session.prepared.iter();
+        let (name, _) = known.find(|(_, (known, _))| *known == writes)?;
+        let name = name.clone();
+        (self.below(2) == 0).then_some(name)
+    }
+
+    /// A VM of its failure domain that is ready, else any; now and then one that is not.
+    fn choose(&mut self) -> Option<VmId> {
+        let world = self.world.clone();
+        let running = world.running();
+        let is_near = |vm: &&VmId| world.domain_of_vm(vm) == Some(self.domain);
+        let ready: Vec<_> = running.iter().filter(|vm| world.is_ready(vm)).collect();
+        let near: Vec<_> = ready.iter().copied().filter(|vm| is_near(vm)).collect();
+        let from = match (near.is_empty(), ready.is_empty()) {
+            (false, _) => near,
+            (true, false) => ready,
+            (true, true) => running.iter().collect(),
+        };
+        let index = self.below(from.len().max(1) as u64) as usize;
+        from.get(index).map(|vm| (*vm).clone())
+    }
+
+    async fn pause(&mut self) {
+        let span = self.below(self.pause.as_micros() as u64);
+        sleep(Duration::from_micros(span)).await;
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.random.next_u64() % bound.max(1)
+    }
+}
+
+/// A caller leaves after an error in answer to a value or a prepared statement.
+fn stays(answer: Answer) -> Result<(), Closed> {
+    match answer.end {
+        crate::direct::statement::End::Done(_) => Ok(()),
+        crate::direct::statement::End::Error { .. } => Err(Closed),
+    }
+}
--- /dev/null
+++ b/src/standin/direct/check.rs
@@ -0,0 +1,349 @@
+//! Compares what callers were told with what really happened.
+
+use crate::direct::config::Kind;
+use crate::direct::statement::Statement;
+use crate::standin::direct::journal::{Book, Run};
+use crate::standin::direct::said::Said;
+use crate::standin::direct::wire::{self, OWN};
+use crate::standin::direct::world::World;
+use crate::types::{GroupId, VmId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often callers were told what.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Done.
+    pub done: u64,
+    /// Not done, and nothing is kept.
+    pub promised: u64,
+    /// Another error.
+    pub failed: u64,
+    /// Nothing.
+    pub untold: u64,
+}
+
+/// What the comparison gave.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Each rule that was broken.
+    pub broken: Vec<Box<str>>,
+    /// How often callers were told what.
+    pub told: Count,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Count {
+            done,
+            promised,
+            failed,
+            untold,
+        } = self.told;
+        write!(
+            f,
+            "{done} done, {promised} not run, {failed} failed, {untold} untold"
+        )?;
+        for broken in &self.broken {
+            write!(f, "\n  {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+struct Check<'a> {
+    started: Instant,
+    said: &'a [Said],
+    book: &'a Book,
+    by_id: BTreeMap<&'a str, &'a Said>,
+    by_signature: BTreeMap<&'a str, &'a Run>,
+    routes: BTreeSet<(Box<str>, GroupId)>,
+    report: Report,
+}
+
+/// Compares.
+pub fn check(world: &World, started: Instant, said: &[Said]) -> Report {
+    let book = world.journal.borrow();
+    let configs = world.configs.borrow();
+    let routes = configs.iter().flat_map(|(_, config)| &config.routes);
+    let routes = routes.map(|(name, route)| (name.clone(), route.group.clone()));
+    let mut check = Check {
+        started,
+        said,
+        book: &book,
+        by_id: said.iter().map(|said| (&*said.id, said)).collect(),
+        by_signature: book.runs.iter().map(|run| (&*run.signature, run)).collect(),
+        routes: routes.collect(),
+        report: Report::default(),
+    };
+    check.count();
+    check.answers();
+    check.runs();
+    check.transactions();
+    check.writes();
+    check.reads();
+    check.orders();
+    check.report
+}
+
+impl Check<'_> {
+    fn breaks(&mut self, rule: &str, said: &Said, run: Option<&Run>) {
+        let at = |moment: Instant| (moment - self.started).as_millis();
+        let told = said
+            .told
+            .as_ref()
+            .map(|(moment, answer)| (at(*moment), &answer.end));
+        let ran = run.map(|run| {
+            let (connection, saw) = (run.connection, run.saw.len());
+            (&run.database, connection, run.transaction, saw, run.commit)
+        });
+        let text = format!(
+            "{rule}: {} `{}` of session {} at {} on {} sent at {}, told {told:?}, ran {ran:?}",
+            said.id,
+            said.text,
+            said.session,
+            said.vm,
+            said.route,
+            at(said.sent),
+        );
+        self.report.broken.push(text.into());
+    }
+
+    fn count(&mut self) {
+        let told = &mut self.report.told;
+        for said in self.said {
+            match (said.is_done(), said.is_promised(), said.told.is_some()) {
+                (true, _, _) => told.done += 1,
+                (_, true, _) => told.promised += 1,
+                (_, _, true) => told.failed += 1,
+                _ => told.untold += 1,
+            }
+        }
+    }
+
+    /// Each success is the whole answer of the database to this statement.
+    fn answers(&mut self) {
+        for said in self.said {
+            let Some((_, answer)) = &said.told else {
+                continue;
+            };
+            if !said.is_done() || !is_forwarded(said) {
+                continue;
+            }
+            let signature = said.signature().unwrap_or_default();
+            let run = self.by_signature.get(signature).copied();
+            match run {
+                None => self.breaks("done without a database", said, None),
+                Some(run) if run.id != said.id => {
+                    self.breaks("another caller's answer", said, Some(run));
+                }
+                Some(run) if run.rows != answer.rows => {
+                    self.breaks("not the whole answer", said, Some(run));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Each statement that ran was asked for as it ran, where it was allowed to.
+    fn runs(&mut self) {
+        for run in &self.book.runs {
+            if &*run.id == OWN {
+                self.report
+                    .broken
+                    .push(format!("ran our own: {run:?}").into());
+                continue;
+            }
+            let Some(said) = self.by_id.get(&*run.id).copied() else {
+                self.report
+                    .broken
+                    .push(format!("nobody asked: {run:?}").into());
+                continue;
+            };
+            if !same_text(said, run) {
+                self.breaks("another text or shape", said, Some(run));
+            }
+            if said.values != run.values {
+                self.breaks("other session values", said, Some(run));
+            }
+            if said.transaction != run.transaction.is_some() {
+                self.breaks("inside or outside a transaction", said, Some(run));
+            }
+            if !self
+                .routes
+                .contains(&(said.route.clone(), run.group.clone()))
+            {
+                self.breaks("a group that no route names", said, Some(run));
+            }
+        }
+    }
+
+    /// A transaction of a caller is one transaction on one connection, and nobody else's.
+    fn transactions(&mut self) {
+        let mut operations: BTreeMap<u64, (u64, Option<u64>)> = BTreeMap::new();
+        let mut owners: BTreeMap<u64, u64> = BTreeMap::new();
+        for run in &self.book.runs {
+            let Some(said) = self.by_id.get(&*run.id).copied() else {
+                continue;
+            };
+            let Some(transaction) = run.transaction else {
+                continue;
+            };
+            let place = (run.connection, run.transaction);
+            if *operations.entry(said.operation).or_insert(place) != place {
+                self.breaks("a transaction on two connections", said, Some(run));
+            }
+            if *owners.entry(transaction).or_insert(said.operation) != said.operation {
+                self.breaks("inside another caller's transaction", said, Some(run));
+            }
+        }
+    }
+
+    fn writes(&mut self) {
+        let mut commits: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (number, commit) in self.book.commits.iter().enumerate() {
+            for write in &commit.writes {
+                commits.entry(&write.id).or_default().push(number);
+            }
+        }
+        let promised: BTreeSet<u64> = self
+            .said
+            .iter()
+            .filter(|said| said.is_promised())
+            .map(|said| said.operation)
+            .collect();
+        for said in self.said {
+            let kept = commits.get(&*said.id).map_or(&[][..], Vec::as_slice);
+            if kept.len() > 1 {
+                self.breaks("a write took effect twice", said, None);
+            }
+            if !kept.is_empty() && promised.contains(&said.operation) {
+                self.breaks("told not run, and run", said, None);
+            }
+            self.acknowledged(said);
+        }
+    }
+
+    /// An acknowledged write was committed, by a primary that was none the less replaced.
+    fn acknowledged(&mut self, said: &Said) {
+        let Some(run) = said.signature().and_then(|s| self.by_signature.get(s)) else {
+            return;
+        };
+        let run = *run;
+        let Some(number) = run.commit else {
+            if is_write(said) && !said.transaction {
+                self.breaks("acknowledged, and not committed", said, Some(run));
+            }
+            return;
+        };
+        if self.book.commits[number as usize].replaced {
+            self.breaks("acknowledged by a replaced primary", said, Some(run));
+        }
+    }
+
+    /// A read that was answered saw what it had to.
+    fn reads(&mut self) {
+        let acknowledged = self.commits_acknowledged();
+        for said in self.said {
+            let Some(run) = said.signature().and_then(|s| self.by_signature.get(s)) else {
+                continue;
+            };
+            if !is_read(said) {
+                continue;
+            }
+            let saw: BTreeSet<u64> = run.saw.iter().copied().collect();
+            let missed = acknowledged.iter().find(|seen| {
+                let commit = &self.book.commits[seen.commit as usize];
+                let kept = commit.lost.is_none() && commit.group == run.group;
+                kept && seen.binds(said) && !saw.contains(&seen.commit)
+            });
+            if let Some(missed) = missed {
+                let age = (said.since - missed.at).as_millis();
+                let rule = format!("stale, commit {} was {age} ms old", missed.commit);
+                self.breaks(&rule, said, Some(run));
+            }
+        }
+    }
+
+    fn commits_acknowledged(&self) -> Vec<Acknowledged> {
+        let told = self.said.iter().filter_map(|said| {
+            let run = self.by_signature.get(said.signature()?)?;
+            Some(Acknowledged {
+                commit: run.commit?,
+                session: said.session,
+                at: said.acknowledged()?,
+            })
+        });
+        told.collect()
+    }
+
+    /// Fencing tokens only rise, and each is one VM's.
+    fn orders(&mut self) {
+        let mut last: Option<(u64, VmId)> = None;
+        for order in &self.book.orders {
+            let wrong = match &last {
+                Some((token, holder)) if *token == order.token => *holder != order.holder,
+                Some((token, _)) => *token > order.token,
+                None => false,
+            };
+            if wrong {
+                let at = (order.at - self.started).as_millis();
+                let text = format!("orders: {order:?} at {at} after {last:?}");
+                self.report.broken.push(text.into());
+            }
+            last = Some((order.token, order.holder.clone()));
+        }
+    }
+}
+
+/// A commit that a caller knows of.
+struct Acknowledged {
+    commit: u64,
+    session: u64,
+    at: Instant,
+}
+
+impl Acknowledged {
+    /// Whether a read has to see it.
+    fn binds(&self, said: &Said) -> bool {
+        let own = self.session == said.session;
+        let age = match said.kind {
+            Kind::Primary => Duration::ZERO,
+            Kind::Session(_) if own => Duration::ZERO,
+            Kind::Bounded(span) | Kind::Session(span) => span.into(),
+        };
+        self.at + age < said.since
+    }
+}
+
+fn is_write(said: &Said) -> bool {
+    said.text.starts_with("write ") || (said.text.starts_with("exec ") && words(said) == 4)
+}
+
+fn is_read(said: &Said) -> bool {
+    said.text.starts_with("read ") || (said.text.starts_with("exec ") && words(said) == 3)
+}
+
+fn words(said: &Said) -> usize {
+    said.text.split(' ').count()
+}
+
+/// Whether only a database can answer it.
+fn is_forwarded(said: &Said) -> bool {
+    matches!(
+        wire::statement(&said.text),
+        Statement::Read | Statement::Write | Statement::Execute { .. } | Statement::Commit
+    )
+}
+
+fn same_text(said: &Said, run: &Run) -> bool {
+    if said.shape != run.shape {
+        return false;
+    }
+    match (wire::statement(&said.text), wire::statement(&run.text)) {
+        (Statement::Execute { rest, .. }, Statement::Execute { rest: ran, .. }) => rest == ran,
+        _ => said.text == run.text,
+    }
+}
--- a/src/standin/direct/mod.rs
+++ b/src/standin/direct/mod.rs
@@ -6,6 +6,8 @@
 //! as long as its work. A VM is a `LocalSet` of its own within ([`host`]), which can be frozen
 //! and killed at any moment. What is under way outside a VM goes on meanwhile.
 
+pub mod caller;
+pub mod check;
 pub mod database;
 pub mod group;
 pub mod host;
@@ -13,6 +15,8 @@
 pub mod link;
 pub mod network;
 pub mod orders;
+pub mod program;
+pub mod said;
 pub mod session;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/src/standin/direct/program.rs
@@ -0,0 +1,69 @@
+//! What runs on each VM: the front and the control path, as the real process puts them together.
+
+use crate::clock::Span;
+use crate::direct::adapter::Later;
+use crate::direct::control::{Control, Setup};
+use crate::direct::front::{Front, Place};
+use crate::direct::view::Shared;
+use crate::standin::direct::world::{Machine, Program};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How often the balancer asks whether the VM is ready.
+const BALANCER: Duration = Duration::from_secs(1);
+
+/// What is left of the grace when the process ends.
+const LEFT_OVER: Span = Span::from_millis(500);
+
+/// The program.
+pub fn program() -> Program {
+    Rc::new(|machine| Box::pin(run(machine)) as Later<()>)
+}
+
+async fn run(machine: Machine) {
+    let shared = Rc::new(Shared::default());
+    let control = Control::start(Setup {
+        adapter: machine.adapter.clone(),
+        shared: shared.clone(),
+        call: machine.call.0,
+        vm: machine.vm,
+        life: machine.life,
+        domain: machine.domain.clone(),
+        address: machine.address,
+        seeds: machine.seeds,
+    });
+    let place = Place {
+        domain: machine.domain,
+        regions: machine.regions,
+    };
+    let front = Front::new(machine.adapter, shared.clone(), place);
+    let (asked, mut questions) = (control.clone(), machine.questions);
+    actix_rt::spawn(async move {
+        while let Some((question, reply)) = questions.recv().await {
+            let answer = asked.answer(question);
+            actix_rt::spawn(async move { drop(reply.send(answer.await)) });
+        }
+    });
+    let (served, mut streams) = (front.clone(), machine.streams);
+    actix_rt::spawn(async move {
+        while let Some(stream) = streams.recv().await {
+            actix_rt::spawn(served.clone().serve_stream(Box::new(stream)));
+        }
+    });
+    let (asked, ready) = (control.clone(), machine.ready.clone());
+    actix_rt::spawn(async move {
+        loop {
+            ready.set(asked.is_ready());
+            sleep(BALANCER).await;
+        }
+    });
+    let Ok(grace) = machine.stop.await else {
+        return;
+    };
+    shared.change(|view| view.stopping = true);
+    let grace = Span(grace.0.saturating_sub(LEFT_OVER.0));
+    let all = async { tokio::join!(control.stop(), front.stop(grace)) };
+    // Whatever is still open then would be cut by the kill that follows.
+    let _ = timeout(grace.into(), all).await;
+}
--- /dev/null
+++ b/src/standin/direct/said.rs
@@ -0,0 +1,79 @@
+//! What callers said and were told.
+
+use crate::direct::config::Kind;
+use crate::direct::statement::{Answer, Code, End};
+use crate::types::VmId;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// One statement of a caller.
+#[derive(Debug, Clone)]
+pub struct Said {
+    /// Its id.
+    pub id: Box<str>,
+    /// Its text.
+    pub text: Box<str>,
+    /// The caller's session.
+    pub session: u64,
+    /// The operation: one statement or one transaction.
+    pub operation: u64,
+    /// Whether that is a transaction.
+    pub transaction: bool,
+    /// The VM that the session is at.
+    pub vm: VmId,
+    /// The route.
+    pub route: Box<str>,
+    /// How fresh its reads have to be.
+    pub kind: Kind,
+    /// The values that were acknowledged when it was sent.
+    pub values: BTreeMap<Box<str>, Box<str>>,
+    /// The shape of the prepared statement that it runs.
+    pub shape: Option<Box<str>>,
+    /// When its first byte was sent, or its transaction's.
+    pub since: Instant,
+    /// When it was sent.
+    pub sent: Instant,
+    /// What it was told, and when.
+    pub told: Option<(Instant, Answer)>,
+    /// When its connection ended without an answer.
+    pub broke: Option<Instant>,
+}
+
+/// All that was said.
+pub type Record = Rc<RefCell<Vec<Said>>>;
+
+impl Said {
+    /// The signature, if it was told to be done.
+    pub fn signature(&self) -> Option<&str> {
+        match &self.told.as_ref()?.1.end {
+            End::Done(signature) => signature.as_deref(),
+            End::Error { .. } => None,
+        }
+    }
+
+    /// Whether it was told to be done.
+    pub fn is_done(&self) -> bool {
+        matches!(&self.told, Some((_, answer)) if matches!(answer.end, End::Done(_)))
+    }
+
+    /// The error that it was told.
+    pub fn code(&self) -> Option<Code> {
+        match self.told.as_ref()?.1.end {
+            End::Error { code, .. } => Some(code),
+            End::Done(_) => None,
+        }
+    }
+
+    /// Whether it was promised that nothing of it is kept.
+    pub fn is_promised(&self) -> bool {
+        self.code().is_some_and(Code::is_not_run)
+    }
+
+    /// When it was acknowledged.
+    pub fn acknowledged(&self) -> Option<Instant> {
+        let (at, _) = self.told.as_ref()?;
+        self.is_done().then_some(*at)
+    }
+}
--- a/src/standin/direct/session.rs
+++ b/src/standin/direct/session.rs
@@ -245,11 +245,11 @@
     }
 
     fn stands(&self) -> Bytes {
-        let role = match self.database.state.borrow().primary {
-            true => "primary",
-            false => "replica",
-        };
-        format!("{role} {}", self.database.received()).into()
+        let state = self.database.state.borrow();
+        let role = if state.primary { "primary" } else { "replica" };
+        let term = state.term;
+        drop(state);
+        format!("{role} {term} {}", self.database.received()).into()
     }
 
     fn begin(&mut self, work: &Work<'_>, read: bool) -> Outcome {
--- a/src/standin/direct/wire.rs
+++ b/src/standin/direct/wire.rs
@@ -309,9 +309,11 @@
 
 fn read_standing(answer: &Answer) -> Option<Standing> {
     let row = std::str::from_utf8(answer.rows.first()?).ok()?;
-    let (role, received) = row.split_once(' ')?;
+    let (role, rest) = row.split_once(' ')?;
+    let (term, received) = rest.split_once(' ')?;
     Some(Standing {
         primary: role == "primary",
+        term: term.parse().ok()?,
         received: received.parse().ok()?,
     })
 }
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -258,6 +258,20 @@
         self.configs.borrow_mut().push((Instant::now(), config));
     }
 
+    /// How fresh a route's reads have to be.
+    pub fn kind_of(&self, route: &str) -> Option<Kind> {
+        let configs = self.configs.borrow();
+        let mut newest = configs.iter().rev();
+        newest.find_map(|(_, config)| Some(config.routes.get(route)?.kind))
+    }
+
+    /// The failure domain of a VM by its name.
+    pub fn domain_of_vm(&self, vm: &VmId) -> Option<usize> {
+        let mut numbers = 0..self.setup.vms;
+        let number = numbers.find(|number| Self::vm(*number).as_ref() == Ok(vm));
+        number.map(Self::domain_of)
+    }
+
     /// The name of a VM by its number.
     pub fn vm(number: usize) -> Result<VmId, Invalid> {
         format!("vm{}", number + 1).parse()
@@ -497,17 +511,20 @@
             return;
         }
         let (reply, replied) = oneshot::channel();
-        {
+        let taken = {
             let vms = self.vms.borrow();
-            let Some(running) = vms.get(&other) else {
-                return;
-            };
-            if running.questions.send((question, reply)).is_err() {
-                return;
-            }
-        }
-        let Ok(told) = replied.await else {
-            return;
+            let sent = vms
+                .get(&other)
+                .map(|running| running.questions.send((question, reply)));
+            sent.is_some_and(|sent| sent.is_ok())
+        };
+        // Nothing comes of a question whose VM ended meanwhile.
+        let told = match taken {
+            false => Answer::Absent,
+            true => match replied.await {
+                Ok(told) => told,
+                Err(_) => return,
+            },
         };
         if self.network.travel(&to, &from, &sender).await {
             let _ = answer.send(told);
