--- a/src/cmd/schedules.rs
+++ b/src/cmd/schedules.rs
@@ -9,9 +9,10 @@
 what callers were told against what is left. A failing seed is printed with its
 script, which can be kept as a scenario.
 
-Usage: lentilspoke schedules [--seeds FIRST..LAST] [--script]
+Usage: lentilspoke schedules [--direct] [--seeds FIRST..LAST] [--script]
 
 Options:
+    --direct               play whole worlds of direct access
     --seeds FIRST..LAST    the seeds to play, both included; 1..100 by default
     --script               print the script of each seed
     -h, --help             print this text
@@ -22,6 +23,7 @@
 struct Args {
     seeds: std::ops::RangeInclusive<u64>,
     script: bool,
+    direct: bool,
 }
 
 impl Args {
@@ -29,6 +31,7 @@
         let mut options = getopts::Options::new();
         options.optopt("", "seeds", "", "FIRST..LAST");
         options.optflag("", "script", "");
+        options.optflag("", "direct", "");
         let matches = parse(&mut options, USAGE, words)?;
         let text: Option<String> = value(&matches, "seeds")?;
         let text = text.unwrap_or_else(|| DEFAULT_SEEDS.into());
@@ -43,6 +46,7 @@
         Ok(Self {
             seeds: first..=last,
             script: matches.opt_present("script"),
+            direct: matches.opt_present("direct"),
         })
     }
 }
@@ -50,6 +54,9 @@
 /// Runs the subcommand.
 pub fn run(words: &[String]) -> Result<(), Error> {
     let args = Args::parse(words)?;
+    if args.direct {
+        return direct(args);
+    }
     let begun = Instant::now();
     let (mut played, mut failed, mut told) = (0, 0, schedule::Told::default());
     for seed in args.seeds {
@@ -82,3 +89,30 @@
         _ => Err(Error::failed(format!("{failed} seeds broke a property"))),
     }
 }
+
+/// Plays worlds of direct access.
+fn direct(args: Args) -> Result<(), Error> {
+    let begun = Instant::now();
+    let (mut played, mut failed, mut done) = (0, 0, 0);
+    for seed in args.seeds {
+        let report = schedule::direct::play(seed).map_err(Error::failed)?;
+        played += 1;
+        done += report.told.done;
+        let fails = !report.broken.is_empty();
+        failed += u64::from(fails);
+        if fails || args.script {
+            println!("{report}");
+            for line in &report.script {
+                println!("    {line}");
+            }
+        }
+    }
+    println!(
+        "{played} seeds, {failed} failed; statements: {done} done; {:.1} s",
+        begun.elapsed().as_secs_f64()
+    );
+    match failed {
+        0 => Ok(()),
+        _ => Err(Error::failed(format!("{failed} seeds broke a property"))),
+    }
+}
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -5,6 +5,7 @@
 //! a failing seed can be read, shortened and kept as a scenario.
 
 mod check;
+pub mod direct;
 mod draw;
 
 use crate::standin::fake::script::{Player, Unclear};
--- /dev/null
+++ b/src/standin/direct/fault.rs
@@ -0,0 +1,142 @@
+//! Troubles of a world, as values that can be drawn, printed and ended.
+
+use crate::clock::Span;
+use crate::standin::direct::database::Database;
+use crate::standin::direct::group::Group;
+use crate::standin::direct::network::Node;
+use crate::standin::direct::orders;
+use crate::standin::direct::store::{self, Losing};
+use crate::standin::direct::world::World;
+use crate::types::{DatabaseId, VmId};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A trouble.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// A database crashes; at the end it comes back.
+    Crash(DatabaseId),
+    /// A machine is cut from all others.
+    Dark(Node),
+    /// Two machines are cut from each other.
+    Cut(Node, Node),
+    /// A database is about to end, and is replaced after the span.
+    Leave(DatabaseId, Span),
+    /// A database receives nothing.
+    Deaf(DatabaseId),
+    /// A database applies this much later.
+    Lag(DatabaseId, Span),
+    /// A database takes this much longer for a statement.
+    Slow(DatabaseId, Span),
+    /// So many answers of a database are lost after their effect.
+    LoseAnswers(DatabaseId, u32),
+    /// So many statements of a database fail after they ran.
+    Fail(DatabaseId, u32),
+    /// A VM is killed; at the end it is started.
+    Kill(VmId),
+    /// A VM is asked to stop; at the end it is started.
+    Stop(VmId, Span),
+    /// A VM is frozen.
+    Freeze(VmId),
+    /// A VM's clock goes on by this much that its timers don't count.
+    Jump(VmId, Span),
+    /// The store does not serve some VMs, or none.
+    Store(store::Health, Option<BTreeSet<VmId>>),
+    /// The store is slow.
+    StoreSlow(Span),
+    /// The store loses the answers of writes.
+    StoreLosing(Losing),
+    /// The store forgets its history.
+    Forget,
+    /// Orders are not taken as they should be.
+    Orders(orders::Health),
+    /// All open connections of VMs break.
+    Reset,
+    /// All open connections of VMs go silent for good; new ones work.
+    Silence,
+}
+
+impl Fault {
+    /// Begins it.
+    pub fn begin(&self, world: &Rc<World>) {
+        match self {
+            Self::Crash(id) => with(world, id, Group::crash),
+            Self::Dark(node) => world.network.darken(node, true),
+            Self::Cut(a, b) => world.network.cut(a, b),
+            Self::Leave(id, drain) => with(world, id, |group, database| {
+                if database.life().is_some() {
+                    group.leave(database, *drain);
+                }
+            }),
+            Self::Kill(vm) => world.kill_vm(vm),
+            Self::Stop(vm, grace) => world.stop_vm(vm, *grace),
+            Self::Freeze(vm) => world.freeze_vm(vm, true),
+            Self::Jump(vm, span) => world.jump_clock(vm, *span),
+            Self::Store(health, only) => world.store.set_health(*health, only.clone()),
+            Self::StoreSlow(span) => world.store.set_slow(*span),
+            Self::StoreLosing(losing) => world.store.set_losing(*losing),
+            Self::Forget => world.store.forget(),
+            Self::Orders(health) => world.orders.set_health(*health),
+            Self::Reset => world.network.reset(|a, _| matches!(a, Node::Vm(_))),
+            Self::Silence => world.network.silence(|a, _| matches!(a, Node::Vm(_))),
+            _ => self.trouble(world, true),
+        }
+    }
+
+    /// Ends it.
+    pub fn end(&self, world: &Rc<World>) {
+        match self {
+            Self::Crash(id) => with(world, id, |group, database| {
+                if database.life().is_none() {
+                    group.restart(database);
+                }
+            }),
+            Self::Dark(node) => world.network.darken(node, false),
+            Self::Cut(a, b) => world.network.mend(a, b),
+            Self::Kill(vm) | Self::Stop(vm, _) => start(world, vm),
+            Self::Freeze(vm) => world.freeze_vm(vm, false),
+            Self::Store(..) => world.store.set_health(store::Health::Well, None),
+            Self::StoreSlow(_) => world.store.set_slow(Span::ZERO),
+            Self::StoreLosing(_) => world.store.set_losing(Losing::None),
+            Self::Orders(_) => world.orders.set_health(orders::Health::Well),
+            Self::Leave(..) | Self::Jump(..) | Self::Forget | Self::Reset | Self::Silence => {}
+            _ => self.trouble(world, false),
+        }
+    }
+
+    fn trouble(&self, world: &Rc<World>, begins: bool) {
+        let span = |span: &Span| match begins {
+            true => Duration::from(*span),
+            false => Duration::ZERO,
+        };
+        let count = |count: &u32| if begins { *count } else { 0 };
+        match self {
+            Self::Deaf(id) => with(world, id, |_, database| {
+                database.trouble.deaf.set(begins);
+                database.changed.notify_waiters();
+            }),
+            Self::Lag(id, lag) => with(world, id, |_, d| d.trouble.lag.set(span(lag))),
+            Self::Slow(id, slow) => with(world, id, |_, d| d.trouble.slow.set(span(slow))),
+            Self::LoseAnswers(id, n) => with(world, id, |_, d| d.trouble.losing.set(count(n))),
+            Self::Fail(id, n) => with(world, id, |_, d| d.trouble.failing.set(count(n))),
+            _ => {}
+        }
+    }
+}
+
+fn with(world: &World, id: &DatabaseId, what: impl FnOnce(&Rc<Group>, &Rc<Database>)) {
+    if let Some((group, database)) = world.database(id) {
+        what(&group, &database);
+    }
+}
+
+fn start(world: &Rc<World>, vm: &VmId) {
+    world.kill_vm(vm);
+    for number in 0..world.setup.vms {
+        if World::vm(number).as_ref() == Ok(vm) {
+            // A VM's name that was valid once stays so.
+            let _ = world.start_vm(number);
+        }
+    }
+}
--- a/src/standin/direct/mod.rs
+++ b/src/standin/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod check;
 pub mod database;
+pub mod fault;
 pub mod group;
 pub mod host;
 pub mod journal;
