--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -84,16 +84,21 @@
         Some((lease, self.target(database)))
     }
 
-    /// Waits until the lease on a group's primary is another than that of `epoch`, or none was
-    /// held and one is; tells whether that came within `span`.
+    /// Waits until the primary that may be used is not that of `epoch` any more (none, if there
+    /// was none); tells whether that came within `span`.
+    ///
+    /// A lease on a database that is not registered is no use: taken for news, it would let
+    /// whoever waits ask again at once and for ever.
     pub async fn wait_for_news(&self, group: &GroupId, epoch: Option<Epoch>, span: Span) -> bool {
         let news = async {
             loop {
                 let changed = self.shared.changed();
-                let lease = self.shared.look().book.lease(group, self.now());
-                if lease.map(|lease| lease.epoch) != epoch {
+                let view = self.shared.look();
+                let usable = view.primary(group, self.now());
+                if usable.map(|(lease, _)| lease.epoch) != epoch {
                     return;
                 }
+                drop(view);
                 changed.await;
             }
         };
