--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -21,6 +21,7 @@
 pub mod job;
 pub mod lead;
 pub mod mesh;
+pub mod meter;
 pub mod outcome;
 pub mod pool;
 pub mod run;
