--- /dev/null
+++ b/src/net/direct/admin.rs
@@ -0,0 +1,108 @@
+//! What the balancer and operators ask of a VM.
+
+use super::Vm;
+use crate::direct::config::Database;
+use crate::direct::lead::Lead;
+use crate::net::http::{Call, Reply};
+use crate::process;
+use crate::types::{GroupId, Version};
+use ::http::StatusCode;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use std::future::{Ready, ready as at_once};
+use std::rc::Rc;
+
+/// Answers the balancer's question, whatever its path: whether callers may come.
+pub fn ready(vm: Rc<Vm>) -> impl Fn(Call) -> Ready<Reply> {
+    move |_| {
+        let reply = if vm.is_ready() {
+            Reply::new(StatusCode::OK, "ready\n")
+        } else {
+            Reply::new(StatusCode::SERVICE_UNAVAILABLE, "not ready, or stopping\n")
+        };
+        at_once(reply)
+    }
+}
+
+/// Answers operators and the scraper of metrics.
+pub fn operators(vm: Rc<Vm>) -> impl Fn(Call) -> Ready<Reply> {
+    move |call| {
+        let reply = match &*call.path {
+            "/metrics" => Reply::new(StatusCode::OK, vm.metrics()),
+            "/dump" => vm.dump(),
+            _ => Reply::new(StatusCode::NOT_FOUND, "ask for /metrics or /dump\n"),
+        };
+        at_once(reply)
+    }
+}
+
+/// What a VM knows and has under way.
+#[derive(Debug, Serialize)]
+struct State {
+    ready: bool,
+    stopping: bool,
+    callers: u32,
+    version: Option<Version>,
+    databases: Vec<Database>,
+    leads: Vec<(GroupId, Lead)>,
+}
+
+impl Vm {
+    fn is_ready(&self) -> bool {
+        self.control.is_ready() && !self.shared.look().stopping
+    }
+
+    fn dump(&self) -> Reply {
+        let view = self.shared.look();
+        let known = |group: &GroupId| {
+            let (lead, _) = view.book.known(group)?;
+            Some((group.clone(), lead.clone()))
+        };
+        let state = State {
+            ready: self.control.is_ready(),
+            stopping: view.stopping,
+            callers: self.callers.get(),
+            version: view.config.as_ref().map(|config| config.version),
+            databases: view.databases.values().cloned().collect(),
+            leads: view.book.groups().filter_map(known).collect(),
+        };
+        match serde_json::to_string_pretty(&state) {
+            Ok(text) => Reply::new(StatusCode::OK, text),
+            Err(error) => Reply::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+
+    fn metrics(&self) -> String {
+        let version = self.shared.look().config.as_ref().map(|c| c.version.0);
+        let gauges = [
+            (
+                "ready",
+                "Whether callers may come",
+                u64::from(self.is_ready()),
+            ),
+            ("callers", "Callers connected", self.callers.get().into()),
+            (
+                "config_version",
+                "The version in force",
+                version.unwrap_or_default(),
+            ),
+            (
+                "resident_bytes",
+                "Resident memory",
+                process::resident().unwrap_or_default(),
+            ),
+        ];
+        let mut registry = Registry::with_prefix("lentilspoke");
+        for (name, help, value) in gauges {
+            let gauge: Gauge = Gauge::default();
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            registry.register(name, help, gauge);
+        }
+        let mut text = String::new();
+        // Writing to a String does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
