--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -93,18 +93,22 @@
         let news = async {
             loop {
                 let changed = self.shared.changed();
-                let view = self.shared.look();
-                let usable = view.primary(group, self.now());
-                if usable.map(|(lease, _)| lease.epoch) != epoch {
+                if self.usable_epoch(group) != epoch {
                     return;
                 }
-                drop(view);
                 changed.await;
             }
         };
         tokio::time::timeout(span.into(), news).await.is_ok()
     }
 
+    /// The epoch of the primary that may be used now.
+    fn usable_epoch(&self, group: &GroupId) -> Option<Epoch> {
+        let view = self.shared.look();
+        let (lease, _) = view.primary(group, self.now())?;
+        Some(lease.epoch)
+    }
+
     /// The least position that holds all commits acknowledged before `since`.
     pub fn position_at(&self, group: &GroupId, since: Time) -> Option<Position> {
         let epoch = self.shared.look().book.known(group)?.0.epoch;
