--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -6,7 +6,7 @@
 use crate::direct::control::state::{Beaten, Held, State};
 use crate::direct::control::{Control, errands};
 use crate::direct::mesh::{Answer, Question};
-use crate::direct::table::{Change, Row, RowId, Version};
+use crate::direct::table::{Change, Fault, Row, RowId, Version};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::collections::BTreeMap;
@@ -17,6 +17,9 @@
 /// How long a VM that is offered the duty may take to answer: two calls of the store.
 const OFFER: Span = Span::from_millis(700);
 
+/// A renewal without an answer that took this long is asked again without a pause.
+const WAITED: Span = Span::from_millis(200);
+
 /// How often it is looked whether an order that is under way has ended.
 const ORDER_ENDS: Duration = Duration::from_millis(20);
 
@@ -229,6 +232,8 @@
                         return Renewed::Lost;
                     }
                 },
+                // Its condition holds as long as nothing was done: it may be asked again at once.
+                Err(Fault::Unknown(_)) if self.now() >= asked + WAITED => {}
                 Err(_) => backoff.wait().await,
             }
         }
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -11,39 +11,60 @@
 /// **Pattern answered.** The store loses one answer in three for some seconds, or is sixty times
 /// as slow as usual: a write takes 16 ms as a rule, 720 ms then. **Without it** each lost answer
 /// adds 1.5 s to the gap in service while a primary is replaced; or no write of a slow store is
-/// ever waited for long enough. **Thresholds.** Some times what the last answer took, from
-/// [`LEAST`] to [`MOST`], and twice as long after each answer that was not there in time. A write
-/// that is asked again is under the condition of the same version, so only one of both is done.
+/// ever waited for long enough. **Thresholds.** Some times what the last answers took, from
+/// [`LEAST`] to [`MOST`], and twice as long once [`MISSES`] answers in a row were lost, which a
+/// store that loses one in three seldom does. A write that is asked again is under the condition
+/// of the same version, so only one of both is done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience(Span);
+pub struct Patience {
+    span: Span,
+    missed: u32,
+}
 
 const LEAST: Span = Span::from_millis(300);
 const MOST: Span = Span::from_millis(1_500);
+const MISSES: u32 = 4;
+
+/// A write takes this many times as long as a reading.
+const WRITE_TO_READ: u64 = 3;
 
 impl Default for Patience {
     fn default() -> Self {
-        Self(LEAST)
+        Self {
+            span: LEAST,
+            missed: 0,
+        }
     }
 }
 
 impl Patience {
     /// How long to wait now.
     pub fn span(self) -> Span {
-        self.0
+        self.span
     }
 
-    /// An answer took this long.
-    pub fn answered(&mut self, took: Span) {
-        self.0 = Span(took.0.saturating_mul(4)).clamp(LEAST, MOST);
+    /// A write's answer took this long.
+    pub fn written(&mut self, took: Span) {
+        self.missed = 0;
+        self.span = Span(took.0.saturating_mul(4)).clamp(LEAST, MOST);
     }
 
-    /// An answer was not there in time.
+    /// A reading took this long.
+    pub fn read(&mut self, took: Span) {
+        let write = Span(took.0.saturating_mul(WRITE_TO_READ * 2));
+        self.span = self.span.max(write.min(MOST));
+    }
+
+    /// A write's answer was not there in time.
     pub fn missed(&mut self) {
-        self.0 = self.0.percent(200).min(MOST);
+        self.missed += 1;
+        if self.missed >= MISSES {
+            self.span = self.span.percent(200).min(MOST);
+        }
     }
 }
 
-/// The same for a table, which a slow store reads in 240 ms: a steward that is turned away
+/// How long a table is waited for, which a slow store reads in 240 ms: a steward that is turned away
 /// without an answer notices by this, and offers the duty to others.
 const READ_PATIENCE: Span = Span::from_millis(800);
 
@@ -133,7 +154,11 @@
     pub(super) async fn reading(&self) -> Result<Reading, Fault> {
         let asked = (self.adapter.clock)();
         let (rows, _) = self.read(TABLE).await?;
-        Ok(Reading::new(&rows, asked, (self.adapter.clock)()))
+        let answered = (self.adapter.clock)();
+        let mut patience = self.patience.get();
+        patience.read(answered.since(asked));
+        self.patience.set(patience);
+        Ok(Reading::new(&rows, asked, answered))
     }
 
     /// Waits for a change of a table after a version; none means that the history is gone.
@@ -163,8 +188,14 @@
         let asked = (self.adapter.clock)();
         let told = self.call(Ask::Write(change), patience.span()).await;
         match &told {
-            Ok(_) => patience.answered((self.adapter.clock)().since(asked)),
-            Err(_) => patience.missed(),
+            Ok(_) => patience.written((self.adapter.clock)().since(asked)),
+            Err(fault) => {
+                log::info!(
+                    reason:% = fault, patience_ms = patience.span().0 / 1_000;
+                    "a change of the store's rows brought no answer"
+                );
+                patience.missed();
+            }
         }
         self.patience.set(patience);
         match told? {
--- /dev/null
+++ b/tests/direct_control.rs
@@ -0,0 +1,499 @@
+//! The control path's decisions, by the time that they are told.
+
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::core::detect::Damper;
+use lentilspoke::direct::config::Database;
+use lentilspoke::direct::control::evidence::{Attempt, Tried, Verdict, Witness, count, judge};
+use lentilspoke::direct::control::promotion::{Choice, Permit, Pick, Word};
+use lentilspoke::direct::control::register::Register;
+use lentilspoke::direct::control::rows::{Member, MemberId, Reading};
+use lentilspoke::direct::control::steward::{Cause, Errand, Scene, Told, survey};
+use lentilspoke::direct::control::store::Patience;
+use lentilspoke::direct::control::takeover::{Hearing, Watch};
+use lentilspoke::direct::lead::{Book, Lead};
+use lentilspoke::direct::statement::Standing;
+use lentilspoke::direct::view::Report;
+use lentilspoke::types::{DatabaseId, GroupId, Life, Offset, Position, Term};
+use std::collections::BTreeMap;
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+fn ms(millis: u64) -> Span {
+    Span::from_millis(millis)
+}
+
+fn id(text: &str) -> DatabaseId {
+    text.parse().unwrap()
+}
+
+fn database(name: &str) -> Database {
+    Database {
+        id: id(name),
+        group: "g".parse().unwrap(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        domain: "d".parse().unwrap(),
+        slots: 3,
+        leaving: false,
+        primary: name == "a",
+    }
+}
+
+fn databases(names: &[&str]) -> BTreeMap<DatabaseId, Database> {
+    names
+        .iter()
+        .map(|name| (id(name), database(name)))
+        .collect()
+}
+
+/// An outage of the store lets every entry expire. Databases that are there must stay known, and
+/// one that ended has to go: what is missing counts only once the store has answered for 2.5 s.
+#[test]
+fn missing_entry_counts_only_after_the_store_has_answered_for_a_while() {
+    let mut register = Register::default();
+    register.read(databases(&["a", "b"]), at(0), Some(at(0)));
+    let during = register.read(databases(&["a"]), at(10_000), Some(at(9_000)));
+    assert!(during.gone.is_empty());
+    let after = register.read(databases(&["a"]), at(11_500), Some(at(9_000)));
+    assert_eq!(after.gone, [id("b")]);
+}
+
+/// A VM tells an older reading than the one that is known: a database that is gone stays gone.
+#[test]
+fn older_register_is_not_gone_back_to() {
+    let mut register = Register::default();
+    register.read(databases(&["a"]), at(5_000), Some(at(0)));
+    let told = register.told(databases(&["a", "b"]), at(4_000));
+    assert!(!told.any && register.databases().len() == 1);
+}
+
+fn witness(heard: u64, answered: Option<u64>, failing: Option<u64>) -> Witness {
+    Witness {
+        heard: at(heard),
+        report: Report {
+            answered: answered.map(ms),
+            failing: failing.map(ms),
+        },
+    }
+}
+
+fn tried(began: u64, attempt: Attempt) -> Option<Tried> {
+    Some(Tried {
+        began: at(began),
+        ended: at(began + 20),
+        attempt,
+    })
+}
+
+/// What is believed at 10 s of a primary, by what the VMs saw and the steward's own attempt.
+#[test]
+fn verdicts_on_a_primary() {
+    let fine = witness(9_900, Some(50), None);
+    let failing = |for_ms| witness(9_900, Some(for_ms + 100), Some(for_ms));
+    let untried = witness(9_900, None, None);
+    let old = witness(8_000, Some(100), Some(50));
+    let cases: [(&str, Vec<Witness>, Option<Tried>, Verdict); 11] = [
+        ("nobody fails", vec![fine, fine], None, Verdict::Fine),
+        (
+            "one says so",
+            vec![fine, failing(10)],
+            None,
+            Verdict::Suspected,
+        ),
+        (
+            "nothing listens",
+            vec![untried, failing(10)],
+            tried(9_950, Attempt::Refused),
+            Verdict::Lost,
+        ),
+        (
+            "refused before it failed",
+            vec![failing(10)],
+            tried(9_000, Attempt::Refused),
+            Verdict::Suspected,
+        ),
+        (
+            "dark, as all say",
+            vec![failing(450), untried],
+            tried(9_600, Attempt::Silent),
+            Verdict::Lost,
+        ),
+        (
+            "dark for too short",
+            vec![failing(100)],
+            tried(9_950, Attempt::Silent),
+            Verdict::Suspected,
+        ),
+        (
+            "silent to some only",
+            vec![failing(450), fine],
+            tried(9_600, Attempt::Silent),
+            Verdict::Suspected,
+        ),
+        (
+            "slow, and it answers",
+            vec![failing(2_000)],
+            tried(9_600, Attempt::Answered),
+            Verdict::Suspected,
+        ),
+        (
+            "split",
+            vec![failing(1_300), failing(1_300), fine, fine],
+            None,
+            Verdict::Split,
+        ),
+        (
+            "one of two is no split",
+            vec![failing(1_300), fine],
+            None,
+            Verdict::Suspected,
+        ),
+        (
+            "who was not heard has no vote",
+            vec![old, fine],
+            None,
+            Verdict::Fine,
+        ),
+    ];
+    for (name, witnesses, tried, expected) in cases {
+        let votes = count(witnesses, at(10_000));
+        assert_eq!(
+            judge(&votes, tried, at(10_000)),
+            expected,
+            "{name}: {votes:?}"
+        );
+    }
+}
+
+/// A steward that is merely silent may still have an order under way: 1.5 s and a margin have to
+/// pass since its row was first seen with the version that it still has. One that ended has not.
+#[test]
+fn silent_steward_is_waited_out_and_an_ended_one_is_not() {
+    let mut watch = Watch::default();
+    assert_eq!(watch.takes_at(None, 0, at(0)), None);
+    watch.note(7, at(1_000));
+    let mut hearing = Hearing::new(at(500));
+    assert_eq!(
+        watch.takes_at(Some(&hearing), 0, at(5_000)),
+        None,
+        "no call was missed"
+    );
+    hearing.missed = 2;
+    assert_eq!(
+        watch.takes_at(Some(&hearing), 0, at(1_500)),
+        Some(at(2_800))
+    );
+    assert_eq!(
+        watch.takes_at(Some(&hearing), 2, at(1_500)),
+        Some(at(3_100))
+    );
+    watch.note(8, at(2_000));
+    assert_eq!(
+        watch.takes_at(Some(&hearing), 0, at(2_500)),
+        Some(at(3_800))
+    );
+    hearing.end(at(2_100));
+    assert_eq!(
+        watch.takes_at(Some(&hearing), 0, at(2_500)),
+        Some(at(2_100))
+    );
+}
+
+/// A VM that was frozen was told nothing for seconds. It asks before it blames the steward.
+#[test]
+fn frozen_vm_asks_before_it_blames_the_steward() {
+    let mut hearing = Hearing::new(at(0));
+    assert!(!hearing.is_silent(at(60_000)));
+    hearing.missed = 1;
+    assert!(!hearing.is_silent(at(60_000)));
+    hearing.answered(at(60_000));
+    hearing.missed = 2;
+    assert!(!hearing.is_silent(at(60_900)) && hearing.is_silent(at(61_000)));
+}
+
+/// An order arrives within 1.5 s of when the renewal before it was asked, or is not sent.
+#[test]
+fn order_needs_a_fresh_renewal() {
+    let permit = Permit::new(at(1_000));
+    assert_eq!(permit.deadline(at(1_020)), Some(at(2_400)));
+    assert_eq!(permit.deadline(at(2_200)), None);
+}
+
+fn stands(offset: u64, primary: bool) -> Word {
+    Word::Stands(Standing {
+        primary,
+        term: Term(1),
+        received: Position::new(Term(1), Offset(offset)),
+    })
+}
+
+fn choice(target: Option<u64>) -> Choice {
+    let target = target.map(|offset| Position::new(Term(1), Offset(offset)));
+    let near = Some("near".parse().unwrap());
+    let named = [
+        ("a", "far", true),
+        ("b", "far", false),
+        ("c", "near", false),
+    ];
+    let named = named.map(|(name, domain, old)| (id(name), domain.parse().unwrap(), old));
+    Choice::new(at(0), near, target, named)
+}
+
+fn taken(pick: Pick) -> Option<DatabaseId> {
+    match pick {
+        Pick::Take(id, _) => Some(id),
+        Pick::Wait(_) | Pick::Nobody => None,
+    }
+}
+
+/// A replica that received nothing answers at once, the one that has the log is slow: the choice
+/// waits for it, but not for ever, and not for one that refuses.
+#[test]
+fn furthest_replica_is_chosen() {
+    let mut slow = choice(None);
+    slow.say(&id("a"), Word::Absent);
+    slow.say(&id("c"), stands(3, false));
+    assert_eq!(slow.pick(at(100)), Pick::Wait(at(900)));
+    assert_eq!(taken(slow.pick(at(900))), Some(id("c")));
+    slow.say(&id("b"), stands(9, false));
+    assert_eq!(taken(slow.pick(at(200))), Some(id("b")));
+    let mut refused = choice(None);
+    refused.say(&id("a"), Word::Absent);
+    refused.say(&id("b"), Word::Absent);
+    assert_eq!(refused.pick(at(100)), Pick::Wait(at(1_000)));
+    refused.say(&id("c"), stands(3, false));
+    assert_eq!(taken(refused.pick(at(100))), Some(id("c")));
+    refused.say(&id("c"), Word::Absent);
+    assert_eq!(refused.pick(at(100)), Pick::Nobody);
+}
+
+/// Equal replicas: the nearer. The old primary is waited for shortly, and if it is there again it
+/// has all that was acknowledged.
+#[test]
+fn nearer_replica_or_the_old_primary() {
+    let mut choice = choice(None);
+    choice.say(&id("b"), stands(3, false));
+    choice.say(&id("c"), stands(3, false));
+    assert_eq!(choice.pick(at(100)), Pick::Wait(at(150)));
+    assert_eq!(taken(choice.pick(at(150))), Some(id("c")));
+    choice.say(&id("a"), stands(5, true));
+    assert_eq!(taken(choice.pick(at(100))), Some(id("a")));
+}
+
+/// A planned change waits until the replica has what the old primary has.
+#[test]
+fn planned_change_waits_for_the_replica() {
+    let mut choice = choice(Some(9));
+    choice.say(&id("a"), Word::Absent);
+    choice.say(&id("b"), stands(8, false));
+    choice.say(&id("c"), Word::Absent);
+    assert_eq!(choice.pick(at(100)), Pick::Wait(at(1_500)));
+    choice.say(&id("b"), stands(9, false));
+    assert_eq!(taken(choice.pick(at(100))), Some(id("b")));
+}
+
+/// The store loses one answer in three: a write is asked again soon. It is slow: a write is waited
+/// for as long as it takes.
+#[test]
+fn patience_with_the_store() {
+    let mut patience = Patience::default();
+    patience.written(ms(16));
+    patience.missed();
+    patience.missed();
+    assert_eq!(patience.span(), ms(300));
+    patience.read(ms(240));
+    assert_eq!(patience.span(), ms(1_440));
+    patience.written(ms(16));
+    for _ in 0..6 {
+        patience.missed();
+    }
+    assert_eq!(patience.span(), ms(1_500));
+}
+
+fn lead(epoch: u64, changing: bool) -> Lead {
+    Lead {
+        epoch,
+        primary: id("a"),
+        changing,
+    }
+}
+
+/// A VM is told to give an epoch up before any reading has shown it; the reading that was under
+/// way arrives afterwards. It must not act on what it shows.
+#[test]
+fn epoch_given_up_before_it_was_known_stays_given_up() {
+    let group: GroupId = "g".parse().unwrap();
+    let mut book = Book::default();
+    book.drop_epoch(&group, 3);
+    book.learn(&group, lead(3, false), at(0));
+    assert_eq!(book.lease(&group, at(1)), None);
+    book.learn(&group, lead(4, false), at(0));
+    assert!(book.holds(&group, 4, at(1)));
+}
+
+/// A planned replacement: nothing new starts once it is known, what is under way may still be
+/// acknowledged, and a reading that shows the change does not lengthen the lease.
+#[test]
+fn work_under_way_ends_during_a_planned_change() {
+    let group: GroupId = "g".parse().unwrap();
+    let mut book = Book::default();
+    book.learn(&group, lead(3, false), at(0));
+    book.learn(&group, lead(3, true), at(5_000));
+    assert_eq!(book.lease(&group, at(5_001)), None);
+    assert!(book.holds(&group, 3, at(5_001)) && !book.holds(&group, 3, at(8_000)));
+    book.drop_epoch(&group, 3);
+    assert!(!book.holds(&group, 3, at(5_001)));
+}
+
+/// The steward's view of one group of three, at 20 s.
+struct Fixture {
+    reading: Reading,
+    databases: BTreeMap<DatabaseId, Database>,
+    reports: BTreeMap<DatabaseId, Report>,
+    tried: BTreeMap<DatabaseId, Tried>,
+    evicted: BTreeMap<MemberId, (u64, Time)>,
+    epochs: BTreeMap<GroupId, (u64, Time)>,
+    dampers: BTreeMap<GroupId, Damper>,
+    heard: Time,
+}
+
+fn member(number: u32) -> MemberId {
+    let ip = format!("10.0.0.{number}").parse().unwrap();
+    MemberId::new(&format!("vm{number}").parse().unwrap(), ip)
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let mut reading = Reading::new(&[], at(19_990), at(20_000));
+        reading
+            .leads
+            .insert("g".parse().unwrap(), (lead(1, false), 5));
+        for number in 1..=2 {
+            let row = Member {
+                life: Life(u64::from(number)),
+                address: format!("10.0.0.{number}:1").parse().unwrap(),
+                domain: "d".parse().unwrap(),
+                evicted: false,
+            };
+            reading.members.insert(member(number), (row, 1));
+        }
+        Self {
+            reading,
+            databases: databases(&["a", "b", "c"]),
+            reports: BTreeMap::new(),
+            tried: BTreeMap::new(),
+            evicted: BTreeMap::new(),
+            epochs: BTreeMap::from([("g".parse().unwrap(), (1, at(0)))]),
+            dampers: BTreeMap::new(),
+            heard: at(19_900),
+        }
+    }
+
+    fn survey(&self) -> Vec<Errand> {
+        let told = |number: u32, at| {
+            let told = Told {
+                life: Life(u64::from(number)),
+                at,
+                reports: &self.reports,
+            };
+            (member(number), told)
+        };
+        let told = BTreeMap::from([told(1, at(20_000)), told(2, self.heard)]);
+        let scene = Scene {
+            now: at(20_000),
+            since: at(0),
+            own: &member(1),
+            reading: &self.reading,
+            databases: &self.databases,
+            up: Some(at(0)),
+            told: &told,
+            tried: &self.tried,
+            evicted: &self.evicted,
+            epochs: &self.epochs,
+            dampers: &self.dampers,
+        };
+        survey(&scene).0
+    }
+}
+
+fn change(cause: Cause) -> Vec<Errand> {
+    vec![Errand::Change("g".parse().unwrap(), cause)]
+}
+
+/// What the steward begins, by what changed against a quiet group.
+#[test]
+fn errands_of_the_steward() {
+    let group: GroupId = "g".parse().unwrap();
+    assert_eq!(Fixture::new().survey(), []);
+
+    let mut gone = Fixture::new();
+    gone.databases.remove(&id("a"));
+    assert_eq!(gone.survey(), change(Cause::Gone));
+
+    let mut leaving = Fixture::new();
+    leaving.databases.get_mut(&id("a")).unwrap().leaving = true;
+    assert_eq!(leaving.survey(), change(Cause::Leaving));
+    leaving.databases.remove(&id("b"));
+    leaving.databases.get_mut(&id("c")).unwrap().leaving = true;
+    assert_eq!(leaving.survey(), [], "nobody could lead instead");
+
+    let mut unfinished = Fixture::new();
+    unfinished
+        .reading
+        .leads
+        .insert(group.clone(), (lead(1, true), 6));
+    assert_eq!(unfinished.survey(), change(Cause::Unfinished));
+
+    let mut unled = Fixture::new();
+    unled.databases.get_mut(&id("a")).unwrap().primary = false;
+    assert_eq!(unled.survey(), change(Cause::Unled));
+    unled.epochs.insert(group.clone(), (1, at(18_000)));
+    assert_eq!(unled.survey(), [], "its report may be on its way");
+
+    let mut second = Fixture::new();
+    second.databases.get_mut(&id("b")).unwrap().primary = true;
+    assert_eq!(second.survey(), [Errand::StepDown(group.clone(), id("b"))]);
+
+    let mut failing = Fixture::new();
+    let report = Report {
+        answered: Some(ms(600)),
+        failing: Some(ms(500)),
+    };
+    failing.reports.insert(id("a"), report);
+    assert_eq!(failing.survey(), [Errand::Try(id("a"))]);
+    failing
+        .tried
+        .extend(tried(19_600, Attempt::Silent).map(|tried| (id("a"), tried)));
+    assert_eq!(failing.survey(), change(Cause::Lost));
+
+    let mut unknown = Fixture::new();
+    unknown.reading.leads.clear();
+    assert_eq!(unknown.survey(), [Errand::Create(group, id("a"))]);
+}
+
+/// A VM that fell silent costs the next replacement a wait, unless its row is marked and then
+/// removed: the mark a lease before, so that nothing it read before the mark still counts.
+#[test]
+fn silent_vm_is_called_marked_and_removed() {
+    let mut fixture = Fixture::new();
+    fixture.heard = at(18_700);
+    assert_eq!(fixture.survey(), [Errand::Call(member(2))]);
+    let row = fixture.reading.members.get_mut(&member(2)).unwrap();
+    row.0.evicted = true;
+    fixture.evicted.insert(member(2), (1, at(12_000)));
+    assert_eq!(fixture.survey(), []);
+    fixture.evicted.insert(member(2), (1, at(11_700)));
+    assert_eq!(fixture.survey(), [Errand::Remove(member(2), 1)]);
+}
+
+/// A reading is a lease for a VM only if it shows the row of this life, not marked.
+#[test]
+fn reading_is_a_lease_only_for_whom_it_shows() {
+    let mut reading = Fixture::new().reading;
+    assert!(reading.is_lease_for(&member(2), Life(2)));
+    assert!(!reading.is_lease_for(&member(2), Life(3)));
+    assert!(!reading.is_lease_for(&member(3), Life(3)));
+    reading.members.get_mut(&member(2)).unwrap().0.evicted = true;
+    assert!(!reading.is_lease_for(&member(2), Life(2)));
+}
