--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -25,7 +25,7 @@
 
 /// How long a connection stays idle before it is closed: long enough for callers that come every
 /// few seconds, short enough that another VM's callers find room.
-const IDLE: Span = Span::from_secs(4);
+const IDLE: Span = Span::from_millis(1_000);
 
 /// After a refusal for want of room no connection is tried for this long: a transaction's
 /// statement or two.
