Keep leases while a planned stop goes on; ask a full database no more than its pause

A stop dropped what is known of who leads as soon as no work was under way, while callers were still sent here for 2.2 s: they were refused with no primary known. Change: Control::begin_stop hands the duty over; Control::stop follows once the front is over. A seat is made only with a connection.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -76,6 +76,14 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
 impl From<Span> for Duration {
     fn from(span: Span) -> Duration {
         Duration::from_micros(span.0)
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -164,11 +164,17 @@
         view.config.is_some() && !view.stopping && view.book.groups().any(fresh)
     }
 
+    /// A planned stop begins: this VM is not ready any more, and hands the duty over. Who leads
+    /// stays known, for the work that goes on.
+    pub async fn begin_stop(self: &Rc<Self>) {
+        self.setup.shared.change(|view| view.stopping = true);
+        self.hand_over("this VM stops").await;
+    }
+
     /// Ends it: hands the duty over, waits until the last work on a primary is over, and removes
     /// this VM's row. Nothing may be acted on afterwards.
     pub async fn stop(self: &Rc<Self>) {
-        self.setup.shared.change(|view| view.stopping = true);
-        self.hand_over("this VM stops").await;
+        self.begin_stop().await;
         while self.setup.shared.look().work.is_any() {
             tokio::time::sleep(WORK_ENDS).await;
         }
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -100,15 +100,18 @@
         database: &Database,
         session: &Session,
     ) -> Result<Lent, Closed> {
-        let seat = Seat(self.clone());
+        let lend = |connection| Lent {
+            connection,
+            seat: Seat(self.clone()),
+        };
         if let Some(connection) = self.reuse(session) {
-            return Ok(Lent { connection, seat });
+            return Ok(lend(connection));
         }
         if (adapter.clock)() < self.full_until.get() {
             return Err(Closed::Refused(Code::Full));
         }
         match Connection::open(adapter, database, OPENING).await {
-            Ok(connection) => Ok(Lent { connection, seat }),
+            Ok(connection) => Ok(lend(connection)),
             Err(closed) => {
                 if let Closed::Refused(Code::Full) = closed {
                     self.full_until.set((adapter.clock)() + FULL_PAUSE);
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -25,7 +25,10 @@
 const BALANCED: Duration = Duration::from_millis(2_200);
 
 /// What is left of the grace when the process ends, so that it isn't killed.
-const LEFT_OVER: Span = Span::from_millis(500);
+const LEFT_OVER: Span = Span::from_millis(300);
+
+/// What the last steps of a stop take: a call of the store.
+const LAST_STEPS: Span = Span::from_millis(500);
 
 /// How long to wait when no caller can be accepted, for want of descriptors as a rule.
 const RETRY: Duration = Duration::from_millis(50);
@@ -157,14 +160,19 @@
     /// Failure: callers are still sent here for two of the balancer's questions after a stop began.
     /// Symptom: their connections are refused. Enough, because the door stays open for that long,
     /// and the front ends idle sessions only then.
+    ///
+    /// Who leads stays known until the last session is over, since callers go on until then.
     async fn stop(&self, door: actix_rt::task::JoinHandle<()>) {
-        self.shared.change(|view| view.stopping = true);
-        let grace = Span(self.grace.get().0.saturating_sub(LEFT_OVER.0));
+        let grace = self.grace.get() - LEFT_OVER;
         let close = async {
             tokio::time::sleep(BALANCED).await;
             door.abort();
         };
-        let all = async { tokio::join!(close, self.control.stop(), self.front.stop(grace)) };
+        let all = async {
+            let front = self.front.stop(grace - LAST_STEPS);
+            tokio::join!(close, self.control.begin_stop(), front);
+            self.control.stop().await;
+        };
         // Whatever is still open then would be cut by the kill that follows.
         let _ = tokio::time::timeout(grace.into(), all).await;
     }
