--- a/tests/adapter/wire.rs
+++ b/tests/adapter/wire.rs
@@ -100,7 +100,7 @@
         ];
         let end = match codes.get(usize::from(code)) {
             Some(code) => End::Error { code: *code, text: "why it is so".into() },
-            None => End::Done((code % 2 == 0).then(|| "7.1f3.c".into())),
+            None => End::Done(code.is_multiple_of(2).then(|| "7.1f3.c".into())),
         };
         let rows = rows.iter().map(|row| Bytes::from(format!("ROW {row}\r\n")));
         let answer = Answer {
