--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -164,11 +164,14 @@
         view.config.is_some() && !view.stopping && view.book.groups().any(fresh)
     }
 
-    /// Ends it: hands the duty over, waits until the last work on a primary is over, and removes
-    /// this VM's row. Nothing may be acted on afterwards.
-    pub async fn stop(self: &Rc<Self>) {
+    /// Ends it: hands the duty over, waits until the callers are `served` and the last work on a
+    /// primary is over, and removes this VM's row. Nothing may be acted on afterwards.
+    ///
+    /// Between two statements there is no work for a moment. Were the leases dropped then, every
+    /// caller that the balancer still sends here would wait for a primary in vain.
+    pub async fn stop(self: &Rc<Self>, served: impl Future<Output = ()>) {
         self.setup.shared.change(|view| view.stopping = true);
-        self.hand_over("this VM stops").await;
+        tokio::join!(self.hand_over("this VM stops"), served);
         while self.setup.shared.look().work.is_any() {
             tokio::time::sleep(WORK_ENDS).await;
         }
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -27,10 +27,13 @@
 /// few seconds, short enough that another VM's callers find room.
 const IDLE: Span = Span::from_secs(4);
 
-/// After a refusal for want of room no connection is tried for this long: a transaction's
+/// After a first refusal for want of room no connection is tried for this long: a transaction's
 /// statement or two.
 const FULL_PAUSE: Span = Span::from_millis(40);
 
+/// The longest such pause: a database drops connections of a VM that is gone after some seconds.
+const LONGEST_FULL_PAUSE: Span = Span::from_millis(320);
+
 /// The connections to one database.
 #[derive(Debug)]
 pub struct Pool {
@@ -38,6 +41,7 @@
     pub gate: Gate,
     idle: RefCell<Vec<Connection>>,
     full_until: Cell<Time>,
+    full_pause: Cell<Span>,
     returned: Notify,
     sweeping: Cell<bool>,
 }
@@ -88,6 +92,7 @@
             gate: Gate::new(slots),
             idle: RefCell::default(),
             full_until: Cell::default(),
+            full_pause: Cell::new(FULL_PAUSE),
             returned: Notify::new(),
             sweeping: Cell::new(false),
         })
@@ -100,24 +105,41 @@
         database: &Database,
         session: &Session,
     ) -> Result<Lent, Closed> {
-        let seat = Seat(self.clone());
         if let Some(connection) = self.reuse(session) {
-            return Ok(Lent { connection, seat });
+            return Ok(self.lend(connection));
         }
         if (adapter.clock)() < self.full_until.get() {
             return Err(Closed::Refused(Code::Full));
         }
         match Connection::open(adapter, database, OPENING).await {
-            Ok(connection) => Ok(Lent { connection, seat }),
+            Ok(connection) => {
+                self.full_pause.set(FULL_PAUSE);
+                Ok(self.lend(connection))
+            }
             Err(closed) => {
                 if let Closed::Refused(Code::Full) = closed {
-                    self.full_until.set((adapter.clock)() + FULL_PAUSE);
+                    self.pause((adapter.clock)());
                 }
                 Err(closed)
             }
         }
     }
 
+    fn lend(self: &Rc<Self>, connection: Connection) -> Lent {
+        Lent {
+            connection,
+            seat: Seat(self.clone()),
+        }
+    }
+
+    /// Opens no connection for a while, longer with each refusal in a row.
+    fn pause(&self, now: Time) {
+        let pause = self.full_pause.get();
+        self.full_until.set(now + pause);
+        let longer = pause.percent(200).min(LONGEST_FULL_PAUSE);
+        self.full_pause.set(longer);
+    }
+
     /// Waits until a connection may be had, where none was.
     pub async fn wait(&self) {
         let _ = tokio::time::timeout(FULL_PAUSE.into(), self.returned.notified()).await;
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -74,7 +74,7 @@
     pub async fn start(&self, session: &mut Session, job: &Job<'_>) -> Ran {
         self.budget.borrow_mut().deposit(self.targets.now());
         if let Some(after) = self.needed(session, job)
-            && let Some((answer, held)) = self.on_replicas(session, job, after).await
+            && let Some((answer, held)) = self.on_copies(session, job, after).await
         {
             return self.settle(session, job, answer, held);
         }
@@ -112,15 +112,15 @@
         Some(floor.map_or(position, |floor| floor.max(position)))
     }
 
-    /// Tries the replicas, the best first.
-    async fn on_replicas(
+    /// Tries copies that are new enough, the best first.
+    async fn on_copies(
         &self,
         session: &Session,
         job: &Job<'_>,
         after: Position,
     ) -> Option<(Answer, Box<Held>)> {
         let urgency = job.urgency();
-        for target in self.targets.replicas(&job.route.group, after, urgency) {
+        for target in self.targets.copies(&job.route.group, after, urgency) {
             if self.targets.now() >= job.deadline() {
                 return None;
             }
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -22,6 +22,39 @@
 /// time, which finds out whether it is back.
 const PROBE: Span = Span::from_millis(500);
 
+/// What decides which copy serves a read.
+///
+/// **Pattern answered.** Copies in other regions beside one near by, which is as good unless it is
+/// slow or full.
+/// **Without it** two reads of three cross regions, which takes a round trip more and is paid by
+/// the byte; with distance alone a slow copy keeps the reads of its whole region.
+///
+/// The router's share falls with the time that a copy takes against the fastest. A near copy goes
+/// first unless it takes over twice as long, or this VM has as much under way there as it may.
+#[derive(Debug, Clone, Copy)]
+pub struct Standing {
+    /// Whether it failed, and was tried lately.
+    pub left_out: bool,
+    /// Whether a statement would wait here for others to end.
+    pub waits: bool,
+    /// Whether it is in this VM's region.
+    pub near: bool,
+    /// Its share of a fair load, by the router.
+    pub share: f64,
+}
+
+/// A near copy below this share is a copy like others: a round trip between regions alone takes
+/// a far one to a half.
+const NEAR_SHARE: f64 = 0.45;
+
+impl Standing {
+    /// What to sort copies by, which the router has put in order.
+    pub fn rank(&self) -> (bool, bool, bool) {
+        let preferred = self.near && self.share >= NEAR_SHARE;
+        (self.left_out, self.waits, !preferred)
+    }
+}
+
 /// A database, and this VM's connections to it.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -124,22 +157,28 @@
         fresh.learn(group, epoch, asked, position);
     }
 
-    /// The replicas to try for a read that needs `after`, best first, as far as they come before
+    /// The copies to try for a read that needs `after`, best first, as far as they come before
     /// the primary.
-    pub fn replicas(&self, group: &GroupId, after: Position, urgency: Urgency) -> Vec<Target> {
+    pub fn copies(&self, group: &GroupId, after: Position, urgency: Urgency) -> Vec<Target> {
+        let now = self.now();
+        let mut copies: Vec<(Standing, Target)> = Vec::new();
         let members = self.members(group);
         let order = self.order(group, after, &members);
-        let found = order.iter().filter_map(|id| {
-            let found = members.iter().find(|database| database.id == *id)?;
-            Some(self.target(found.clone()))
-        });
-        let mut targets: Vec<Target> = found.collect();
-        let now = self.now();
-        targets.sort_by_cached_key(|target| {
-            let waits = target.pool.gate.wait(urgency) > Span::ZERO;
-            (self.is_left_out(&target.database.id, now), waits)
-        });
-        targets
+        for (id, near, share) in order {
+            let Some(database) = members.iter().find(|database| database.id == id) else {
+                continue;
+            };
+            let target = self.target(database.clone());
+            let standing = Standing {
+                left_out: self.is_left_out(&id, now),
+                waits: target.pool.gate.wait(urgency) > Span::ZERO,
+                near,
+                share,
+            };
+            copies.push((standing, target));
+        }
+        copies.sort_by_key(|(standing, _)| standing.rank());
+        copies.into_iter().map(|(_, target)| target).collect()
     }
 
     fn members(&self, group: &GroupId) -> Vec<Rc<Database>> {
@@ -148,13 +187,21 @@
         members.cloned().map(Rc::new).collect()
     }
 
-    fn order(&self, group: &GroupId, after: Position, members: &[Rc<Database>]) -> Vec<DatabaseId> {
+    /// The copies in the router's order, with what decides about distance.
+    fn order(
+        &self,
+        group: &GroupId,
+        after: Position,
+        members: &[Rc<Database>],
+    ) -> Vec<(DatabaseId, bool, f64)> {
         let view = self.shared.look();
         let lead = view.book.known(group).map(|(lead, _)| &lead.primary);
+        let is_near = |database: &Database| self.place.is_near(&database.domain);
         let candidate = |database: &Rc<Database>| Candidate {
             database: database.id.clone(),
-            primary: Some(&database.id) == lead,
-            near: self.place.is_near(&database.domain),
+            // The primary near by is a copy like others; a far one comes last.
+            primary: Some(&database.id) == lead && !is_near(database),
+            near: is_near(database),
         };
         let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
         let need = Need {
@@ -163,10 +210,13 @@
         };
         let mut routers = self.routers.borrow_mut();
         let router = routers.entry(group.clone()).or_default();
-        let mut order = router.order(self.now(), &need, &candidates);
-        let replicas = order.iter().take_while(|id| Some(*id) != lead).count();
-        order.truncate(replicas);
-        order
+        let order = router.order(self.now(), &need, &candidates);
+        let found = order.into_iter().map_while(|id| {
+            let candidate = candidates.iter().find(|one| one.database == id)?;
+            let share = router.share(&id);
+            (!candidate.primary).then_some((id, candidate.near, share))
+        });
+        found.collect()
     }
 
     /// Whether a database failed, has not answered since, and was tried lately.
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -164,7 +164,7 @@
             tokio::time::sleep(BALANCED).await;
             door.abort();
         };
-        let all = async { tokio::join!(close, self.control.stop(), self.front.stop(grace)) };
+        let all = async { tokio::join!(close, self.control.stop(self.front.stop(grace))) };
         // Whatever is still open then would be cut by the kill that follows.
         let _ = tokio::time::timeout(grace.into(), all).await;
     }
--- a/src/standin/direct/program.rs
+++ b/src/standin/direct/program.rs
@@ -63,7 +63,7 @@
     };
     shared.change(|view| view.stopping = true);
     let grace = Span(grace.0.saturating_sub(LEFT_OVER.0));
-    let all = async { tokio::join!(control.stop(), front.stop(grace)) };
+    let all = control.stop(front.stop(grace));
     // Whatever is still open then would be cut by the kill that follows.
     let _ = timeout(grace.into(), all).await;
 }
