--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -168,11 +168,8 @@
             tokio::time::sleep(BALANCED).await;
             door.abort();
         };
-        let all = async {
-            let front = self.front.stop(grace - LAST_STEPS);
-            tokio::join!(close, self.control.begin_stop(), front);
-            self.control.stop().await;
-        };
+        let served = self.front.stop(grace - LAST_STEPS);
+        let all = async { tokio::join!(close, self.control.stop(served)) };
         // Whatever is still open then would be cut by the kill that follows.
         let _ = tokio::time::timeout(grace.into(), all).await;
     }
