--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -23,9 +23,10 @@
 /// slot, several times over.
 const OPENING: Span = Span::from_millis(600);
 
-/// How long a connection stays idle before it is closed: long enough for callers that come every
-/// few seconds, short enough that another VM's callers find room.
-const IDLE: Span = Span::from_secs(4);
+/// How long a connection stays idle before it is closed. A new one costs a slot for some
+/// milliseconds; one that is kept is missing to other VMs, and where all VMs lose power at once,
+/// databases take each for open for seconds more, and refuse those that come back.
+const IDLE: Span = Span::from_secs(1);
 
 /// After a first refusal for want of room no connection is tried for this long: a transaction's
 /// statement or two.
@@ -140,6 +141,12 @@
         self.full_pause.set(longer);
     }
 
+    /// When whoever found no connection should come back: while refusals go on in a row,
+    /// not before the next connections are tried.
+    pub fn retry(&self, now: Time) -> Span {
+        self.full_until.get().since(now).max(self.gate.retry())
+    }
+
     /// Waits until a connection may be had, where none was.
     pub async fn wait(&self) {
         let _ = tokio::time::timeout(FULL_PAUSE.into(), self.returned.notified()).await;
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -186,7 +186,7 @@
                 Then::Answer(self.settle(session, job, answer, held))
             }
             Attempt::NotRun(Code::Busy | Code::Full) if now + BUSY_PAUSE >= job.queue_until() => {
-                let retry = plan.target.pool.gate.retry();
+                let retry = plan.target.pool.retry(now);
                 Then::Answer(self.busy(session, job, retry, "the primary is busy"))
             }
             Attempt::NotRun(Code::Busy) => {
