Answer a transaction that was rolled back between statements with a promise; test sessions

A stop or an idle limit rolled the transaction back, and the next statement got a refusal that promises nothing. It now says rolled back. Tests play a front on virtual time before two scripted databases: lost answers, lapsed leases, full and silent databases, a stop, shared connections.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -102,17 +102,16 @@
         Ok(lent) => lent,
         Err(closed) => return not_opened(targets, target, &closed),
     };
-    if !holds(targets, job, plan) {
+    let group = &job.route.group;
+    let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
+    if epoch.is_some_and(|epoch| !targets.may_start(group, epoch)) {
         lent.give_back(&targets.adapter);
         return Attempt::NotRun(Code::NotPrimary);
     }
-    let group = &job.route.group;
-    let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
     let under_way = epoch.map(|epoch| UnderWay::start(&targets.shared, group, epoch));
     match prepare(targets, session, job, plan, lent.connection()).await {
         Ok(None) => {}
         Ok(Some(code)) => {
-            let under_way = under_way;
             targets.refused(target, None, code == Code::Busy);
             give_back(targets, lent, under_way);
             return Attempt::NotRun(code);
--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -221,7 +221,7 @@
         };
         log::info!(group:% = transaction.route().group; "a transaction is rolled back: {reason}");
         self.front.runner.roll_back(transaction);
-        self.session.phase = Phase::Failed;
+        self.session.phase = Phase::Broken;
     }
 
     async fn answer(&mut self, query: &Query) -> Answer {
@@ -264,7 +264,7 @@
         let route = found.map(|route| Rc::new(route.clone()));
         if let Some(route) = &route {
             self.routed = Some((config, route.clone()));
-        } else if self.session.phase == Phase::Failed {
+        } else if self.session.phase != Phase::Idle {
             return self.routed.as_ref().map(|(_, route)| route.clone());
         }
         route
@@ -289,7 +289,7 @@
         let (part, since) = match &self.session.phase {
             Phase::Begun(Begun { read, at, .. }) => (Part::First { read: *read }, *at),
             Phase::Open { .. } => (Part::Next, now),
-            Phase::Idle | Phase::Failed => (Part::Single, now),
+            Phase::Idle | Phase::Broken | Phase::Failed => (Part::Single, now),
         };
         let job = Job {
             route,
--- a/src/direct/session.rs
+++ b/src/direct/session.rs
@@ -36,6 +36,8 @@
         /// Whether it may only read.
         read: bool,
     },
+    /// One was rolled back between two statements, and its caller does not know yet.
+    Broken,
     /// One failed, and waits for its end; nothing of it is kept.
     Failed,
 }
@@ -87,10 +89,15 @@
     /// Takes the next statement, which came at `now`; `route` is the one in force.
     pub fn step(&mut self, now: Time, statement: &Statement, route: &Rc<Route>) -> Step {
         match (&self.phase, statement) {
-            (Phase::Failed, Statement::Rollback) => self.end(End::Done(None)),
+            (Phase::Broken, Statement::Commit) => self.end(rolled_back()),
+            (Phase::Broken | Phase::Failed, Statement::Rollback) => self.end(End::Done(None)),
             (Phase::Failed, Statement::Commit) => {
                 self.end(error(Code::RolledBack, "the transaction had failed"))
             }
+            (Phase::Broken, _) => {
+                self.phase = Phase::Failed;
+                Step::Answer(self.answer(rolled_back()))
+            }
             (Phase::Failed, _) => {
                 let end = error(Code::Malformed, "end the failed transaction first");
                 Step::Answer(self.answer(end))
@@ -161,7 +168,7 @@
     pub fn state(&self) -> State {
         match self.phase {
             Phase::Idle => State::Idle,
-            Phase::Begun(_) | Phase::Open { .. } => State::Open,
+            Phase::Begun(_) | Phase::Open { .. } | Phase::Broken => State::Open,
             Phase::Failed => State::Failed,
         }
     }
@@ -209,7 +216,7 @@
         match &self.phase {
             Phase::Begun(begun) => begun.read,
             Phase::Open { read } => *read,
-            Phase::Idle | Phase::Failed => false,
+            Phase::Idle | Phase::Broken | Phase::Failed => false,
         }
     }
 
@@ -271,6 +278,13 @@
     }
 }
 
+fn rolled_back() -> End {
+    error(
+        Code::RolledBack,
+        "the transaction was idle for too long, or its VM stops",
+    )
+}
+
 /// An end with an error.
 pub fn error(code: Code, text: impl Into<Box<str>>) -> End {
     End::Error {
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -102,7 +102,13 @@
         (self.adapter.clock)()
     }
 
-    /// Whether the lease on a group's primary of `epoch` holds now.
+    /// Whether something new may start on a group's primary of `epoch`.
+    pub fn may_start(&self, group: &GroupId, epoch: Epoch) -> bool {
+        let lease = self.shared.look().book.lease(group, self.now());
+        lease.is_some_and(|lease| lease.epoch == epoch)
+    }
+
+    /// Whether what started on a group's primary of `epoch` may go on, or be passed on.
     pub fn holds(&self, group: &GroupId, epoch: Epoch) -> bool {
         self.shared.look().book.holds(group, epoch, self.now())
     }
--- /dev/null
+++ b/tests/direct_serve.rs
@@ -0,0 +1,356 @@
+//! What callers are told, and databases are sent, when all goes well and when it does not.
+
+mod scripted;
+
+use insta::assert_snapshot;
+use lentilspoke::clock::Span;
+use lentilspoke::standin::direct::host::play;
+use scripted::{Act, World};
+use std::rc::Rc;
+
+#[test]
+fn statements_reach_the_primary_under_their_own_text() {
+    play(async {
+        let world = World::new();
+        let mut caller = world.caller("newest").await;
+        assert_snapshot!(caller.play(&["read x", "write x 1"]).await, @r"
+        read x: done sig | state idle 1/10
+        write x 1: done sig | state idle 1/10
+        ");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 q read x
+        a1 q write x 1
+        ");
+    })
+    .unwrap();
+}
+
+#[test]
+fn aged_reads_go_to_a_replica_once_a_position_is_known() {
+    play(async {
+        let world = World::new();
+        let mut caller = world.caller("aged").await;
+        caller.play(&["read x", "read x", "read x"]).await;
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 q read x
+        b2 start
+        b2 q after 1/10 read x
+        b2 q after 1/10 read x
+        ");
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_transaction_holds_one_connection_from_its_first_statement() {
+    play(async {
+        let world = World::new();
+        let mut caller = world.caller("newest").await;
+        let told = caller
+            .play(&["begin", "read x", "write x 1", "commit"])
+            .await;
+        assert_snapshot!(told, @r"
+        begin: done - | state open -
+        read x: done sig | state open 1/10
+        write x 1: done sig | state open 1/10
+        commit: done sig | state idle 1/10
+        ");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 - begin
+        a1 q read x
+        a1 q write x 1
+        a1 q commit
+        ");
+    })
+    .unwrap();
+}
+
+/// Two callers share a connection. The second one lacks a value that the first had set, and both
+/// use one name for different statements: what the first left behind would change what the
+/// second reads.
+#[test]
+fn what_one_session_sets_and_prepares_is_not_there_for_another() {
+    play(async {
+        let world = World::new();
+        let mut one = world.caller("newest").await;
+        let texts = ["set zone east", "prepare s read q1", "exec s x", "exec s x"];
+        one.play(&texts).await;
+        let mut two = world.caller("newest").await;
+        two.play(&["prepare s write q2", "exec s x 1"]).await;
+        assert_snapshot!(two.ask("exec t x").await, @"error no-statement prepare it first | state idle -");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 - set zone east
+        a1 - prepare p0 read q1
+        a1 q exec p0 x
+        a1 q exec p0 x
+        a1 - reset
+        a1 - prepare p0 write q2
+        a1 q exec p0 x 1
+        ");
+    })
+    .unwrap();
+}
+
+/// The caller books, and the connection breaks after the database was sent the booking. Whether
+/// it was kept is not known: a promise that it was not would have it booked twice.
+#[test]
+fn a_write_whose_connection_breaks_is_in_doubt() {
+    play(async {
+        let world = World::new();
+        world.script(|_, _, text| text.starts_with("write").then_some(Act::Break));
+        let mut caller = world.caller("newest").await;
+        assert_snapshot!(caller.ask("write x 1").await, @"error unknown the answer was lost | state idle -");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 q write x 1
+        ");
+    })
+    .unwrap();
+}
+
+/// A read's connection breaks. Nothing was kept, so it is asked for again, and the caller does
+/// not notice.
+#[test]
+fn a_read_whose_connection_breaks_is_repeated() {
+    play(async {
+        let world = World::new();
+        world.script(|_, number, text| {
+            (number == 1 && text.starts_with("read")).then_some(Act::Break)
+        });
+        let mut caller = world.caller("newest").await;
+        assert_snapshot!(caller.ask("read x").await, @"done sig | state idle 1/10");
+    })
+    .unwrap();
+}
+
+/// The connection breaks within a transaction. Its end rolls back, so the caller is promised that
+/// nothing is kept. What follows on another connection would run outside the transaction, so
+/// nothing more is sent.
+#[test]
+fn a_transaction_whose_connection_breaks_is_rolled_back() {
+    play(async {
+        let world = World::new();
+        world.script(|_, _, text| text.starts_with("read y").then_some(Act::Break));
+        let mut caller = world.caller("newest").await;
+        let texts = ["begin", "write x 1", "read y", "read z", "commit", "read x"];
+        assert_snapshot!(caller.play(&texts).await, @r"
+        begin: done - | state open -
+        write x 1: done sig | state open 1/10
+        read y: error rolled-back the connection to the database broke | state failed -
+        read z: error malformed end the failed transaction first | state failed -
+        commit: error rolled-back the transaction had failed | state idle -
+        read x: done sig | state idle 1/10
+        ");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 - begin
+        a1 q write x 1
+        a1 q read y
+        a2 start
+        a2 q read x
+        ");
+    })
+    .unwrap();
+}
+
+/// The commit's answer is lost. The database may have committed.
+#[test]
+fn a_commit_whose_connection_breaks_is_in_doubt_only_if_it_wrote() {
+    play(async {
+        let world = World::new();
+        world.script(|_, _, text| (text == "commit").then_some(Act::Break));
+        let mut caller = world.caller("newest").await;
+        let wrote = caller.play(&["begin", "write x 1", "commit"]).await;
+        assert_snapshot!(wrote, @r"
+        begin: done - | state open -
+        write x 1: done sig | state open 1/10
+        commit: error unknown the answer was lost | state idle -
+        ");
+        let read = caller.play(&["begin", "read x", "commit"]).await;
+        assert_snapshot!(read, @r"
+        begin: done - | state open -
+        read x: done sig | state open 1/10
+        commit: error rolled-back the connection to the database broke | state idle -
+        ");
+    })
+    .unwrap();
+}
+
+/// The database refuses to open a transaction. The statement that was to follow must not be sent:
+/// it would run outside, and a write be kept that the caller may still roll back.
+#[test]
+fn nothing_follows_a_transaction_that_was_not_opened() {
+    play(async {
+        let world = World::new();
+        world.script(|_, _, text| {
+            let refused = "error not-primary b\nstate idle 1/10\n";
+            (text == "begin").then(|| Act::Say(1, refused.into()))
+        });
+        let mut caller = world.caller("newest").await;
+        assert_snapshot!(caller.play(&["begin", "write x 1", "rollback"]).await, @r"
+        begin: done - | state open -
+        write x 1: error busy the primary does not serve; retry_ms=500 | state failed -
+        rollback: done - | state idle -
+        ");
+        assert!(!world.seen().contains("write"));
+    })
+    .unwrap();
+}
+
+/// The primary is replaced while it still answers. Its write vanishes with it, and its read may
+/// miss what the new one acknowledged, so neither answer may be passed on.
+#[test]
+fn answers_after_the_lease_was_dropped_are_not_passed_on() {
+    play(async {
+        let world = World::new();
+        world.script(|id, _, text| {
+            let slow = id == "a" && text != "start";
+            slow.then(|| Act::Say(100, "done sig\nstate idle 1/10\n".into()))
+        });
+        let (mut writer, mut reader) = (world.caller("newest").await, world.caller("newest").await);
+        writer.send("write x 1").await;
+        reader.send("read x").await;
+        tokio::time::sleep(Span::from_millis(50).into()).await;
+        world.lead(1, "a", true);
+        world
+            .shared
+            .change(|view| view.book.drop_epoch(&"ledger".parse().unwrap(), 1));
+        tokio::time::sleep(Span::from_millis(200).into()).await;
+        world.lead(2, "b", false);
+        assert_snapshot!(writer.answer().await, @"error unknown the primary was replaced meanwhile | state idle -");
+        assert_snapshot!(reader.answer().await, @"done sig | state idle 1/10");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a2 start
+        a1 q write x 1
+        a2 q read x
+        a1 closed
+        a2 closed
+        b3 start
+        b3 q read x
+        ");
+    })
+    .unwrap();
+}
+
+/// The lease holds, but its database is gone from the register. Whoever waits for a primary once
+/// took the lease for news and asked again without a pause, so that the VM answered nobody.
+#[test]
+fn a_lease_on_a_database_that_is_gone_is_waited_out() {
+    play(async {
+        let world = World::new();
+        world.shared.change(|view| {
+            view.databases.remove(&"a".parse().unwrap());
+        });
+        let mut caller = world.caller("newest").await;
+        let before = world.now();
+        assert_snapshot!(caller.ask("read x").await, @"error busy no primary is known; retry_ms=500 | state idle -");
+        assert_eq!(world.now().since(before), Span::from_millis(800));
+    })
+    .unwrap();
+}
+
+/// The database has no connection left, and the caller's statement ends at once with when to come
+/// back. Between two tries there is a pause: without it the VM did nothing else.
+#[test]
+fn a_full_database_is_asked_again_with_pauses() {
+    play(async {
+        let world = World::new();
+        world.script(|_, _, text| (text == "start").then(|| Act::Say(1, "error full 4\n".into())));
+        let mut caller = world.caller("newest").await;
+        assert_snapshot!(caller.ask("write x 1").await, @"error busy the primary is busy; retry_ms=160 | state idle -");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 closed
+        a2 start
+        a2 closed
+        a3 start
+        a3 closed
+        ");
+    })
+    .unwrap();
+}
+
+/// A connection goes silent, while new ones work. Its statement is given up at the route's
+/// timeout; the idle ones beside it have often gone silent too, and each would cost one more.
+#[test]
+fn a_silent_connection_takes_the_idle_ones_along() {
+    play(async {
+        let world = World::new();
+        world
+            .script(|_, number, text| (number <= 2 && text == "read late").then_some(Act::Nothing));
+        let (mut one, mut two) = (world.caller("newest").await, world.caller("newest").await);
+        one.send("read x").await;
+        two.ask("read x").await;
+        one.answer().await;
+        tokio::time::sleep(Span::from_millis(10).into()).await;
+        assert_snapshot!(one.ask("read late").await, @"error late the route's timeout is over | state idle -");
+        assert_snapshot!(one.ask("read late").await, @"done sig | state idle 1/10");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a2 start
+        a1 q read x
+        a2 q read x
+        a2 q read late
+        a1 closed
+        a2 closed
+        a3 start
+        a3 q read late
+        ");
+    })
+    .unwrap();
+}
+
+/// A planned stop. Sessions that do nothing are closed once the balancer sends no more; an open
+/// transaction gets half of the grace, and is then rolled back with a promise.
+#[test]
+fn a_stop_closes_idle_sessions_and_rolls_back_what_stays_open() {
+    play(async {
+        let world = World::new();
+        let (mut idle, mut open) = (world.caller("newest").await, world.caller("newest").await);
+        open.play(&["begin", "write x 1"]).await;
+        let front = Rc::clone(&world.front);
+        let before = world.now();
+        tokio::task::spawn_local(async move { front.stop(Span::from_secs(6)).await });
+        assert_snapshot!(idle.line().await, @"(closed)");
+        assert_eq!(world.now().since(before), Span::from_millis(2_200));
+        tokio::time::sleep(Span::from_millis(1_000).into()).await;
+        assert_snapshot!(open.play(&["read x", "rollback"]).await, @r"
+        read x: error rolled-back the transaction was idle for too long, or its VM stops | state failed -
+        rollback: done - | state idle -
+        ");
+        assert_snapshot!(open.line().await, @"(closed)");
+        assert_snapshot!(world.seen(), @r"
+        a1 start
+        a1 - begin
+        a1 q write x 1
+        a1 - rollback
+        ");
+    })
+    .unwrap();
+}
+
+/// The route goes while a transaction is open. The change applies from the next transaction on.
+#[test]
+fn a_transaction_keeps_its_route() {
+    play(async {
+        let world = World::new();
+        let mut caller = world.caller("newest").await;
+        caller.play(&["begin", "write x 1"]).await;
+        world.shared.change(|view| {
+            let mut config = scripted::config();
+            config.routes.clear();
+            view.config = Some(Rc::new(config));
+        });
+        assert_snapshot!(caller.play(&["write y 1", "commit", "read x"]).await, @r"
+        write y 1: done sig | state open 1/10
+        commit: done sig | state idle 1/10
+        read x: error no-database no route has that name any more | state idle -
+        ");
+    })
+    .unwrap();
+}
