--- a/src/cmd/schedules.rs
+++ b/src/cmd/schedules.rs
@@ -2,6 +2,8 @@
 
 use crate::cmd::{Error, parse, value};
 use crate::schedule;
+use crate::standin::direct::host;
+use crate::util;
 use std::time::Instant;
 
 const USAGE: &str = "\
@@ -12,7 +14,7 @@
 Usage: lentilspoke schedules [--direct] [--seeds FIRST..LAST] [--script]
 
 Options:
-    --direct               play whole worlds of direct access
+    --direct               play whole worlds of direct access; RUST_LOG shows what VMs log
     --seeds FIRST..LAST    the seeds to play, both included; 1..100 by default
     --script               print the script of each seed
     -h, --help             print this text
@@ -92,6 +94,7 @@
 
 /// Plays worlds of direct access.
 fn direct(args: Args) -> Result<(), Error> {
+    util::log_after(log::LevelFilter::Off, host::log_prefix);
     let begun = Instant::now();
     let (mut played, mut failed, mut done) = (0, 0, 0);
     for seed in args.seeds {
--- a/src/schedule/direct.rs
+++ b/src/schedule/direct.rs
@@ -50,7 +50,7 @@
 pub struct Report {
     /// The seed.
     pub seed: u64,
-    /// What was played, with its moments in milliseconds since the callers began.
+    /// What was played and who came to lead, after its milliseconds since the world began.
     pub script: Vec<Box<str>>,
     /// What callers were told.
     pub told: Count,
@@ -100,7 +100,7 @@
     let begun = Instant::now();
     let over = begun + MENDED + RECOVERY + AFTERWARDS;
     call(&world, &record, seed, over);
-    let script = draw.play(&world, begun).await;
+    let mut events = draw.play(&world, begun).await;
     sleep_until(over).await;
     // What is under way ends.
     sleep(Duration::from_secs(11)).await;
@@ -108,14 +108,36 @@
     let mut report = check(&world, started, &said);
     let last = begun + MENDED + RECOVERY;
     report.broken.extend(served(&world, &said, last));
+    events.extend(changes(&world));
+    events.sort_by_key(|(at, _)| *at);
+    let script = events.iter().map(|(at, what)| {
+        let at = at.duration_since(started).as_millis();
+        format!("{at} ms: {what}").into()
+    });
     Ok(Report {
         seed,
-        script,
+        script: script.collect(),
         told: report.told,
         broken: report.broken,
     })
 }
 
+/// What happened, and when.
+type Event = (Instant, String);
+
+/// Orders and changes of primary.
+fn changes(world: &World) -> Vec<Event> {
+    let journal = world.journal.borrow();
+    let orders = journal.orders.iter().map(|order| {
+        let (holder, token, database) = (&order.holder, order.token, &order.database);
+        let text = format!("{holder} orders {database} to lead, token {token}");
+        (order.at, text)
+    });
+    let reigns = journal.reigns.iter();
+    let reigns = reigns.map(|reign| (reign.at, format!("{} leads", reign.database)));
+    orders.chain(reigns).collect()
+}
+
 fn call(world: &Rc<World>, record: &Record, seed: u64, until: Instant) {
     let mut number = seed.wrapping_mul(1_000);
     for group in 0..world.setup.groups {
@@ -171,8 +193,8 @@
     }
 
     /// Plays the faults, and ends them all.
-    async fn play(&mut self, world: &Rc<World>, begun: Instant) -> Vec<Box<str>> {
-        let mut script = Vec::new();
+    async fn play(&mut self, world: &Rc<World>, begun: Instant) -> Vec<Event> {
+        let mut events = Vec::new();
         let mut moments = self.moments();
         let mut open: Vec<(Duration, Fault)> = Vec::new();
         loop {
@@ -183,7 +205,7 @@
             };
             sleep_until(begun + next).await;
             let mut note = |what: &str, fault: &Fault| {
-                script.push(format!("{} ms: {what} {fault:?}", next.as_millis()).into());
+                events.push((begun + next, format!("{what} {fault:?}")));
             };
             if let Some(index) = open.iter().position(|(ends, _)| *ends <= next) {
                 let (_, fault) = open.remove(index);
@@ -200,7 +222,7 @@
             }
         }
         sleep_until(begun + MENDED).await;
-        script
+        events
     }
 
     fn moments(&mut self) -> Vec<Planned> {
--- a/src/standin/direct/host.rs
+++ b/src/standin/direct/host.rs
@@ -6,10 +6,25 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+thread_local! {
+    /// The process that runs now.
+    static CURRENT: RefCell<Rc<str>> = RefCell::new(Rc::from("-"));
+    /// When the world began.
+    static BEGAN: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
+/// What logs begin with: the milliseconds since the world began, and the process that runs.
+pub fn log_prefix() -> String {
+    let began = BEGAN.get().map_or(0, |began| began.elapsed().as_millis());
+    CURRENT.with_borrow(|name| format!("{began} {name} "))
+}
 
 /// Handles a running process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Host {
+    name: Rc<str>,
     frozen: Cell<bool>,
     killed: Cell<bool>,
     waker: RefCell<Option<Waker>>,
@@ -24,8 +39,13 @@
 
 impl Host {
     /// A process of one first task, which may start more by `spawn_local`.
-    pub fn start(first: impl Future<Output = ()> + 'static) -> (Rc<Host>, Process) {
-        let host = Rc::new(Host::default());
+    pub fn start(name: &str, first: impl Future<Output = ()> + 'static) -> (Rc<Host>, Process) {
+        let host = Rc::new(Host {
+            name: name.into(),
+            frozen: Cell::default(),
+            killed: Cell::default(),
+            waker: RefCell::default(),
+        });
         let tasks = LocalSet::new();
         tasks.spawn_local(first);
         let process = Process {
@@ -68,12 +88,15 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        *self.host.waker.borrow_mut() = Some(context.waker().clone());
+        let host = self.host.clone();
+        *host.waker.borrow_mut() = Some(context.waker().clone());
         if !self.host.killed.get() && !self.host.frozen.get() {
             let Some(tasks) = &mut self.tasks else {
                 return Poll::Ready(());
             };
+            let before = CURRENT.replace(host.name.clone());
             let ended = Pin::new(tasks).poll(context).is_ready();
+            CURRENT.set(before);
             if ended {
                 self.host.killed.set(true);
             }
@@ -94,5 +117,9 @@
         .start_paused(true)
         .build()?;
     let tasks = LocalSet::new();
-    Ok(tasks.block_on(&runtime, future))
+    let begun = async {
+        BEGAN.set(Some(Instant::now()));
+        future.await
+    };
+    Ok(tasks.block_on(&runtime, begun))
 }
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -318,7 +318,7 @@
             stop: stopped,
             ready: ready.clone(),
         };
-        let (host, process) = Host::start((self.program)(machine));
+        let (host, process) = Host::start(vm.as_str(), (self.program)(machine));
         self.network.spawn(process);
         let running = Running {
             host,
--- a/src/util.rs
+++ b/src/util.rs
@@ -6,14 +6,20 @@
 /// Sends logs to stderr, one line each: the level, where, the text, and its key-values. The
 /// environment variable `RUST_LOG` goes before `level`.
 pub fn log(level: log::LevelFilter) {
+    log_after(level, String::new);
+}
+
+/// The same, each line after what `prefix` gives at that moment.
+pub fn log_after(level: log::LevelFilter, prefix: fn() -> String) {
     let mut builder = env_logger::Builder::new();
     builder
         .filter_module("lentilspoke", level)
         .parse_default_env();
-    builder.format(|out, record| {
+    builder.format(move |out, record| {
         write!(
             out,
-            "{} {} {}",
+            "{}{} {} {}",
+            prefix(),
             record.level(),
             record.target(),
             record.args()
