Keep a database registered while its entry is missing for less than 4 s

Change: an entry has to be missing for 4 s, beside the 2.5 s for which the store has answered; one that said that it leaves is gone at once.

--- a/src/direct/control/register.rs
+++ b/src/direct/control/register.rs
@@ -4,7 +4,8 @@
 //! it ended, or because the store was down and took no beats.
 //! **Without it** an outage of the store removes every database, or one that ended is kept for
 //! ever. **Thresholds.** Entries that expired in an outage are back within 2 s of its end;
-//! [`SETTLED`] adds what a slow answer takes.
+//! [`SETTLED`] adds what a slow answer takes. The store may turn a database away and answer this
+//! VM all along, so an entry has to stay away for [`MISSING`] too; `drain_ms` is 7 s or more.
 
 use crate::clock::{Span, Time};
 use crate::direct::config::Database;
@@ -15,10 +16,16 @@
 /// How long the store has to have answered before a missing entry tells anything.
 const SETTLED: Span = Span::from_millis(2_500);
 
+/// How long the entry of a database that did not say that it leaves has to be missing: an outage's
+/// 2 s and two readings.
+const MISSING: Span = Span::from_secs(4);
+
 /// The register as this VM knows it.
 #[derive(Debug, Default)]
 pub struct Register {
     databases: BTreeMap<DatabaseId, Database>,
+    /// Entries that were there and are not: when the first reading without them was asked.
+    missing: BTreeMap<DatabaseId, Time>,
     asked: Option<Time>,
     digest: u64,
 }
@@ -63,9 +70,15 @@
         up: Option<Time>,
     ) -> Changes {
         let settled = up.is_some_and(|up| asked >= up + SETTLED);
-        if !settled {
-            for (id, database) in &self.databases {
-                found.entry(id.clone()).or_insert_with(|| database.clone());
+        self.missing.retain(|id, _| !found.contains_key(id));
+        for (id, database) in &self.databases {
+            if found.contains_key(id) {
+                continue;
+            }
+            let since = *self.missing.entry(id.clone()).or_insert(asked);
+            let told = database.leaving || asked >= since + MISSING;
+            if !settled || !told {
+                found.insert(id.clone(), database.clone());
             }
         }
         self.told(found, asked)
