--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -12,6 +12,7 @@
 use crate::direct::control::steward::Cause;
 use crate::direct::lead::{Epoch, Lead};
 use crate::direct::mesh::{Answer, Question};
+use crate::direct::statement::Standing;
 use crate::direct::table::Version;
 use crate::types::{DatabaseId, Domain, GroupId, Position};
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -35,6 +36,9 @@
 /// How long a promotion may take before it is ordered again: a second as a rule.
 const LEADS_WITHIN: Span = Span::from_secs(3);
 
+/// By then a promotion that was taken has taken effect.
+const PROMOTED_WITHIN: Span = Span::from_millis(2_500);
+
 /// How long a database may refuse to be promoted before another one is chosen.
 const REFUSES: Span = Span::from_secs(3);
 
@@ -262,13 +266,13 @@
         let mut not_running = Vec::new();
         loop {
             let began = self.now();
-            let (id, position) = self.choose(work, target, &not_running).await?;
+            let (id, standing) = self.choose(work, target, &not_running).await?;
             log::info!(
-                group:% = work.group, database:% = id, position:%,
+                group:% = work.group, database:% = id, position:% = standing.received,
                 target:? = target.map(|t| t.to_string()),
                 took_ms = self.now().since(began).0 / 1_000; "a database is chosen to lead"
             );
-            match self.order_one(work, &id).await? {
+            match self.order_one(work, &id, standing).await? {
                 true => return Ok(id),
                 false => not_running = vec![id],
             }
@@ -276,7 +280,12 @@
     }
 
     /// Orders one database to lead until that is certain; false if another has to be chosen.
-    async fn order_one(self: &Rc<Self>, work: &Work, id: &DatabaseId) -> Result<bool, Lost> {
+    async fn order_one(
+        self: &Rc<Self>,
+        work: &Work,
+        id: &DatabaseId,
+        before: Standing,
+    ) -> Result<bool, Lost> {
         let mut backoff = Backoff::default();
         let mut unknown = false;
         let began = self.now();
@@ -296,7 +305,7 @@
             );
             match promoted {
                 Promoted::Done => {
-                    if let Some(leads) = self.leads(work, id).await {
+                    if let Some(leads) = self.leads(work, id, before).await {
                         return Ok(leads);
                     }
                     unknown = true;
@@ -304,6 +313,7 @@
                 Promoted::NotRunning => return Ok(false),
                 Promoted::Refused if !unknown && began + REFUSES <= self.now() => return Ok(false),
                 Promoted::Refused => {}
+                Promoted::Unknown if self.is_over(id).await => return Ok(false),
                 Promoted::Unknown => unknown = true,
             }
             backoff.wait().await;
@@ -319,15 +329,23 @@
     /// **Symptom without it.** Reads that lack what was acknowledged; two databases that count as
     /// primary in turn. **Why it suffices.** The new lead is written, and another replacement
     /// begun, only once the database itself says that it leads.
-    async fn leads(&self, work: &Work, id: &DatabaseId) -> Option<bool> {
+    ///
+    /// One that took itself for the primary before it was ordered to lead may do so by a term that
+    /// is over: its word counts once its term has risen, or once no promotion can be on its way.
+    async fn leads(&self, work: &Work, id: &DatabaseId, before: Standing) -> Option<bool> {
         let until = self.now() + LEADS_WITHIN;
+        let settled = self.now() + PROMOTED_WITHIN;
+        let trusted = !before.primary || *id == work.old;
+        let is_new = |standing: Standing| trusted || standing.term > before.term;
         while self.now() < until {
             let known = self.setup.shared.look().databases.get(id).cloned();
             let Some(database) = known else {
                 return Some(false);
             };
             match self.standing(&database).await {
-                Word::Stands(standing) if standing.primary => {
+                Word::Stands(standing)
+                    if standing.primary && (is_new(standing) || self.now() >= settled) =>
+                {
                     log::info!(group:% = work.group, database:% = id, term:% = standing.term; "it leads");
                     return Some(true);
                 }
@@ -338,6 +356,15 @@
         None
     }
 
+    /// Whether a database has ended, as far as can be told.
+    async fn is_over(&self, id: &DatabaseId) -> bool {
+        let known = self.setup.shared.look().databases.get(id).cloned();
+        match known {
+            None => true,
+            Some(database) => self.standing(&database).await == Word::Absent,
+        }
+    }
+
     async fn order_once(&self, work: &Work, id: &DatabaseId, asked: Time) -> Option<Promoted> {
         let now = self.now();
         let deadline = Permit::new(asked).deadline(now)?;
@@ -370,8 +397,8 @@
             // The old primary is one only if it was lost. A steward before may have ordered another
             // database to lead, which takes effect whatever the old one says now.
             let out = work.cause.is_planned() || work.cause == Cause::Unfinished;
-            let left = out && d.id == work.old;
-            !left && !not.contains(&d.id)
+            let old = out && d.id == work.old;
+            !old && !not.contains(&d.id)
         };
         let members: Vec<_> = view.members(&work.group).filter(stays).cloned().collect();
         let staying: Vec<_> = members.iter().filter(|d| !d.leaving).cloned().collect();
@@ -388,7 +415,7 @@
         work: &Work,
         target: Option<Position>,
         not: &[DatabaseId],
-    ) -> Result<(DatabaseId, Position), Lost> {
+    ) -> Result<(DatabaseId, Standing), Lost> {
         let mut asked: Vec<DatabaseId> = Vec::new();
         let mut choice = Choice::new(self.now(), None, None, []);
         loop {
@@ -403,19 +430,17 @@
                 choice = Choice::new(self.now(), self.domain(work), target, named);
                 asked = ids;
             }
-            if let Some(taken) = self.ask_round(&candidates, &mut choice).await {
-                return Ok(taken);
+            if let Some(id) = self.ask_round(&candidates, &mut choice).await
+                && let Some(standing) = choice.standing(&id)
+            {
+                return Ok((id, standing));
             }
             tokio::time::sleep(AGAIN).await;
         }
     }
 
     /// Asks the candidates once how they stand, until the choice can be made.
-    async fn ask_round(
-        &self,
-        candidates: &[Database],
-        choice: &mut Choice,
-    ) -> Option<(DatabaseId, Position)> {
+    async fn ask_round(&self, candidates: &[Database], choice: &mut Choice) -> Option<DatabaseId> {
         let mut asks = FuturesUnordered::new();
         for database in candidates {
             asks.push(async move { (database.id.clone(), self.standing(database).await) });
@@ -424,8 +449,8 @@
             if choice.say(&id, word) {
                 log::info!(database:% = id, word:?; "a candidate says how it stands");
             }
-            if let Pick::Take(id, position) = choice.pick(self.now()) {
-                return Some((id, position));
+            if let Pick::Take(id, _) = choice.pick(self.now()) {
+                return Some(id);
             }
         }
         None
--- a/src/direct/control/promotion.rs
+++ b/src/direct/control/promotion.rs
@@ -31,7 +31,7 @@
 const OLD_WITHIN: Span = Span::from_millis(150);
 
 /// How long a replica may take to get what the old primary has, when that one still runs.
-const CATCH_UP: Span = Span::from_millis(1_500);
+const CATCH_UP: Span = Span::from_millis(2_500);
 
 /// Until when VMs that may hold a lease of the old epoch are waited for.
 ///
@@ -157,6 +157,15 @@
         &self.candidates
     }
 
+    /// How a database stands, if it said so.
+    pub fn standing(&self, id: &DatabaseId) -> Option<Standing> {
+        let candidate = self.candidates.iter().find(|c| c.id == *id)?;
+        match candidate.word {
+            Word::Stands(standing) => Some(standing),
+            Word::Pending | Word::Absent => None,
+        }
+    }
+
     /// A database said how it stands; returns whether that is new. One that is too busy to say
     /// it once more still has what it had.
     pub fn say(&mut self, id: &DatabaseId, word: Word) -> bool {
