Search how VMs know who leads, and how a primary is replaced

Cause: leases on who leads, drops, the duty and its take-over were argued for in prose only.

Change: model::leads plays two or three VMs, the rows in the store and the platform that is ordered to promote, with the real direct::lead::Book. Messages are lost, delayed and cut off, processes end and start anew, the store does writes after they were given up, clocks miss pauses.

--- a/src/cmd/model.rs
+++ b/src/cmd/model.rs
@@ -43,6 +43,9 @@
     for case in suite::sound().map_err(Error::failed)? {
         wrong += u32::from(search(&case, args.depth));
     }
+    for case in suite::reached().map_err(Error::failed)? {
+        wrong += u32::from(!search(&case, None));
+    }
     if !args.sound {
         for case in suite::unsound().map_err(Error::failed)? {
             wrong += u32::from(!search(&case, None));
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -5,6 +5,7 @@
 //! search then has to find how the property breaks.
 
 pub mod floors;
+pub mod leads;
 pub mod outcomes;
 pub mod search;
 pub mod suite;
--- a/src/model/suite.rs
+++ b/src/model/suite.rs
@@ -1,5 +1,7 @@
 //! Every search there is: the protocol as it stands, and with each safeguard taken out.
 
+mod leads;
+
 use crate::model::search::Report;
 use crate::model::{floors, outcomes, terms};
 use crate::types::Invalid;
@@ -56,7 +58,7 @@
 /// The protocol as it stands: no search may find a broken property.
 pub fn sound() -> Result<Vec<Case>, Invalid> {
     let restarts = 1;
-    Ok(vec![
+    let mut cases = vec![
         of_terms("two terms in time", CLOCK, None, 40)?,
         of_terms(
             "two terms in time, majority held",
@@ -91,7 +93,14 @@
         of_floors("one session on two proxies", None)?,
         of_outcomes("a booking without a key", false, None),
         of_outcomes("a booking under a key", true, None),
-    ])
+    ];
+    cases.extend(leads::sound()?);
+    Ok(cases)
+}
+
+/// What the protocol has to be able to do; the search has to find how.
+pub fn reached() -> Result<Vec<Case>, Invalid> {
+    Ok(vec![leads::change()?])
 }
 
 /// The protocol with one safeguard taken out of each case: every search has to find a broken
@@ -149,6 +158,7 @@
         let name = format!("outcomes without {out:?}");
         cases.push(of_outcomes(&name, keyed, Some(out)));
     }
+    cases.extend(leads::unsound()?);
     Ok(cases)
 }
 
