--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -30,13 +30,14 @@
 use crate::clock::{Span, Time};
 use crate::core::detect::Damper;
 use crate::direct::adapter::{Adapter, Later};
+use crate::direct::control::probe::Link;
 use crate::direct::control::rows::MemberId;
 use crate::direct::control::state::State;
 use crate::direct::control::store::{Counts, Store};
 use crate::direct::lead::{Epoch, LEASE};
 use crate::direct::mesh::{Answer, Call, Question};
 use crate::direct::view::Shared;
-use crate::types::{Domain, GroupId, Life, VmId};
+use crate::types::{DatabaseId, Domain, GroupId, Life, VmId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -82,6 +83,8 @@
     id: MemberId,
     store: Store,
     state: RefCell<State>,
+    /// The steward's sessions at databases.
+    links: RefCell<BTreeMap<DatabaseId, Link>>,
     dampers: RefCell<BTreeMap<GroupId, Damper>>,
     /// Whether the newest reading known here, or at the steward, shows this VM's row.
     member: Cell<bool>,
@@ -102,6 +105,7 @@
             id: MemberId::new(&setup.vm, setup.address.ip()),
             store: Store::new(setup.adapter.clone()),
             state: RefCell::default(),
+            links: RefCell::default(),
             dampers: RefCell::default(),
             member: Cell::new(false),
             writing: Mutex::new(()),
@@ -164,11 +168,14 @@
         view.config.is_some() && !view.stopping && view.book.groups().any(fresh)
     }
 
-    /// Ends it: hands the duty over, waits until the last work on a primary is over, and removes
-    /// this VM's row. Nothing may be acted on afterwards.
-    pub async fn stop(self: &Rc<Self>) {
+    /// Ends it: hands the duty over, waits until the callers are `served` and the last work on a
+    /// primary is over, and removes this VM's row. Nothing may be acted on afterwards.
+    ///
+    /// Between two statements there is no work for a moment. Were the leases dropped then, every
+    /// caller that the balancer still sends here would wait for a primary in vain.
+    pub async fn stop(self: &Rc<Self>, served: impl Future<Output = ()>) {
         self.setup.shared.change(|view| view.stopping = true);
-        self.hand_over("this VM stops").await;
+        tokio::join!(self.hand_over("this VM stops"), served);
         while self.setup.shared.look().work.is_any() {
             tokio::time::sleep(WORK_ENDS).await;
         }
