Write the logs of direct access to standard output by the queue that never blocks

Cause: serve wrote to stderr by blocking writes. Change: serve with direct access installs logs::install, with the clock that counts pauses, and waits up to 200 ms at its end for the last lines to be read.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -3,14 +3,17 @@
 use crate::cmd::{Error, parse, single};
 use crate::core::node::Identity;
 use crate::direct::adapter::Build;
+use crate::logs;
 use crate::net::direct::{self, Place};
 use crate::net::pg;
 use crate::net::platform::Client;
 use crate::net::proxy::{self, Setup};
+use crate::net::system;
 use crate::settings::Settings;
 use crate::types::Life;
 use crate::util;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 const USAGE: &str = "\
@@ -28,6 +31,9 @@
     -h, --help    print this text
 ";
 
+/// How long the end of a process waits for its last lines to be read.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
 struct Args {
     path: Box<str>,
 }
@@ -51,19 +57,20 @@
 pub fn run(words: &[String], variable: &str, build: Build) -> Result<(), Error> {
     let args = Args::parse(words, variable)?;
     let settings = read(&args.path).map_err(Error::failed)?;
-    util::log(settings.log.into());
     let system = actix_rt::System::new();
     let Some(direct) = settings.direct.clone() else {
+        util::log(settings.log.into());
         return system.block_on(serve(settings));
     };
+    let lines = logs::install(settings.log.into(), system::since_now()).map_err(Error::failed)?;
     let place = Place {
         settings,
         direct,
         read: Box::new(move || read(&args.path)),
     };
-    system
-        .block_on(direct::run(place, build))
-        .map_err(Error::failed)
+    let ended = system.block_on(direct::run(place, build));
+    lines.drain(LAST_LINES);
+    ended.map_err(Error::failed)
 }
 
 fn read(path: &str) -> Result<Settings, Box<str>> {
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -29,7 +29,10 @@
 /// when the process starts. The environment variable `RUST_LOG` goes before `level`.
 ///
 /// The queue that comes back is for [`Queue::drain`] at the end of the process.
-pub fn install(level: log::LevelFilter, clock: fn() -> Time) -> std::io::Result<Queue> {
+pub fn install(
+    level: log::LevelFilter,
+    clock: impl Fn() -> Time + Copy + Send + Sync + 'static,
+) -> std::io::Result<Queue> {
     // A handle of our own: whoever holds the lock of `std::io::stdout` may block.
     let out = File::from(std::io::stdout().as_fd().try_clone_to_owned()?);
     let say = move |dropped| dropped_line(clock(), "unread", dropped);
--- a/src/net/system.rs
+++ b/src/net/system.rs
@@ -31,8 +31,13 @@
 
 /// A clock that starts now and counts pauses of the VM.
 pub fn clock() -> Clock {
+    Rc::new(since_now())
+}
+
+/// The same, for any thread.
+pub fn since_now() -> impl Fn() -> Time + Copy + Send + Sync + 'static {
     let origin = now();
-    Rc::new(move || Time(now().saturating_sub(origin)))
+    move || Time(now().saturating_sub(origin))
 }
 
 /// Listens at an address, also right after the process before has ended.
