--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod dump;
 pub mod experiment;
+pub mod explain;
 pub mod load;
 pub mod model;
 pub mod schedules;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod core;
 pub mod direct;
 pub mod experiment;
+pub mod explain;
 pub mod jsonc;
 pub mod load;
 pub mod logs;
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
     apply       put a configuration file in force
     show        print the configuration in force
     load        put load on proxies, and check what callers are told
+    explain     print one request's story out of the logs
     dump        print a process's state
     demo        run stand-in databases and proxies in one process
     slopes      measure what control, statements and state cost
@@ -52,6 +53,7 @@
         "apply" => cmd::apply::run(rest),
         "show" => cmd::show::run(rest),
         "load" => cmd::load::run(rest),
+        "explain" => cmd::explain::run(rest, &mut std::io::stdout()),
         "dump" => cmd::dump::run(rest),
         "model" => cmd::model::run(rest),
         "schedules" => cmd::schedules::run(rest),
