--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -93,15 +93,20 @@
 pub async fn run(targets: &Targets, session: &Session, job: &Job<'_>, plan: &Plan) -> Attempt {
     let target = &plan.target;
     let pool = &target.pool;
-    let patience = job.queue_until().since(targets.now());
+    let came = targets.now();
+    let patience = job.queue_until().since(came);
     let Ok(permit) = pool.gate.enter(job.urgency(), patience).await else {
         return Attempt::NotRun(Code::Busy);
     };
+    targets.shared.meter.queue_wait(targets.now().since(came));
     let taken = pool.take(&targets.adapter, &target.database, session);
     let mut lent = match taken.await {
         Ok(lent) => lent,
         Err(closed) => return not_opened(targets, target, &closed),
     };
+    if lent.is_new() {
+        targets.shared.meter.connection_opened(&target.database.id);
+    }
     let group = &job.route.group;
     let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
     if epoch.is_some_and(|epoch| !targets.may_start(group, epoch)) {
@@ -234,6 +239,7 @@
 
 fn not_opened(targets: &Targets, target: &Target, closed: &Closed) -> Attempt {
     let database = &target.database;
+    targets.shared.meter.connection_failed(&database.id);
     log::info!(group:% = database.group, database:% = database.id; "not opened: {closed}");
     match closed {
         Closed::Refused(code) => {
--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -61,10 +61,14 @@
         let began = self.now();
         self.log_cause(group, cause);
         match self.try_change(token, group, cause).await {
-            Ok(Some(primary)) => log::warn!(
-                group:%, primary:%, cause:?, took_ms = self.now().since(began).0 / 1_000;
-                "the primary is replaced"
-            ),
+            Ok(Some(primary)) => {
+                let took = self.now().since(began);
+                self.setup.shared.meter.promoted(group, took);
+                log::warn!(
+                    group:%, primary:%, cause:?, took_ms = took.0 / 1_000;
+                    "the primary is replaced"
+                );
+            }
             Ok(None) => {}
             Err(Lost) => log::warn!(group:%, token; "a replacement is left to another VM"),
         }
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -52,7 +52,7 @@
 
 impl Control {
     /// Whether this VM is the steward.
-    pub(super) fn is_steward(&self) -> bool {
+    pub fn is_steward(&self) -> bool {
         self.state.borrow().held.is_some()
     }
 
--- a/src/direct/meter.rs
+++ b/src/direct/meter.rs
@@ -23,12 +23,10 @@
 /// Values that go up and down, read when the scraper asks.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Levels {
+    /// Whether callers may come.
+    pub ready: bool,
     /// Callers connected.
     pub callers: u64,
-    /// Connections to databases that are open.
-    pub connections: u64,
-    /// Requests that wait for a slot or a connection.
-    pub queued: u64,
     /// The configuration in force.
     pub config: u64,
     /// Groups on whose primary a lease is held.
@@ -109,18 +107,9 @@
 /// What a gauge shows.
 type Level = fn(&Levels) -> u64;
 
-const LEVELS: [(&str, &str, Level); 9] = [
+const LEVELS: [(&str, &str, Level); 8] = [
+    ("ready", "Whether callers may come", |l| l.ready.into()),
     ("callers", "Callers connected", |l| l.callers),
-    (
-        "connections",
-        "Connections to databases that are open",
-        |l| l.connections,
-    ),
-    (
-        "queued",
-        "Requests that wait for a slot or a connection",
-        |l| l.queued,
-    ),
     (
         "config_version",
         "Version of the configuration in force",
@@ -264,7 +253,7 @@
         );
         registry.register(
             "leases_lapsed",
-            "Leases on a group's primary that ended without a newer one",
+            "Times that a request found no lease on its group's primary",
             self.lapsed.clone(),
         );
         registry.register(
@@ -349,7 +338,7 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
-    /// The lease on a group's primary ended, and no newer one was there.
+    /// A request found no lease on its group's primary.
     pub fn lease_lapsed(&self, group: &GroupId) {
         let labels = OfGroup {
             group: group.into(),
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -52,6 +52,7 @@
 pub struct Lent {
     connection: Connection,
     seat: Seat,
+    opened: bool,
 }
 
 /// Tells those that wait for a connection that there may be one.
@@ -70,11 +71,17 @@
         &mut self.connection
     }
 
+    /// Whether it was opened just now.
+    pub fn is_new(&self) -> bool {
+        self.opened
+    }
+
     /// Gives the connection back for others to use, unless something on it is unaccounted for.
     pub fn give_back(self, adapter: &Adapter) {
         let Self {
             mut connection,
             seat,
+            opened: _,
         } = self;
         if !connection.is_clean() {
             return;
@@ -107,7 +114,7 @@
         session: &Session,
     ) -> Result<Lent, Closed> {
         if let Some(connection) = self.reuse(session) {
-            return Ok(self.lend(connection));
+            return Ok(self.lend(connection, false));
         }
         if (adapter.clock)() < self.full_until.get() {
             return Err(Closed::Refused(Code::Full));
@@ -115,7 +122,7 @@
         match Connection::open(adapter, database, OPENING).await {
             Ok(connection) => {
                 self.full_pause.set(FULL_PAUSE);
-                Ok(self.lend(connection))
+                Ok(self.lend(connection, true))
             }
             Err(closed) => {
                 if let Closed::Refused(Code::Full) = closed {
@@ -126,10 +133,11 @@
         }
     }
 
-    fn lend(self: &Rc<Self>, connection: Connection) -> Lent {
+    fn lend(self: &Rc<Self>, connection: Connection, opened: bool) -> Lent {
         Lent {
             connection,
             seat: Seat(self.clone()),
+            opened,
         }
     }
 
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -16,6 +16,7 @@
 use crate::direct::config::Kind;
 use crate::direct::front::Place;
 use crate::direct::job::{Job, Part};
+use crate::direct::meter::Meter;
 use crate::direct::outcome::{self, Why};
 use crate::direct::session::{Phase, Session, error};
 use crate::direct::statement::{Answer, Code, End, State};
@@ -152,6 +153,7 @@
             }
             let group = &job.route.group;
             let Some((lease, target)) = self.targets.primary(group) else {
+                self.meter().lease_lapsed(group);
                 let left = job.news_until().since(self.targets.now());
                 if !self.targets.wait_for_news(group, None, left).await {
                     let text = "no primary is known";
@@ -230,6 +232,7 @@
         mut answer: Answer,
         held: Box<Held>,
     ) -> Ran {
+        self.count(job, &answer, held.epoch.is_none());
         if let (Some(_), Some(position)) = (held.epoch, answer.position) {
             session.primary_has(&job.route.group, position);
             let wrote = job.part == Part::Single && job.writes;
@@ -255,6 +258,25 @@
         (answer, None)
     }
 
+    fn meter(&self) -> &Meter {
+        &self.targets.shared.meter
+    }
+
+    /// Counts what a database answered.
+    fn count(&self, job: &Job<'_>, answer: &Answer, by_replica: bool) {
+        let group = &job.route.group;
+        match answer.end {
+            End::Error { code, .. } => self.meter().refused(group, code),
+            End::Done(_) => {
+                let took = self.targets.now().since(job.came);
+                self.meter().served(job.route.kind, took);
+                if !job.writes {
+                    self.meter().read(by_replica);
+                }
+            }
+        }
+    }
+
     /// An answer that says that nothing was run, and when to come back.
     fn busy(&self, session: &mut Session, job: &Job<'_>, retry: Span, text: &str) -> Ran {
         let retry_ms = retry.0 / 1_000;
@@ -268,6 +290,7 @@
             true => Phase::Idle,
             false => Phase::Failed,
         };
+        self.meter().refused(&job.route.group, code);
         log::info!(
             request:% = job.query.id,
             group:% = job.route.group,
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -3,6 +3,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::config::{Config, Database, Route};
 use crate::direct::lead::{Book, Epoch, Lease};
+use crate::direct::meter::Meter;
 use crate::types::{DatabaseId, GroupId};
 use serde::{Deserialize, Serialize};
 use std::cell::{Ref, RefCell, RefMut};
@@ -49,6 +50,8 @@
 /// The view as tasks share it; whoever changes it wakes those that wait for a change.
 #[derive(Debug, Default)]
 pub struct Shared {
+    /// What is counted for the scraper.
+    pub meter: Meter,
     view: RefCell<View>,
     changed: Notify,
 }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -16,15 +16,17 @@
 use budget::{Budget, Verdict};
 use queue::Queue;
 use std::fmt::Write;
-use std::fs::File;
 use std::os::fd::AsFd;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::SystemTime;
 
 /// Lines a second of one target: more than a VM refuses on a bad day of the size that it is made
 /// for, and few enough that a storm leaves the processor to the requests.
 pub const RATE: u32 = 200;
 
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
 /// Sends logs to standard output from now on, with the time read from `clock`, which shows zero
 /// when the process starts. The environment variable `RUST_LOG` goes before `level`.
 ///
@@ -33,10 +35,11 @@
     level: log::LevelFilter,
     clock: impl Fn() -> Time + Copy + Send + Sync + 'static,
 ) -> std::io::Result<Queue> {
-    // A handle of our own: whoever holds the lock of `std::io::stdout` may block.
-    let out = File::from(std::io::stdout().as_fd().try_clone_to_owned()?);
-    let say = move |dropped| dropped_line(clock(), "unread", dropped);
-    let queue = Queue::start(out, queue::LIMIT, say)?;
+    let say = move |dropped| {
+        DROPPED.fetch_add(dropped, Ordering::Relaxed);
+        dropped_line(clock(), "unread", dropped)
+    };
+    let queue = Queue::start(Output, queue::LIMIT, say)?;
     let budget = Mutex::new(Budget::new(RATE));
     let mut builder = env_logger::Builder::new();
     builder
@@ -59,10 +62,27 @@
     Ok(queue)
 }
 
+/// Standard output without the lock and the buffer of `std::io::stdout`: whoever holds that lock
+/// may block. The descriptor is the process's own, as some supervisors follow only that one.
+struct Output;
+
+impl std::io::Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        Ok(rustix::io::write(std::io::stdout().as_fd(), bytes)?)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// What is written in place of `record`: nothing, its line, or its line after the number dropped.
 fn text(verdict: Verdict, now: Time, record: &log::Record<'_>) -> String {
     match verdict {
-        Verdict::Drop => String::new(),
+        Verdict::Drop => {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+            String::new()
+        }
         Verdict::Admit => line(now, record),
         Verdict::AdmitAfter(dropped) => {
             dropped_line(now, record.target(), dropped) + &line(now, record)
@@ -77,6 +97,11 @@
     )
 }
 
+/// Lines that found no room since the process started, or not enough of the rate.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
 fn millis(now: Time) -> u64 {
     now.since(Time::default()).0 / 1_000
 }
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -123,6 +123,20 @@
     })
 }
 
+/// The same platform, with what is asked of it counted.
+fn metered(mut adapter: Adapter, shared: &Rc<Shared>) -> Adapter {
+    let (store, shared) = (adapter.store, Rc::clone(shared));
+    adapter.store = Rc::new(move |ask, within| {
+        let (call, shared) = (store(ask.clone(), within), Rc::clone(&shared));
+        Box::pin(async move {
+            let answer = call.await;
+            shared.meter.store_call(&ask, &answer);
+            answer
+        })
+    });
+    adapter
+}
+
 /// The most callers that settings allow.
 fn callers_limit(settings: &Settings, direct: &Direct) -> u32 {
     let free = direct.descriptors.saturating_sub(RESERVED);
@@ -133,6 +147,7 @@
     fn start(place: &Place, adapter: Adapter) -> Rc<Self> {
         let (settings, direct) = (&place.settings, &place.direct);
         let shared = Rc::new(Shared::default());
+        let adapter = metered(adapter, &shared);
         let control = Control::start(Setup {
             adapter: adapter.clone(),
             shared: Rc::clone(&shared),
--- a/src/net/direct/admin.rs
+++ b/src/net/direct/admin.rs
@@ -3,13 +3,12 @@
 use super::Vm;
 use crate::direct::config::Database;
 use crate::direct::lead::Lead;
+use crate::direct::meter::Levels;
+use crate::logs;
 use crate::net::http::{Call, Reply};
 use crate::process;
 use crate::types::{GroupId, Version};
 use ::http::StatusCode;
-use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::Registry;
 use serde::Serialize;
 use std::future::{Ready, ready as at_once};
 use std::rc::Rc;
@@ -75,34 +74,19 @@
     }
 
     fn metrics(&self) -> String {
-        let version = self.shared.look().config.as_ref().map(|c| c.version.0);
-        let gauges = [
-            (
-                "ready",
-                "Whether callers may come",
-                u64::from(self.is_ready()),
-            ),
-            ("callers", "Callers connected", self.callers.get().into()),
-            (
-                "config_version",
-                "The version in force",
-                version.unwrap_or_default(),
-            ),
-            (
-                "resident_bytes",
-                "Resident memory",
-                process::resident().unwrap_or_default(),
-            ),
-        ];
-        let mut registry = Registry::with_prefix("lentilspoke");
-        for (name, help, value) in gauges {
-            let gauge: Gauge = Gauge::default();
-            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
-            registry.register(name, help, gauge);
-        }
-        let mut text = String::new();
-        // Writing to a String does not fail.
-        let _ = encode(&mut text, &registry);
-        text
+        let now = self.front.now();
+        let view = self.shared.look();
+        let leased = |group: &&GroupId| view.book.lease(group, now).is_some();
+        let levels = Levels {
+            ready: self.control.is_ready() && !view.stopping,
+            callers: self.callers.get().into(),
+            config: view.config.as_ref().map_or(0, |config| config.version.0),
+            leases: view.book.groups().filter(leased).count() as u64,
+            steward: self.control.is_steward(),
+            resident: process::resident().unwrap_or_default(),
+            processor: process::processor().map_or(0, |used| used.as_micros() as u64),
+            logs_dropped: logs::dropped(),
+        };
+        self.shared.meter.text(&levels).into()
     }
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -40,5 +40,8 @@
 /// What is left out on the command line is named.
 #[test]
 fn arguments_are_needed() {
-    assert!(matches!(explain("5c0e7a21d94b36f8", &[]), Err(Error::Usage(_))));
+    assert!(matches!(
+        explain("5c0e7a21d94b36f8", &[]),
+        Err(Error::Usage(_))
+    ));
 }
