Tell other VMs how far primaries have come; let scarce connections go round

After all VMs had lost power, databases took the former connections for open for 3 s. The few VMs that got one of the rest kept it; the others could not learn how far the log was, so that not even replicas served their reads. Now a VM hears that with the news it is told anyway, dated by when it asked, and a connection to a database that was full of late is closed when nobody here waits for it.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -234,7 +234,10 @@
 
 fn not_opened(targets: &Targets, target: &Target, closed: &Closed) -> Attempt {
     let database = &target.database;
-    log::info!(group:% = database.group, database:% = database.id; "not opened: {closed}");
+    match closed {
+        Closed::Refused(Code::Full) => {}
+        _ => log::info!(group:% = database.group, database:% = database.id; "not opened: {closed}"),
+    }
     match closed {
         Closed::Refused(code) => {
             targets.refused(target, None, false);
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -54,6 +54,7 @@
                     .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
                     .collect()
             }),
+            fresh: self.setup.shared.look().fresh.told(now),
             config: newer.map(|config| (*config).clone()),
             register: self.register_news(beat.register, now),
         }
@@ -124,6 +125,9 @@
             let changes = self.state.borrow_mut().register.told(found, asked - age);
             self.publish(&changes, age);
         }
+        for progress in &news.fresh {
+            self.setup.shared.quietly().fresh.hear(progress, asked);
+        }
         for (group, lead, age) in news.leads {
             self.learn_lead(&group, lead, asked - age);
         }
--- a/src/direct/fresh.rs
+++ b/src/direct/fresh.rs
@@ -7,6 +7,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::lead::Epoch;
 use crate::types::{GroupId, Position};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Pairs closer together than this are thinned out: a read of some seconds' age gains nothing
@@ -29,6 +30,19 @@
     pairs: VecDeque<Pair>,
 }
 
+/// How far a group's primary had come, as one VM tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The group.
+    pub group: GroupId,
+    /// The epoch of its primary.
+    pub epoch: Epoch,
+    /// How far it had come.
+    pub position: Position,
+    /// How long ago it was asked, when this was told.
+    pub age: Span,
+}
+
 /// The newest pairs of every group.
 #[derive(Debug, Clone, Default)]
 pub struct Fresh(BTreeMap<GroupId, Known>);
@@ -60,6 +74,27 @@
         Some(pair.position)
     }
 
+    /// The newest pair of each group, for another VM: one that can't reach a primary reads from
+    /// replicas by what others were answered there.
+    pub fn told(&self, now: Time) -> Vec<Progress> {
+        let known = self.0.iter();
+        let newest = known.filter_map(|(group, known)| {
+            let pair = known.pairs.back()?;
+            Some(Progress {
+                group: group.clone(),
+                epoch: known.epoch,
+                position: pair.position,
+                age: now.since(pair.asked),
+            })
+        });
+        newest.collect()
+    }
+
+    /// Learns what another VM told when asked at `asked`; the time on the way counts as age.
+    pub fn hear(&mut self, told: &Progress, asked: Time) {
+        self.learn(&told.group, told.epoch, asked - told.age, told.position);
+    }
+
     /// Forgets what was learned in epochs before `epoch`: the log may have lost those positions.
     pub fn forget_before(&mut self, group: &GroupId, epoch: Epoch) {
         if let Some(known) = self.0.get_mut(group)
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -4,6 +4,7 @@
 use crate::clock::Span;
 use crate::direct::adapter::Later;
 use crate::direct::config::{Config, Database};
+use crate::direct::fresh::Progress;
 use crate::direct::lead::{Epoch, Lead};
 use crate::direct::view::Report;
 use crate::types::{DatabaseId, GroupId, Life, Version, VmId};
@@ -86,6 +87,8 @@
     pub member: bool,
     /// Who leads, with the age of that reading of the store when this answer was made.
     pub leads: Vec<(GroupId, Lead, Span)>,
+    /// How far primaries have come, as this VM was last answered.
+    pub fresh: Vec<Progress>,
     /// The configuration, if it is newer than the one told.
     pub config: Option<Config>,
     /// The register, if it differs from the one told, with its age.
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -32,6 +32,9 @@
 /// statement or two.
 const FULL_PAUSE: Span = Span::from_millis(40);
 
+/// How long after a refusal for want of room connections are not kept idle.
+const SCARCE: Span = Span::from_secs(1);
+
 /// The longest such pause: a database drops connections of a VM that is gone after some seconds.
 const LONGEST_FULL_PAUSE: Span = Span::from_millis(320);
 
@@ -44,6 +47,7 @@
     full_until: Cell<Time>,
     full_pause: Cell<Span>,
     returned: Notify,
+    waiting: Cell<u32>,
     sweeping: Cell<bool>,
 }
 
@@ -76,11 +80,12 @@
             mut connection,
             seat,
         } = self;
-        if !connection.is_clean() {
+        let now = (adapter.clock)();
+        let pool = seat.0.clone();
+        if !connection.is_clean() || pool.leaves_to_others(now) {
             return;
         }
-        connection.used = (adapter.clock)();
-        let pool = seat.0.clone();
+        connection.used = now;
         pool.idle.borrow_mut().push(connection);
         pool.sweep(adapter);
     }
@@ -95,6 +100,7 @@
             full_until: Cell::default(),
             full_pause: Cell::new(FULL_PAUSE),
             returned: Notify::new(),
+            waiting: Cell::new(0),
             sweeping: Cell::new(false),
         })
     }
@@ -149,7 +155,17 @@
 
     /// Waits until a connection may be had, where none was.
     pub async fn wait(&self) {
+        self.waiting.set(self.waiting.get() + 1);
         let _ = tokio::time::timeout(FULL_PAUSE.into(), self.returned.notified()).await;
+        self.waiting.set(self.waiting.get() - 1);
+    }
+
+    /// Whether a connection that is given back is closed, for another VM to have its place.
+    ///
+    /// Where a database has been full of late, some VMs hold all its connections, and keep them by
+    /// using them now and then, while others have none and can't so much as learn how far the log is.
+    fn leaves_to_others(&self, now: Time) -> bool {
+        self.waiting.get() == 0 && now < self.full_until.get() + SCARCE
     }
 
     /// Closes idle connections that were last used before `since`: whatever lost track of one
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -30,6 +30,10 @@
 /// How long to wait for news of who leads before a primary that refused is asked again.
 const ASK_AGAIN: Span = Span::from_millis(150);
 
+/// A statement that waits for a primary looks this often whether another VM has told how far the
+/// log is, so that a replica may serve it.
+const LOOK_AGAIN: Span = Span::from_millis(250);
+
 /// Between two tries at a busy primary: about a short statement's time.
 const BUSY_PAUSE: Span = Span::from_millis(15);
 
@@ -73,12 +77,18 @@
     /// Runs a statement that stands alone, or the first one of a transaction, which is left open.
     pub async fn start(&self, session: &mut Session, job: &Job<'_>) -> Ran {
         self.budget.borrow_mut().deposit(self.targets.now());
-        if let Some(after) = self.needed(session, job)
-            && let Some((answer, held)) = self.on_copies(session, job, after).await
-        {
-            return self.settle(session, job, answer, held);
+        let mut tried_copies = false;
+        loop {
+            if !tried_copies && let Some(after) = self.needed(session, job) {
+                tried_copies = true;
+                if let Some((answer, held)) = self.on_copies(session, job, after).await {
+                    return self.settle(session, job, answer, held);
+                }
+            }
+            if let Then::Answer(ran) = self.on_primary(session, job).await {
+                return ran;
+            }
         }
-        self.on_primary(session, job).await
     }
 
     /// Runs the next statement of an open transaction.
@@ -144,32 +154,31 @@
         self.budget.borrow_mut().withdraw(now)
     }
 
-    async fn on_primary(&self, session: &mut Session, job: &Job<'_>) -> Ran {
-        loop {
-            if self.targets.now() >= job.deadline() {
-                let (code, text) = outcome::lost(job, false, Why::Silent);
-                return self.fail(session, job, code, text);
-            }
-            let group = &job.route.group;
-            let Some((lease, target)) = self.targets.primary(group) else {
-                let left = job.news_until().since(self.targets.now());
-                if !self.targets.wait_for_news(group, None, left).await {
-                    let text = "no primary is known";
-                    return self.busy(session, job, NO_PRIMARY_RETRY, text);
-                }
-                continue;
-            };
-            let plan = Plan {
-                target,
-                lease: Some(lease),
-                after: None,
-            };
-            let attempt = attempt::run(&self.targets, session, job, &plan).await;
-            match self.after(session, job, &plan, attempt).await {
-                Then::Answer(ran) => return ran,
-                Then::Again => {}
-            }
+    /// Tries the primary once, or waits until there is one.
+    async fn on_primary(&self, session: &mut Session, job: &Job<'_>) -> Then {
+        if self.targets.now() >= job.deadline() {
+            let (code, text) = outcome::lost(job, false, Why::Silent);
+            return Then::Answer(self.fail(session, job, code, text));
         }
+        let group = &job.route.group;
+        let Some((lease, target)) = self.targets.primary(group) else {
+            let left = job.news_until().since(self.targets.now());
+            let news = self
+                .targets
+                .wait_for_news(group, None, left.min(LOOK_AGAIN));
+            if news.await || self.targets.now() < job.news_until() {
+                return Then::Again;
+            }
+            let text = "no primary is known";
+            return Then::Answer(self.busy(session, job, NO_PRIMARY_RETRY, text));
+        };
+        let plan = Plan {
+            target,
+            lease: Some(lease),
+            after: None,
+        };
+        let attempt = attempt::run(&self.targets, session, job, &plan).await;
+        self.after(session, job, &plan, attempt).await
     }
 
     /// Decides what follows from a try at the primary.
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -5,7 +5,6 @@
 use crate::core::route::{Candidate, Need, Router};
 use crate::direct::adapter::Adapter;
 use crate::direct::config::Database;
-use crate::direct::fresh::Fresh;
 use crate::direct::front::Place;
 use crate::direct::gate::Urgency;
 use crate::direct::lead::{Epoch, Lease};
@@ -71,7 +70,6 @@
     /// What this VM knows.
     pub shared: Rc<Shared>,
     place: Place,
-    fresh: RefCell<Fresh>,
     pools: RefCell<BTreeMap<DatabaseId, Rc<Pool>>>,
     routers: RefCell<BTreeMap<GroupId, Router>>,
     probed: RefCell<BTreeMap<DatabaseId, Time>>,
@@ -90,7 +88,6 @@
             adapter,
             shared,
             place,
-            fresh: RefCell::default(),
             pools: RefCell::default(),
             routers: RefCell::default(),
             probed: RefCell::default(),
@@ -150,17 +147,17 @@
 
     /// The least position that holds all commits acknowledged before `since`.
     pub fn position_at(&self, group: &GroupId, since: Time) -> Option<Position> {
-        let epoch = self.shared.look().book.known(group)?.0.epoch;
-        let mut fresh = self.fresh.borrow_mut();
-        fresh.forget_before(group, epoch);
-        fresh.oldest_allowed(group, since)
+        let mut view = self.shared.quietly();
+        let epoch = view.book.known(group)?.0.epoch;
+        view.fresh.forget_before(group, epoch);
+        view.fresh.oldest_allowed(group, since)
     }
 
     /// The primary of `epoch`, asked at `asked`, has come to `position`; the lease held after it
     /// had answered.
     pub fn learn(&self, group: &GroupId, epoch: Epoch, asked: Time, position: Position) {
-        let mut fresh = self.fresh.borrow_mut();
-        fresh.learn(group, epoch, asked, position);
+        let mut view = self.shared.quietly();
+        view.fresh.learn(group, epoch, asked, position);
     }
 
     /// The copies to try for a read that needs `after`, best first, as far as they come before
@@ -255,7 +252,10 @@
         self.shared.quietly().reports.answered(&database.id, now);
         let took = now.since(asked);
         target.pool.gate.answered(took);
-        let hint = hint(&target.pool, answer.position, urgency);
+        let Some(position) = answer.position else {
+            return;
+        };
+        let hint = hint(&target.pool, position, urgency);
         if let Some(router) = self.routers.borrow_mut().get_mut(&database.group) {
             router.answered(now, &database.id, took, &hint);
         }
@@ -269,6 +269,9 @@
         if busy {
             target.pool.gate.refused(now);
         }
+        let Some(position) = position else {
+            return;
+        };
         let hint = hint(&target.pool, position, Urgency::MAX);
         if let Some(router) = self.routers.borrow_mut().get_mut(&database.group) {
             router.refused(now, &database.id, &hint);
@@ -303,9 +306,9 @@
     }
 }
 
-fn hint(pool: &Pool, position: Option<Position>, urgency: Urgency) -> Hint {
+fn hint(pool: &Pool, position: Position, urgency: Urgency) -> Hint {
     Hint {
-        position: position.unwrap_or_default(),
+        position,
         wait: pool.gate.wait(urgency),
         run: pool.gate.typical(),
         ..Hint::default()
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::config::{Config, Database, Route};
+use crate::direct::fresh::Fresh;
 use crate::direct::lead::{Book, Epoch, Lease};
 use crate::types::{DatabaseId, GroupId};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,8 @@
     pub databases: BTreeMap<DatabaseId, Database>,
     /// Who leads.
     pub book: Book,
+    /// How far primaries have come.
+    pub fresh: Fresh,
     /// How databases have answered this VM.
     pub reports: Reports,
     /// Statements and transactions on primaries that are not over.
--- a/tests/direct_fresh.rs
+++ b/tests/direct_fresh.rs
@@ -47,6 +47,19 @@
     assert_eq!(fresh.oldest_allowed(&group(), at(0)), None);
 }
 
+/// One VM tells another what the primary answered it. The time that this took on the way is not
+/// known; if it counted for the pair, a read would miss commits that were acknowledged meanwhile.
+#[test]
+fn what_another_vm_tells_is_dated_by_when_it_was_asked() {
+    let mut steward = Fresh::default();
+    steward.learn(&group(), 1, at(5_000), position(7));
+    let told = steward.told(at(5_200));
+    let mut fresh = Fresh::default();
+    fresh.hear(&told[0], at(900));
+    assert_eq!(fresh.oldest_allowed(&group(), at(700)), Some(position(7)));
+    assert_eq!(fresh.oldest_allowed(&group(), at(701)), None);
+}
+
 quickcheck! {
     // Answers come in any order, from a log that only grows. Whatever is kept, the position told
     // is one that the primary had come to when asked no earlier than allowed.
