--- a/src/schedule/direct.rs
+++ b/src/schedule/direct.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Span;
 use crate::schedule::Error;
-use crate::standin::direct::caller::Caller;
+use crate::standin::direct::caller::{Caller, Session};
 use crate::standin::direct::check::{Count, check};
 use crate::standin::direct::fault::Fault;
 use crate::standin::direct::host;
@@ -43,6 +43,9 @@
 /// How long callers pause between statements at most.
 const PAUSE: Duration = Duration::from_millis(160);
 
+/// How long an answer may take: a route's time, which is 5 s, and a little.
+const ANSWERED: Duration = Duration::from_millis(5_500);
+
 /// The most faults of a schedule.
 const MOST: u64 = 5;
 
@@ -101,7 +104,7 @@
     let begun = Instant::now();
     let over = begun + MENDED + RECOVERY + AFTERWARDS;
     call(&world, &record, seed, over);
-    let mut events = draw.play(&world, begun).await;
+    let (mut events, faults) = draw.play(&world, begun).await;
     sleep_until(over).await;
     // What is under way ends.
     sleep(Duration::from_secs(11)).await;
@@ -109,6 +112,9 @@
     let mut report = check(&world, started, &said);
     let last = begun + MENDED + RECOVERY;
     report.broken.extend(served(&world, &said, last));
+    report.broken.extend(held(&said, &faults));
+    drop(said);
+    report.broken.extend(configured(&world, &record).await);
     events.extend(changes(&world));
     events.sort_by_key(|(at, _)| *at);
     let script = events.iter().map(|(at, what)| {
@@ -172,6 +178,51 @@
     broken
 }
 
+/// Every statement is answered about when its route's time is over, by a VM that ran all along
+/// and was reached by its callers.
+fn held(said: &[Said], faults: &[Fault]) -> Vec<Box<str>> {
+    let excused = |vm: &VmId| {
+        faults.iter().any(|fault| match fault {
+            Fault::Freeze(struck) | Fault::Kill(struck) | Fault::Stop(struck, _) => struck == vm,
+            Fault::Dark(Node::Vm(struck)) => struck == vm,
+            Fault::Reset | Fault::Silence => true,
+            _ => false,
+        })
+    };
+    let late = said.iter().filter(|said| {
+        let answered = said.told.as_ref().map(|(at, _)| *at);
+        let ended = answered.or(said.broke);
+        ended.is_some_and(|ended| ended - said.sent > ANSWERED) && !excused(&said.vm)
+    });
+    late.map(|said| format!("answered late or never: {said:?}").into())
+        .collect()
+}
+
+/// Each VM has the last configuration in force, and no older one.
+async fn configured(world: &Rc<World>, record: &Record) -> Vec<Box<str>> {
+    let configs: Vec<_> = {
+        let configs = world.configs.borrow();
+        let configs = configs.iter().rev().take(2);
+        configs.map(|(_, config)| config.clone()).collect()
+    };
+    let mut broken: Vec<Box<str>> = Vec::new();
+    let [last, before] = &configs[..] else {
+        return broken;
+    };
+    for number in 0..world.setup.vms {
+        let Ok(vm) = World::vm(number) else { continue };
+        for route in last.routes.keys().chain(before.routes.keys()) {
+            let meant = last.routes.contains_key(route);
+            let opened = Session::open(world, record, 0, &vm, route).await.is_ok();
+            if opened != meant {
+                let text = format!("{vm} opens {route}: {opened}, and should: {meant}");
+                broken.push(text.into());
+            }
+        }
+    }
+    broken
+}
+
 struct Draw(ChaCha8Rng);
 
 impl Draw {
@@ -194,8 +245,9 @@
     }
 
     /// Plays the faults, and ends them all.
-    async fn play(&mut self, world: &Rc<World>, begun: Instant) -> Vec<Event> {
+    async fn play(&mut self, world: &Rc<World>, begun: Instant) -> (Vec<Event>, Vec<Fault>) {
         let mut events = Vec::new();
+        let mut faults = Vec::new();
         let mut moments = self.moments();
         let mut open: Vec<(Duration, Fault)> = Vec::new();
         loop {
@@ -219,17 +271,18 @@
             if let Some(fault) = planned.fault {
                 fault.begin(world);
                 note("begin", &fault);
+                faults.push(fault.clone());
                 open.push((planned.ends, fault));
             }
         }
         sleep_until(begun + MENDED).await;
-        events
+        (events, faults)
     }
 
     fn moments(&mut self) -> Vec<Planned> {
         let count = 1 + self.below(MOST);
         // Faults that come close together find more.
-        let window = [1_500, 6_000, FAULTS][self.below(3) as usize];
+        let window = [150, 1_500, 6_000, FAULTS][self.below(4) as usize];
         let first = self.below(FAULTS - window + 1);
         let mut moments: Vec<_> = (0..count)
             .map(|_| {
@@ -289,7 +342,7 @@
         node: Node,
         at: Node,
     ) -> Option<Fault> {
-        Some(match self.below(26) {
+        Some(match self.below(27) {
             0 | 1 => Fault::Crash(database),
             2 => Fault::Dark(at),
             3 => Fault::Dark(node),
@@ -317,6 +370,7 @@
                 2 => Fault::Orders(orders::Health::Losing),
                 _ => Fault::Orders(orders::Health::Refusing),
             },
+            25 => Fault::Configure,
             _ => match self.below(2) {
                 0 => Fault::Reset,
                 _ => Fault::Silence,
--- a/src/standin/direct/check.rs
+++ b/src/standin/direct/check.rs
@@ -59,23 +59,30 @@
     book: &'a Book,
     by_id: BTreeMap<&'a str, &'a Said>,
     by_signature: BTreeMap<&'a str, &'a Run>,
-    routes: BTreeSet<(Box<str>, GroupId)>,
+    routes: &'a Routes,
     report: Report,
 }
 
-/// Compares.
+/// The routes that any configuration had, with their groups.
+pub type Routes = BTreeSet<(Box<str>, GroupId)>;
+
+/// Compares what was told in a world.
 pub fn check(world: &World, started: Instant, said: &[Said]) -> Report {
-    let book = world.journal.borrow();
     let configs = world.configs.borrow();
     let routes = configs.iter().flat_map(|(_, config)| &config.routes);
     let routes = routes.map(|(name, route)| (name.clone(), route.group.clone()));
+    compare(&world.journal.borrow(), &routes.collect(), started, said)
+}
+
+/// Compares what was told with what happened.
+pub fn compare(book: &Book, routes: &Routes, started: Instant, said: &[Said]) -> Report {
     let mut check = Check {
         started,
         said,
-        book: &book,
+        book,
         by_id: said.iter().map(|said| (&*said.id, said)).collect(),
         by_signature: book.runs.iter().map(|run| (&*run.signature, run)).collect(),
-        routes: routes.collect(),
+        routes,
         report: Report::default(),
     };
     check.count();
--- a/src/standin/direct/fault.rs
+++ b/src/standin/direct/fault.rs
@@ -51,6 +51,8 @@
     Forget,
     /// Orders are not taken as they should be.
     Orders(orders::Health),
+    /// The configuration gains a route and loses the one that it gained before.
+    Configure,
     /// All open connections of VMs break.
     Reset,
     /// All open connections of VMs go silent for good; new ones work.
@@ -78,6 +80,7 @@
             Self::StoreLosing(losing) => world.store.set_losing(*losing),
             Self::Forget => world.store.forget(),
             Self::Orders(health) => world.orders.set_health(*health),
+            Self::Configure => world.reconfigure(),
             Self::Reset => world.network.reset(|a, _| matches!(a, Node::Vm(_))),
             Self::Silence => world.network.silence(|a, _| matches!(a, Node::Vm(_))),
             _ => self.trouble(world, true),
@@ -100,7 +103,8 @@
             Self::StoreSlow(_) => world.store.set_slow(Span::ZERO),
             Self::StoreLosing(_) => world.store.set_losing(Losing::None),
             Self::Orders(_) => world.orders.set_health(orders::Health::Well),
-            Self::Leave(..) | Self::Jump(..) | Self::Forget | Self::Reset | Self::Silence => {}
+            Self::Leave(..) | Self::Jump(..) | Self::Forget => {}
+            Self::Configure | Self::Reset | Self::Silence => {}
             _ => self.trouble(world, false),
         }
     }
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -134,6 +134,22 @@
         self.configs.borrow_mut().push((Instant::now(), config));
     }
 
+    /// Puts a configuration in force that has a new route and not the last new one.
+    pub fn reconfigure(&self) {
+        let last = self
+            .configs
+            .borrow()
+            .last()
+            .map(|(_, config)| config.clone());
+        let Some(mut config) = last else { return };
+        let route = config.routes.values().next().cloned();
+        config.routes.retain(|name, _| !name.starts_with("new"));
+        config.version = config.version.next();
+        let name = format!("new{}", config.version).into();
+        config.routes.extend(route.map(|route| (name, route)));
+        self.configure(config);
+    }
+
     /// How fresh a route's reads have to be.
     pub fn kind_of(&self, route: &str) -> Option<Kind> {
         let configs = self.configs.borrow();
