Keep connections in the first second of a process too

The pause after a refusal was taken to have ended at the clock's start, so that for a second each connection was closed after one statement.

--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -165,7 +165,8 @@
     /// Where a database has been full of late, some VMs hold all its connections, and keep them by
     /// using them now and then, while others have none and can't so much as learn how far the log is.
     fn leaves_to_others(&self, now: Time) -> bool {
-        self.waiting.get() == 0 && now < self.full_until.get() + SCARCE
+        let was_full = self.full_until.get() > Time::default();
+        was_full && self.waiting.get() == 0 && now < self.full_until.get() + SCARCE
     }
 
     /// Closes idle connections that were last used before `since`: whatever lost track of one
