Close connections to databases after 0.4 s idle instead of 4 s

Databases count the connections of VMs that are gone for 3 s more; with 23 of 23 places taken, VMs that were ready again after 0.2 s found the databases full until then, and refused 595 of 720 requests in the first two seconds. Change: IDLE in direct::pool. Conclusion: places left free are worth more than connections kept.

--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -23,9 +23,10 @@
 /// slot, several times over.
 const OPENING: Span = Span::from_millis(600);
 
-/// How long a connection stays idle before it is closed: long enough for callers that come every
-/// few seconds, short enough that another VM's callers find room.
-const IDLE: Span = Span::from_secs(4);
+/// How long a connection stays idle before it is closed. Opening one costs a slot for 12 ms; one
+/// that is kept takes a place that other VMs lack. When all VMs lose power, a database counts their
+/// connections for 3 s more, and the VMs that start again find only the places that were left.
+const IDLE: Span = Span::from_millis(400);
 
 /// After a first refusal for want of room no connection is tried for this long: a transaction's
 /// statement or two.
