--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -7,9 +7,10 @@
 use crate::direct::statement::Query;
 use std::rc::Rc;
 
-/// How long a statement waits for a primary at most: a planned change takes less, and one after a
-/// crash little more, whereas a caller that waits longer has missed its objective anyway.
-const NEWS: Span = Span::from_millis(2_500);
+/// The part of a route's timeout that a statement waits for a primary at most. A planned change
+/// takes less. Callers ask three times, and what a VM holds for over half of their time to no
+/// avail has cost them the whole of it, whereas they may come back to a VM that can serve them.
+const NEWS_PERCENT: u64 = 50;
 
 /// The part of the objective that work may wait for a busy database: what is refused later than
 /// this has cost its caller time in which another VM could have served it.
@@ -71,7 +72,7 @@
 
     /// Until when it may wait for a primary.
     pub fn news_until(&self) -> Time {
-        self.came + self.route.timeout.min(NEWS)
+        self.came + self.route.timeout.percent(NEWS_PERCENT)
     }
 
     /// Its place among others that wait.
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -32,6 +32,9 @@
 /// statement or two.
 const FULL_PAUSE: Span = Span::from_millis(40);
 
+/// How long after a refusal for want of room connections are not kept idle.
+const SCARCE: Span = Span::from_secs(1);
+
 /// The longest such pause: a database drops connections of a VM that is gone after some seconds.
 const LONGEST_FULL_PAUSE: Span = Span::from_millis(320);
 
@@ -44,6 +47,7 @@
     full_until: Cell<Time>,
     full_pause: Cell<Span>,
     returned: Notify,
+    waiting: Cell<u32>,
     sweeping: Cell<bool>,
 }
 
@@ -52,6 +56,7 @@
 pub struct Lent {
     connection: Connection,
     seat: Seat,
+    opened: bool,
 }
 
 /// Tells those that wait for a connection that there may be one.
@@ -70,17 +75,24 @@
         &mut self.connection
     }
 
+    /// Whether it was opened just now.
+    pub fn is_new(&self) -> bool {
+        self.opened
+    }
+
     /// Gives the connection back for others to use, unless something on it is unaccounted for.
     pub fn give_back(self, adapter: &Adapter) {
         let Self {
             mut connection,
             seat,
+            opened: _,
         } = self;
-        if !connection.is_clean() {
+        let now = (adapter.clock)();
+        let pool = seat.0.clone();
+        if !connection.is_clean() || pool.leaves_to_others(now) {
             return;
         }
-        connection.used = (adapter.clock)();
-        let pool = seat.0.clone();
+        connection.used = now;
         pool.idle.borrow_mut().push(connection);
         pool.sweep(adapter);
     }
@@ -95,6 +107,7 @@
             full_until: Cell::default(),
             full_pause: Cell::new(FULL_PAUSE),
             returned: Notify::new(),
+            waiting: Cell::new(0),
             sweeping: Cell::new(false),
         })
     }
@@ -107,7 +120,7 @@
         session: &Session,
     ) -> Result<Lent, Closed> {
         if let Some(connection) = self.reuse(session) {
-            return Ok(self.lend(connection));
+            return Ok(self.lend(connection, false));
         }
         if (adapter.clock)() < self.full_until.get() {
             return Err(Closed::Refused(Code::Full));
@@ -115,7 +128,7 @@
         match Connection::open(adapter, database, OPENING).await {
             Ok(connection) => {
                 self.full_pause.set(FULL_PAUSE);
-                Ok(self.lend(connection))
+                Ok(self.lend(connection, true))
             }
             Err(closed) => {
                 if let Closed::Refused(Code::Full) = closed {
@@ -126,10 +139,11 @@
         }
     }
 
-    fn lend(self: &Rc<Self>, connection: Connection) -> Lent {
+    fn lend(self: &Rc<Self>, connection: Connection, opened: bool) -> Lent {
         Lent {
             connection,
             seat: Seat(self.clone()),
+            opened,
         }
     }
 
@@ -141,9 +155,26 @@
         self.full_pause.set(longer);
     }
 
+    /// When whoever found no connection should come back: while refusals go on in a row,
+    /// not before the next connections are tried.
+    pub fn retry(&self, now: Time) -> Span {
+        self.full_until.get().since(now).max(self.gate.retry())
+    }
+
     /// Waits until a connection may be had, where none was.
     pub async fn wait(&self) {
+        self.waiting.set(self.waiting.get() + 1);
         let _ = tokio::time::timeout(FULL_PAUSE.into(), self.returned.notified()).await;
+        self.waiting.set(self.waiting.get() - 1);
+    }
+
+    /// Whether a connection that is given back is closed, for another VM to have its place.
+    ///
+    /// Where a database has been full of late, some VMs hold all its connections, and keep them by
+    /// using them now and then, while others have none and can't so much as learn how far the log is.
+    fn leaves_to_others(&self, now: Time) -> bool {
+        let was_full = self.full_until.get() > Time::default();
+        was_full && self.waiting.get() == 0 && now < self.full_until.get() + SCARCE
     }
 
     /// Closes idle connections that were last used before `since`: whatever lost track of one
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -158,8 +158,9 @@
     /// Tries the primary once, or waits until there is one.
     async fn on_primary(&self, session: &mut Session, job: &Job<'_>) -> Then {
         if self.targets.now() >= job.deadline() {
-            let (code, text) = outcome::lost(job, false, Why::Silent);
-            return Then::Answer(self.fail(session, job, code, text));
+            // What ran was answered, or was a read: nothing of it is kept.
+            let text = "no copy could run it in time";
+            return Then::Answer(self.busy(session, job, NO_PRIMARY_RETRY, text));
         }
         let group = &job.route.group;
         let Some((lease, target)) = self.targets.primary(group) else {
