An offer of the duty counts only for the version it was made under

Cause: the offer named the token only. One that arrived after who made it had gone on, renewed and ordered was taken up at once: two VMs would promote in turns (model: leads without OfferCompared).

--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -4,6 +4,7 @@
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::rows::{Duty, MemberId, duty_row, encode};
 use crate::direct::control::state::{Beaten, Held, State};
+use crate::direct::control::takeover::ORDERS_END;
 use crate::direct::control::{Control, errands};
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::{Change, Fault, Row, RowId, Version};
@@ -302,8 +303,11 @@
         {
             tokio::time::sleep(ORDER_ENDS).await;
         }
+        let version = self.state.borrow_mut().held(token).map(|held| held.version);
+        let Some(version) = version else { return true };
         let calls = self.others().into_iter().map(|(vm, address)| {
-            let call = (self.setup.call)(address, Question::HandOver { token }, OFFER);
+            let question = Question::HandOver { token, version };
+            let call = (self.setup.call)(address, question, OFFER);
             async move { (vm, address, call.await) }
         });
         // All at once: where the store turns all away, one after the other would take seconds.
@@ -326,23 +330,37 @@
         false
     }
 
-    /// The steward offers the duty that it holds with this token, and orders nothing any more.
-    pub(super) async fn take_offer(self: &Rc<Self>, token: u64) -> bool {
+    /// The steward offers the duty that it holds with this token and version, under which it orders
+    /// nothing any more.
+    ///
+    /// **Failure answered.** The offer comes late: who made it went on, renewed the duty and orders.
+    /// **Symptom without it.** Two VMs promote in turns. **Why it suffices.** The order needs a
+    /// renewal, which changes the version; another version than the offered one is taken only
+    /// once no order can be under way by it.
+    pub(super) async fn take_offer(self: &Rc<Self>, token: u64, version: Version) -> bool {
         let refuses = self.is_steward() || self.setup.shared.look().stopping;
         if refuses || self.read_rows().await.is_err() || !self.is_member() {
             return false;
         }
-        let known = self
-            .state
-            .borrow()
-            .reading
-            .as_ref()
-            .and_then(|r| r.duty.clone());
-        if known.is_none_or(|(duty, _)| duty.token != token) {
+        let Some(found) = self.duty_version(token) else {
             return false;
+        };
+        if found != version {
+            log::info!(token, version, found; "the duty offered has changed: waiting for its orders to end");
+            tokio::time::sleep(ORDERS_END.into()).await;
+            if self.read_rows().await.is_err() || self.duty_version(token) != Some(found) {
+                return false;
+            }
         }
         self.take().await
     }
+
+    /// The version of the duty's row as last read, if it still has this token.
+    fn duty_version(&self, token: u64) -> Option<Version> {
+        let state = self.state.borrow();
+        let (duty, version) = state.reading.as_ref()?.duty.as_ref()?;
+        (duty.token == token).then_some(*version)
+    }
 }
 
 /// The steward before counts as silent since it was last heard here, not only since now.
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -133,7 +133,9 @@
                     control.drop_epoch(group, epoch, patience).await;
                     Answer::Dropped(control.setup.life)
                 }
-                Question::HandOver { token } => Answer::Taken(control.take_offer(token).await),
+                Question::HandOver { token, version } => {
+                    Answer::Taken(control.take_offer(token, version).await)
+                }
                 Question::Nudge { address, token } => {
                     control.follow(address, token, control.now());
                     control.nudged.notify_one();
--- a/src/direct/control/takeover.rs
+++ b/src/direct/control/takeover.rs
@@ -19,6 +19,9 @@
 /// For clocks that run unlike, and for what an order needs to arrive.
 const MARGIN: Span = Span::from_millis(300);
 
+/// How long the duty's row has to be unchanged before no order can be under way.
+pub const ORDERS_END: Span = Span(ORDER_WITHIN.0 + MARGIN.0);
+
 /// A steward that has not answered for this long, to several calls, is replaced.
 pub const SILENT: Span = Span::from_secs(1);
 
@@ -104,6 +107,6 @@
             return Some(since.max(ended) + turn);
         }
         let silent = hearing.is_silent(now);
-        silent.then(|| (since + ORDER_WITHIN + MARGIN).max(hearing.since + SILENT) + turn)
+        silent.then(|| (since + ORDERS_END).max(hearing.since + SILENT) + turn)
     }
 }
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -5,6 +5,7 @@
 use crate::direct::adapter::Later;
 use crate::direct::config::{Config, Database};
 use crate::direct::lead::{Epoch, Lead};
+use crate::direct::table;
 use crate::direct::view::Report;
 use crate::types::{DatabaseId, GroupId, Life, Version, VmId};
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,8 @@
     HandOver {
         /// The fencing token that it held.
         token: u64,
+        /// The version of the duty's row for which this counts.
+        version: table::Version,
     },
     /// There is something new, or a new steward: send it a heartbeat at once.
     Nudge {
