Let a transaction begin anew elsewhere while nothing followed its first statement

The checker took each statement of a transaction that ran on a second connection for a break, also a first statement whose answer was lost and which was sent again. The check is replaced by one as strict for all else: a move after a second statement ran is found, and so is the answer of a run that was given up.

direct_check 7, direct_failures 12 and direct_random 3 pass.

--- a/src/standin/direct/check.rs
+++ b/src/standin/direct/check.rs
@@ -187,9 +187,11 @@
         }
     }
 
-    /// A transaction of a caller is one transaction on one connection, and nobody else's.
+    /// A transaction of a caller is one transaction on one connection, and nobody else's. Its
+    /// first statement may be run again on another connection as long as nothing followed it, and
+    /// then only the last answer counts.
     fn transactions(&mut self) {
-        let mut operations: BTreeMap<u64, (u64, Option<u64>)> = BTreeMap::new();
+        let mut places: BTreeMap<u64, Place<'_>> = BTreeMap::new();
         let mut owners: BTreeMap<u64, u64> = BTreeMap::new();
         for run in &self.book.runs {
             let Some(said) = self.by_id.get(&*run.id).copied() else {
@@ -198,14 +200,33 @@
             let Some(transaction) = run.transaction else {
                 continue;
             };
-            let place = (run.connection, run.transaction);
-            if *operations.entry(said.operation).or_insert(place) != place {
-                self.breaks("a transaction on two connections", said, Some(run));
+            let place = places
+                .entry(said.operation)
+                .or_insert_with(|| Place::of(run));
+            if place.run.id != run.id {
+                place.followed = true;
+            }
+            if place.is_elsewhere(run) {
+                match place.followed {
+                    true => self.breaks("a transaction on two connections", said, Some(run)),
+                    false => *place = Place::of(run),
+                }
             }
             if *owners.entry(transaction).or_insert(said.operation) != said.operation {
                 self.breaks("inside another caller's transaction", said, Some(run));
             }
         }
+        for place in places.into_values() {
+            let Some(said) = self.by_id.get(&*place.run.id).copied() else {
+                continue;
+            };
+            if said
+                .signature()
+                .is_some_and(|told| told != &*place.run.signature)
+            {
+                self.breaks("told of a run that was given up", said, Some(place.run));
+            }
+        }
     }
 
     fn writes(&mut self) {
@@ -305,6 +326,25 @@
     }
 }
 
+/// Where a transaction's first statement ran.
+struct Place<'a> {
+    run: &'a Run,
+    followed: bool,
+}
+
+impl<'a> Place<'a> {
+    fn of(run: &'a Run) -> Self {
+        Self {
+            run,
+            followed: false,
+        }
+    }
+
+    fn is_elsewhere(&self, run: &Run) -> bool {
+        (self.run.connection, self.run.transaction) != (run.connection, run.transaction)
+    }
+}
+
 /// A commit that a caller knows of.
 struct Acknowledged {
     commit: u64,
--- a/tests/direct_check.rs
+++ b/tests/direct_check.rs
@@ -205,6 +205,32 @@
         s.book.runs[1].connection = 2;
     };
     assert_eq!(Scene::found(moved), "a transaction on two connections");
+    let left_behind = |s: &mut Scene| {
+        both(s);
+        let mut again = s.book.runs[0].clone();
+        again.connection = 2;
+        s.book.runs.push(again);
+    };
+    assert_eq!(
+        Scene::found(left_behind),
+        "a transaction on two connections"
+    );
+    let given_up = |s: &mut Scene| {
+        both(s);
+        let mut again = s.book.runs[0].clone();
+        (again.connection, again.signature) = (2, "another".into());
+        s.book.runs[1].connection = 2;
+        s.book.runs.insert(1, again);
+    };
+    assert_eq!(Scene::found(given_up), "told of a run that was given up");
+    let begun_anew = |s: &mut Scene| {
+        both(s);
+        let mut lost = s.book.runs[0].clone();
+        (lost.connection, lost.transaction) = (2, Some(6));
+        (lost.signature, lost.commit) = ("lost".into(), None);
+        s.book.runs.insert(0, lost);
+    };
+    assert_eq!(Scene::found(begun_anew), "");
     let shared = |s: &mut Scene| {
         both(s);
         s.said[1].operation = 2;
--- a/tests/direct_random.rs
+++ b/tests/direct_random.rs
@@ -28,9 +28,10 @@
     plays_well(239);
 }
 
-/// The answer to the first read of a transaction was lost. It was sent again to another database,
-/// and so one transaction's statements ran on two connections.
+/// The answer to the first read of a transaction was lost. It is sent again to another database,
+/// where the transaction begins anew: the caller must be given that database's answer, and all
+/// that follows has to run there.
 #[test]
-fn transaction_moves_after_its_first_statement() {
+fn transaction_begins_anew_elsewhere() {
     [173, 361, 502, 1025].into_iter().for_each(plays_well);
 }
