--- a/src/schedule/direct.rs
+++ b/src/schedule/direct.rs
@@ -108,12 +108,14 @@
     sleep_until(over).await;
     // What is under way ends.
     sleep(Duration::from_secs(11)).await;
-    let said = record.borrow();
-    let mut report = check(&world, started, &said);
     let last = begun + MENDED + RECOVERY;
-    report.broken.extend(served(&world, &said, last));
-    report.broken.extend(held(&said, &faults));
-    drop(said);
+    let mut report = {
+        let said = record.borrow();
+        let mut report = check(&world, started, &said);
+        report.broken.extend(served(&world, &said, last));
+        report.broken.extend(held(&said, &faults));
+        report
+    };
     report.broken.extend(configured(&world, &record).await);
     events.extend(changes(&world));
     events.sort_by_key(|(at, _)| *at);
