--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -170,26 +170,44 @@
 
     /// Has every VM that may hold a lease give the epoch up, or waits until its lease has lapsed.
     async fn drop_everywhere(self: &Rc<Self>, work: &Work) {
-        let members = self.members_after(work.intent).await;
-        let mut drops = Drops::default();
+        let (members, read) = self.members_after(work.intent).await;
+        let since = |id: &MemberId, member: &Member| {
+            let marked = self.state.borrow().evicted.get(id).map(|(_, seen)| *seen);
+            let since = marked.filter(|_| member.evicted).unwrap_or(work.intent);
+            since.min(work.intent)
+        };
+        let waited = members.iter().map(|(id, m)| (id.clone(), since(id, m)));
+        let mut drops = Drops::new(waited, read);
         let mut calls = FuturesUnordered::new();
         for (id, member) in members {
-            let marked = self.state.borrow().evicted.get(&id).map(|(_, seen)| *seen);
-            let since = marked.filter(|_| member.evicted).unwrap_or(work.intent);
-            drops.expect(id.clone(), since.min(work.intent));
             let until = drops.until(&id).unwrap_or(work.intent);
             calls.push(self.drop_at(work, id, member.address, until));
         }
-        while let Some((id, how)) = calls.next().await {
-            drops.done(&id);
-            if how != "given up" {
-                log::info!(vm:% = id, group:% = work.group, epoch = work.epoch, how; "a VM holds no lease");
+        while let Some(end) = drops.end() {
+            let left = Duration::from(end.since(self.now()));
+            tokio::select! {
+                biased;
+                Some((id, how)) = calls.next() => {
+                    drops.done(&id, self.now());
+                    if how != "given up" {
+                        log::info!(vm:% = id, group:% = work.group, epoch = work.epoch, how; "a VM holds no lease");
+                    }
+                }
+                () = tokio::time::sleep(left) => {
+                    for id in drops.waited() {
+                        log::warn!(
+                            vm:% = id, group:% = work.group, epoch = work.epoch, how = "short";
+                            "a VM holds no lease: too few others are left to vouch for it"
+                        );
+                    }
+                    return;
+                }
             }
         }
     }
 
-    /// The VMs' rows, read after the intent was there.
-    async fn members_after(self: &Rc<Self>, intent: Time) -> BTreeMap<MemberId, Member> {
+    /// The VMs' rows, read after the intent was there, and by when.
+    async fn members_after(self: &Rc<Self>, intent: Time) -> (BTreeMap<MemberId, Member>, Time) {
         let mut backoff = Backoff::default();
         loop {
             if let Ok(reading) = self.store.reading().await
@@ -197,7 +215,8 @@
             {
                 self.learn(reading.clone());
                 let members = reading.members.into_iter();
-                return members.map(|(id, (member, _))| (id, member)).collect();
+                let members = members.map(|(id, (member, _))| (id, member)).collect();
+                return (members, reading.answered);
             }
             backoff.wait().await;
         }
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -2,7 +2,8 @@
 //! who replaces a primary that is lost.
 //!
 //! Every VM beats to the steward (`heartbeat`, `news`), follows the configuration (`watch`), and
-//! reads the store itself while it hears no steward (`own`). One VM at a time is the steward: it
+//! reads the store itself while it hears no steward (`own`); meanwhile its leases go on by the word
+//! of others (`vouch`). One VM at a time is the steward: it
 //! takes and renews the duty in the store (`duty`, [`takeover`]), reads for the others and looks
 //! what has to be done (`errands`, [`steward`], [`evidence`]), and replaces primaries (`change`,
 //! [`promotion`], [`probe`]). What is kept in the store is in [`rows`].
@@ -23,6 +24,7 @@
 pub mod steward;
 pub mod store;
 pub mod takeover;
+mod vouch;
 mod watch;
 
 pub use state::Topic;
@@ -116,6 +118,7 @@
         });
         actix_rt::spawn(watch::run(control.clone()));
         actix_rt::spawn(heartbeat::run(control.clone()));
+        actix_rt::spawn(vouch::run(control.clone()));
         control
     }
 
@@ -134,6 +137,10 @@
                     Answer::Dropped(control.setup.life)
                 }
                 Question::HandOver { token } => Answer::Taken(control.take_offer(token).await),
+                Question::Vouch => {
+                    let vouched = control.setup.shared.look().book.vouches(control.now());
+                    Answer::Vouched(control.setup.life, vouched)
+                }
                 Question::Nudge { address, token } => {
                     control.follow(address, token, control.now());
                     control.nudged.notify_one();
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::config::Database;
 use crate::direct::control::register::Changes;
-use crate::direct::control::rows::MemberId;
+use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Beaten;
 use crate::direct::control::{Control, watch};
 use crate::direct::lead::Lead;
@@ -54,6 +54,7 @@
                     .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
                     .collect()
             }),
+            members: reading.map_or_else(Vec::new, Reading::addresses),
             config: newer.map(|config| (*config).clone()),
             register: self.register_news(beat.register, now),
         }
@@ -124,6 +125,9 @@
             let changes = self.state.borrow_mut().register.told(found, asked - age);
             self.publish(&changes, age);
         }
+        if !news.members.is_empty() {
+            self.state.borrow_mut().fellows = news.members;
+        }
         for (group, lead, age) in news.leads {
             self.learn_lead(&group, lead, asked - age);
         }
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -29,6 +29,7 @@
         let lease = reading.is_lease_for(&self.id, self.setup.life);
         self.member.set(lease);
         if lease {
+            self.state.borrow_mut().fellows = reading.addresses();
             for (group, (lead, _)) in &reading.leads {
                 self.learn_lead(group, lead.clone(), reading.asked);
             }
--- a/src/direct/control/promotion.rs
+++ b/src/direct/control/promotion.rs
@@ -4,7 +4,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::control::rows::MemberId;
 use crate::direct::control::takeover::ORDER_WITHIN;
-use crate::direct::lead::LEASE;
+use crate::direct::lead::{LEASE, TERM, UNHEARD};
 use crate::direct::statement::Standing;
 use crate::types::{DatabaseId, Domain, Position, Term};
 use std::collections::BTreeMap;
@@ -40,23 +40,58 @@
 /// reading that shows the old lead was asked before the intent was there, so its lease ends
 /// [`LEASE`] after that at the latest. For a VM that was evicted the same holds of that moment,
 /// as later readings are no leases for it. Its own word, or its end, makes it sooner.
+///
+/// Once no more than [`UNHEARD`] are left, [`TERM`] from there is enough: beyond [`TERM`] since
+/// the intent a lease needs a voucher that is not among these. That one has dropped the epoch, or
+/// has ended, or has no young reading any more, so it was asked before. A VM that was no member
+/// any more when the rows were read had stopped to vouch by then.
 #[derive(Debug, Default)]
-pub struct Drops(BTreeMap<MemberId, Time>);
+pub struct Drops {
+    waited: BTreeMap<MemberId, Time>,
+    /// When few enough were left.
+    few: Option<Time>,
+}
 
 impl Drops {
-    /// Waits for a VM, by when the intent, or its eviction if that was sooner, was there.
-    pub fn expect(&mut self, member: MemberId, since: Time) {
-        self.0.insert(member, since + LEASE + MARGIN);
+    /// Waits for VMs, each by when the intent, or its eviction if that was sooner, was there. The
+    /// reading that showed them was asked after the intent, and was there at `read`.
+    pub fn new(members: impl IntoIterator<Item = (MemberId, Time)>, read: Time) -> Self {
+        let members = members.into_iter();
+        let mut drops = Self {
+            waited: members.map(|(id, since)| (id, lapsed_at(since))).collect(),
+            few: None,
+        };
+        drops.count(read);
+        drops
     }
 
-    /// A VM gave the epoch up, or ended.
-    pub fn done(&mut self, member: &MemberId) {
-        self.0.remove(member);
+    /// A VM gave the epoch up, or ended, or its time is over, as is known at `now`.
+    pub fn done(&mut self, member: &MemberId, now: Time) {
+        self.waited.remove(member);
+        self.count(now);
     }
 
-    /// Until when a VM is waited for.
+    /// Until when a VM is waited for if nothing is heard of the others.
     pub fn until(&self, member: &MemberId) -> Option<Time> {
-        self.0.get(member).copied()
+        self.waited.get(member).copied()
+    }
+
+    /// Until when any is waited for.
+    pub fn end(&self) -> Option<Time> {
+        let last = self.waited.values().max().copied()?;
+        let short = self.few.map(|few| few + TERM + MARGIN);
+        Some(short.map_or(last, |short| short.min(last)))
+    }
+
+    /// The VMs that are waited for.
+    pub fn waited(&self) -> impl Iterator<Item = &MemberId> {
+        self.waited.keys()
+    }
+
+    fn count(&mut self, now: Time) {
+        if self.waited.len() <= UNHEARD {
+            self.few.get_or_insert(now);
+        }
     }
 }
 
--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Where its VMs listen, one address for each row.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.members.values().map(|(m, _)| m.address).collect()
+    }
+
     /// Whether this reading is a lease for a life of a VM.
     ///
     /// **Failure answered.** A steward replaces a primary and does not know of a VM that acts on
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -16,6 +16,8 @@
 pub(super) struct State {
     /// The newest reading of the rows.
     pub reading: Option<Reading>,
+    /// Where the VMs of the newest reading listen that was a lease for this VM.
+    pub fellows: Vec<SocketAddr>,
     /// When the rows were last read here for want of a steward's word.
     pub looked: Option<Time>,
     /// The databases.
--- /dev/null
+++ b/src/direct/control/vouch.rs
@@ -0,0 +1,129 @@
+//! Leases that go on by the word of other VMs, while the store or the steward is not heard.
+//!
+//! **Pattern answered.** The store is away for 4 to 9 s, and every reading of the lead rows grows
+//! old. **Without it** either all writes stop for some seconds, or a replacement waits as long as
+//! an outage lasts for a VM that fell silent. **Thresholds.** Readings are up to 1.6 s old while
+//! nothing fails, so nothing is asked before [`OLD`]; from there two rounds fit before the lease
+//! ends, and three into the term of each one that succeeds.
+
+use crate::clock::{Span, Time};
+use crate::direct::control::Control;
+use crate::direct::lead::{Epoch, quorum};
+use crate::direct::mesh::{Answer, Question};
+use crate::types::GroupId;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// From which age of a reading on others are asked.
+const OLD: Span = Span::from_millis(1_700);
+
+/// How long their answers are waited for.
+const CALL: Span = Span::from_millis(300);
+
+/// The pause after a round: in which a quorum vouched for all, or not.
+const AGAIN: Span = Span::from_millis(700);
+const FAILED: Span = Span::from_millis(100);
+
+/// How long nothing is looked at while no group is known.
+const IDLE: Span = Span::from_secs(1);
+
+/// Asks others whenever a reading is old, until the process ends.
+pub(super) async fn run(control: Rc<Control>) {
+    let mut last = BTreeMap::new();
+    while !control.state.borrow().stopped {
+        let now = control.now();
+        let rest = match control.ages_at() {
+            Some(at) if at <= now => control.round(&mut last).await,
+            Some(at) => at.since(now),
+            None => IDLE,
+        };
+        tokio::time::sleep(Duration::from(rest)).await;
+    }
+}
+
+impl Control {
+    /// When the first reading of a group gets old.
+    fn ages_at(&self) -> Option<Time> {
+        let view = self.setup.shared.look();
+        let asked = |group| view.book.known(group).map(|(_, asked)| asked + OLD);
+        view.book.groups().filter_map(asked).min()
+    }
+
+    /// Asks all others once; returns how long to rest. `last` has what each group's lease was in
+    /// the round before: whose word it stood by, and whether it had lapsed.
+    async fn round(&self, last: &mut BTreeMap<GroupId, (Epoch, Standing)>) -> Span {
+        let asked = self.now();
+        let wanted = self.setup.shared.look().book.vouches(asked);
+        let (words, members) = self.ask_fellows().await;
+        let mut all = !wanted.is_empty();
+        for (group, epoch) in &wanted {
+            let word = (group.clone(), *epoch);
+            let stand = 1 + words.iter().filter(|words| words.contains(&word)).count();
+            let enough = stand >= quorum(members);
+            if enough {
+                let shared = &self.setup.shared;
+                shared.quietly().book.vouch(group, *epoch, asked);
+            }
+            all &= enough;
+            self.note_standing(group, *epoch, (stand, members), last);
+        }
+        last.retain(|group, _| wanted.iter().any(|(wanted, _)| wanted == group));
+        if all { AGAIN } else { FAILED }
+    }
+
+    /// What the others vouch for, and how many VMs there are, this one included.
+    async fn ask_fellows(&self) -> (Vec<Vec<(GroupId, Epoch)>>, usize) {
+        let mut fellows: Vec<SocketAddr> = self.state.borrow().fellows.clone();
+        let members = fellows.len();
+        fellows.sort();
+        fellows.dedup();
+        fellows.retain(|address| *address != self.setup.address);
+        let calls = fellows
+            .into_iter()
+            .map(|address| (self.setup.call)(address, Question::Vouch, CALL));
+        let answers = futures_util::future::join_all(calls).await;
+        let words = answers.into_iter().filter_map(|answer| match answer {
+            Some(Answer::Vouched(life, words)) if life != self.setup.life => Some(words),
+            _ => None,
+        });
+        (words.collect(), members)
+    }
+
+    fn note_standing(
+        &self,
+        group: &GroupId,
+        epoch: Epoch,
+        (stand, members): (usize, usize),
+        last: &mut BTreeMap<GroupId, (Epoch, Standing)>,
+    ) {
+        let now = self.now();
+        let (holds, until) = {
+            let view = self.setup.shared.look();
+            (view.book.holds(group, epoch, now), view.book.until(group))
+        };
+        let standing = match (holds, stand >= quorum(members)) {
+            (false, _) => Standing::Lapsed,
+            (true, true) => Standing::Vouched,
+            (true, false) => return,
+        };
+        if last.insert(group.clone(), (epoch, standing)) == Some((epoch, standing)) {
+            return;
+        }
+        let lease_ms = until.map_or(0, |until| until.since(now).0 / 1_000);
+        match standing {
+            Standing::Vouched => log::info!(
+                group:%, epoch, stand, members, lease_ms; "a lease goes on by the word of other VMs"
+            ),
+            Standing::Lapsed => log::warn!(group:%, epoch, stand, members; "a lease has lapsed"),
+        }
+    }
+}
+
+/// How a lease stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    Vouched,
+    Lapsed,
+}
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -5,9 +5,13 @@
 //! **Symptom without it.** A write that the old primary took is acknowledged and vanishes; a read
 //! of it misses what the new one acknowledged.
 //! **Why it suffices.** The group's row in the store says who leads. A reading of it that was
-//! *asked* at t is believed until t + [`LEASE`]. Who replaces a primary first writes that it will,
-//! and then waits until every VM that may hold a lease has said that it dropped it, or for longer
-//! than [`LEASE`] since that VM could last have asked. The lease is looked at again after the
+//! *asked* at t is believed until t + [`TERM`], and from there up to t + [`LEASE`] only for
+//! [`TERM`] since enough other VMs were asked who vouch that they have not dropped the epoch. Who
+//! replaces a primary first writes that it will, and then waits until every VM that may hold a
+//! lease has said that it dropped it. With more than [`UNHEARD`] VMs that have not, it waits for
+//! [`LEASE`] since they could last have asked; with no more than that, for [`TERM`] since the last
+//! of the others said so: an extension needs more VMs than have not been heard, so one of its
+//! vouchers was asked before it dropped the epoch. The lease is looked at again after the
 //! database's answer was read, on a clock that counts pauses.
 
 use crate::clock::{Span, Time};
@@ -15,11 +19,24 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// How long a reading of the lead rows is believed: longer than an outage of the store usually
-/// lasts (4 to 6 s), so that one stops no writes. It is waited out only for a VM that fell silent
-/// in the last so many seconds before a primary was lost.
+/// How long a reading of the lead rows is believed at most: longer than an outage of the store
+/// usually lasts (4 to 6 s), so that one stops no writes.
 pub const LEASE: Span = Span::from_secs(8);
 
+/// How long it is believed without the word of other VMs, and how long their word counts from when
+/// they were asked. It is waited out for a VM that fell silent just before a primary was lost. The
+/// steward reads each second and is asked each half second, so readings are 1.6 s old at most.
+pub const TERM: Span = Span::from_millis(2_500);
+
+/// How many VMs may not have been heard for a replacement to wait for [`TERM`] only.
+pub const UNHEARD: usize = 2;
+
+/// How many VMs, the one with the lease among them, have to stand by it beyond [`TERM`]: more than
+/// may be unheard, and most of those that `members` rows showed.
+pub fn quorum(members: usize) -> usize {
+    (UNHEARD + 1).max(members / 2 + 1)
+}
+
 /// Which change of primary a group has come to.
 pub type Epoch = u64;
 
@@ -49,6 +66,8 @@
 struct Known {
     lead: Lead,
     asked: Time,
+    /// When a quorum was last asked that vouched for this epoch.
+    vouched: Option<Time>,
 }
 
 /// What this VM knows of who leads.
@@ -67,7 +86,12 @@
     pub fn learn(&mut self, group: &GroupId, lead: Lead, asked: Time) {
         match self.groups.get_mut(group) {
             None => {
-                self.groups.insert(group.clone(), Known { lead, asked });
+                let known = Known {
+                    lead,
+                    asked,
+                    vouched: None,
+                };
+                self.groups.insert(group.clone(), known);
             }
             Some(known) => known.learn(lead, asked),
         }
@@ -104,7 +128,7 @@
         usable.then(|| Lease {
             epoch: known.lead.epoch,
             primary: known.lead.primary.clone(),
-            until: known.asked + LEASE,
+            until: known.until(),
         })
     }
 
@@ -115,10 +139,46 @@
     pub fn holds(&self, group: &GroupId, epoch: Epoch, now: Time) -> bool {
         let dropped = self.dropped.get(group).copied().unwrap_or_default();
         self.groups.get(group).is_some_and(|known| {
-            known.lead.epoch == epoch && epoch > dropped && now < known.asked + LEASE
+            known.lead.epoch == epoch && epoch > dropped && now < known.until()
         })
     }
 
+    /// The epochs that this VM vouches for to others: neither given up, nor closed, nor being
+    /// replaced, by a reading of its own that is younger than [`LEASE`]. A VM whose row is gone
+    /// has no such reading, so whoever replaces a primary need not know of it.
+    pub fn vouches(&self, now: Time) -> Vec<(GroupId, Epoch)> {
+        let open = |(group, known): &(&GroupId, &Known)| {
+            let ended = |of: &BTreeMap<GroupId, Epoch>| {
+                let epoch = of.get(*group).copied().unwrap_or_default();
+                known.lead.epoch <= epoch
+            };
+            let given_up = ended(&self.dropped) || ended(&self.closed);
+            !given_up && !known.lead.changing && now < known.asked + LEASE
+        };
+        let open = self.groups.iter().filter(open);
+        open.map(|(group, known)| (group.clone(), known.lead.epoch))
+            .collect()
+    }
+
+    /// Learns that a quorum, asked at `asked`, vouched for an epoch of a group; returns whether
+    /// this makes the lease longer.
+    pub fn vouch(&mut self, group: &GroupId, epoch: Epoch, asked: Time) -> bool {
+        let Some(known) = self.groups.get_mut(group) else {
+            return false;
+        };
+        if known.lead.epoch != epoch || known.lead.changing {
+            return false;
+        }
+        let until = known.until();
+        known.vouched = known.vouched.max(Some(asked));
+        known.until() > until
+    }
+
+    /// Until when a group's epoch may be held, unless it is given up.
+    pub fn until(&self, group: &GroupId) -> Option<Time> {
+        Some(self.groups.get(group)?.until())
+    }
+
     /// What the newest reading of a group showed, and when it was asked.
     pub fn known(&self, group: &GroupId) -> Option<(&Lead, Time)> {
         let known = self.groups.get(group)?;
@@ -132,10 +192,18 @@
 }
 
 impl Known {
+    fn until(&self) -> Time {
+        let extended = self.vouched.unwrap_or_default() + TERM;
+        (self.asked + TERM).max(extended.min(self.asked + LEASE))
+    }
+
     fn learn(&mut self, lead: Lead, asked: Time) {
         if (lead.epoch, lead.changing) < (self.lead.epoch, self.lead.changing) {
             return;
         }
+        if lead.epoch > self.lead.epoch {
+            self.vouched = None;
+        }
         // A reading that shows a change under way is no lease: it must not lengthen the one that
         // stems from a reading before the change.
         if !lead.changing || lead.epoch > self.lead.epoch {
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -30,6 +30,8 @@
         /// The fencing token that it held.
         token: u64,
     },
+    /// Which epochs do you vouch for: asked while the store or the steward is not heard.
+    Vouch,
     /// There is something new, or a new steward: send it a heartbeat at once.
     Nudge {
         /// Where the steward listens.
@@ -63,6 +65,8 @@
     News(Box<News>),
     /// To a drop: it is given up, by this life of the VM.
     Dropped(Life),
+    /// To a vouch: what this life of the VM has neither dropped nor sees being replaced.
+    Vouched(Life, Vec<(GroupId, Epoch)>),
     /// To a hand-over: whether the duty was taken.
     Taken(bool),
     /// To a nudge.
@@ -86,6 +90,8 @@
     pub member: bool,
     /// Who leads, with the age of that reading of the store when this answer was made.
     pub leads: Vec<(GroupId, Lead, Span)>,
+    /// Where the VMs of that reading listen, one address for each of them.
+    pub members: Vec<SocketAddr>,
     /// The configuration, if it is newer than the one told.
     pub config: Option<Config>,
     /// The register, if it differs from the one told, with its age.
