--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::config::Database;
 use crate::direct::control::register::Changes;
-use crate::direct::control::rows::MemberId;
+use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Beaten;
 use crate::direct::control::{Control, watch};
 use crate::direct::lead::Lead;
@@ -54,6 +54,8 @@
                     .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
                     .collect()
             }),
+            fresh: self.setup.shared.look().fresh.told(now),
+            members: reading.map_or_else(Vec::new, Reading::addresses),
             config: newer.map(|config| (*config).clone()),
             register: self.register_news(beat.register, now),
         }
@@ -124,6 +126,12 @@
             let changes = self.state.borrow_mut().register.told(found, asked - age);
             self.publish(&changes, age);
         }
+        for progress in &news.fresh {
+            self.setup.shared.quietly().fresh.hear(progress, asked);
+        }
+        if !news.members.is_empty() {
+            self.state.borrow_mut().fellows = news.members;
+        }
         for (group, lead, age) in news.leads {
             self.learn_lead(&group, lead, asked - age);
         }
@@ -140,11 +148,15 @@
             .book
             .known(group)
             .map(|(known, _)| known.clone());
-        if known.as_ref() == Some(&lead) {
+        let lapsed = shared.look().book.until(group) <= Some(self.now());
+        if known.as_ref() == Some(&lead) && !lapsed {
             // Only the lease grows longer: nobody waits for that.
             return shared.quietly().book.learn(group, lead, asked);
         }
         shared.change(|view| view.book.learn(group, lead.clone(), asked));
+        if known.as_ref() == Some(&lead) {
+            return;
+        }
         if known.is_some_and(|known| (known.epoch, known.changing) > (lead.epoch, lead.changing)) {
             return;
         }
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -4,6 +4,7 @@
 use crate::clock::Span;
 use crate::direct::adapter::Later;
 use crate::direct::config::{Config, Database};
+use crate::direct::fresh::Progress;
 use crate::direct::lead::{Epoch, Lead};
 use crate::direct::table;
 use crate::direct::view::Report;
@@ -33,6 +34,8 @@
         /// The version of the duty's row for which this counts.
         version: table::Version,
     },
+    /// Which epochs do you vouch for: asked while the store or the steward is not heard.
+    Vouch,
     /// There is something new, or a new steward: send it a heartbeat at once.
     Nudge {
         /// Where the steward listens.
@@ -66,6 +69,8 @@
     News(Box<News>),
     /// To a drop: it is given up, by this life of the VM.
     Dropped(Life),
+    /// To a vouch: what this life of the VM has neither dropped nor sees being replaced.
+    Vouched(Life, Vec<(GroupId, Epoch)>),
     /// To a hand-over: whether the duty was taken.
     Taken(bool),
     /// To a nudge.
@@ -89,6 +94,10 @@
     pub member: bool,
     /// Who leads, with the age of that reading of the store when this answer was made.
     pub leads: Vec<(GroupId, Lead, Span)>,
+    /// How far primaries have come, as this VM was last answered.
+    pub fresh: Vec<Progress>,
+    /// Where the VMs of that reading listen, one address for each of them.
+    pub members: Vec<SocketAddr>,
     /// The configuration, if it is newer than the one told.
     pub config: Option<Config>,
     /// The register, if it differs from the one told, with its age.
