Search leases of one reading by their term

Cause: a lease is lead::TERM long now, and longer only by the word of other VMs; the specification counted in halves of lead::LEASE, so that its leases were shorter than its waits, and the trace without ToldAge differed. The extension by the word of others is not in this specification; tests/direct_lease.rs searches it.

--- a/src/model/leads.rs
+++ b/src/model/leads.rs
@@ -4,6 +4,9 @@
 //! the platform that is ordered to promote. What a VM believes is the real `direct::lead::Book`.
 //! Nothing at a database fences anyone: a replaced primary goes on for ever.
 //!
+//! Leases are those of one reading, of [`lead::TERM`](crate::direct::lead::TERM); that they go on by
+//! the word of other VMs is searched in `tests/direct_lease.rs`.
+//!
 //! A step that does not happen was lost, cut off, or asleep, so loss, delay, partition and pause
 //! need no event of their own. The end of a process, a write that the store does long after it was
 //! given up, and a clock that misses a pause have theirs. An order leaves in the same step in which
@@ -26,7 +29,7 @@
 /// The VMs that may be steward.
 const CANDIDATES: usize = 2;
 const DATABASES: [&str; 3] = ["a", "b", "c"];
-/// How long a lease is, in ticks.
+/// How long a lease is without the word of other VMs, in ticks.
 const LEASE: Age = 2;
 /// How long a renewal of the duty counts, in ticks.
 const DUTY: Age = 1;
--- a/src/model/leads/belief.rs
+++ b/src/model/leads/belief.rs
@@ -6,7 +6,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::lead::{self, Book, Lead};
 
-const TICK: Span = Span(lead::LEASE.0 / LEASE as u64);
+const TICK: Span = Span(lead::TERM.0 / LEASE as u64);
 /// A moment late enough that every age below it is a valid time.
 const NOW: Time = Time(2 * lead::LEASE.0);
 
