--- a/src/net/system.rs
+++ b/src/net/system.rs
@@ -29,9 +29,20 @@
     seconds * MICROS_PER_SECOND + nanos / NANOS_PER_MICRO
 }
 
-/// A clock that starts now and counts pauses of the VM.
+/// What the clock shows when a process starts.
+///
+/// **Failure answered.** A VM that has run for a second is told that a primary had come to a
+/// position three seconds ago, or that a reading of who leads is that old.
+/// **Symptom without it.** The moment lies before the clock's zero and is cut off there, so that it
+/// passes for one second old: a read that may be 1.5 s old missed what was acknowledged two seconds
+/// before, and a lease lasted too long.
+/// **Why it suffices.** Ages that VMs tell each other are seconds, far less than a day.
+const STARTS_AT: Span = Span::from_secs(24 * 60 * 60);
+
+/// A clock that starts now, at a day, and counts pauses of the VM.
 pub fn clock() -> Clock {
-    Rc::new(since_now())
+    let since_start = since_now();
+    Rc::new(move || since_start() + STARTS_AT)
 }
 
 /// The same, for any thread.
--- a/tests/direct_fresh.rs
+++ b/tests/direct_fresh.rs
@@ -1,7 +1,7 @@
 //! Which position makes a replica new enough.
 
 use lentilspoke::clock::{Span, Time};
-use lentilspoke::direct::fresh::Fresh;
+use lentilspoke::direct::fresh::{Fresh, Progress};
 use lentilspoke::types::{GroupId, Offset, Position, Term};
 use quickcheck::quickcheck;
 
@@ -79,3 +79,22 @@
         }
     }
 }
+
+/// A caller on a VM that started a moment ago reads a board that may be 1.5 s old, and misses a lot
+/// that was acknowledged two seconds before. Another VM had told how far the primary was three
+/// seconds earlier; that moment lay before the new VM's clock began, was cut off at its zero and
+/// passed for young enough. (STALE on hunt-350e-11 of cctak-ledger.)
+#[test]
+fn what_was_known_before_a_process_began_keeps_its_age() {
+    let now = lentilspoke::net::system::clock()();
+    let told = Progress {
+        group: group(),
+        epoch: 1,
+        position: position(59),
+        age: Span::from_secs(3),
+    };
+    let mut fresh = Fresh::default();
+    fresh.hear(&told, now);
+    let since = now - Span::from_millis(1_500);
+    assert_eq!(fresh.oldest_allowed(&group(), since), None);
+}
