Send no new work to a primary that has been leaving for long; end begun transactions at a stop

A leaving primary whose replacement is held up may end at any moment. It takes new work for 4.5 s after this VM knew.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -216,6 +216,9 @@
 
     /// Rolls the open transaction back; its caller learns so with its next statement.
     fn break_off(&mut self, reason: &str) {
+        if let Phase::Begun(_) = self.session.phase {
+            self.session.phase = Phase::Broken;
+        }
         let Some(transaction) = self.transaction.take() else {
             return;
         };
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -194,11 +194,13 @@
             Attempt::Answered(answer, held) => {
                 Then::Answer(self.settle(session, job, answer, held))
             }
-            Attempt::NotRun(Code::Busy | Code::Full) if now + BUSY_PAUSE >= job.queue_until() => {
+            Attempt::NotRun(Code::Busy | Code::Full | Code::NoStatement)
+                if now + BUSY_PAUSE >= job.queue_until() =>
+            {
                 let retry = plan.target.pool.retry(now);
                 Then::Answer(self.busy(session, job, retry, "the primary is busy"))
             }
-            Attempt::NotRun(Code::Busy) => {
+            Attempt::NotRun(Code::Busy | Code::NoStatement) => {
                 tokio::time::sleep(BUSY_PAUSE.into()).await;
                 Then::Again
             }
@@ -206,7 +208,6 @@
                 plan.target.pool.wait().await;
                 Then::Again
             }
-            Attempt::NotRun(Code::NoStatement) => Then::Again,
             Attempt::NotRun(code) if !outcome::may_do_elsewhere(code) => {
                 Then::Answer(self.fail(session, job, code, "refused by the database"))
             }
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -21,6 +21,10 @@
 /// time, which finds out whether it is back.
 const PROBE: Span = Span::from_millis(500);
 
+/// How long a primary that is about to end still takes new work: it serves for at least 7 s after it
+/// said so, and the register is up to 2 s behind.
+const LEAVING: Span = Span::from_millis(4_500);
+
 /// What decides which copy serves a read.
 ///
 /// **Pattern answered.** Copies in other regions beside one near by, which is as good unless it is
@@ -73,6 +77,8 @@
     pools: RefCell<BTreeMap<DatabaseId, Rc<Pool>>>,
     routers: RefCell<BTreeMap<GroupId, Router>>,
     probed: RefCell<BTreeMap<DatabaseId, Time>>,
+    /// Since when primaries are known to be about to end.
+    leaving: RefCell<BTreeMap<DatabaseId, Time>>,
 }
 
 impl fmt::Debug for Targets {
@@ -91,6 +97,7 @@
             pools: RefCell::default(),
             routers: RefCell::default(),
             probed: RefCell::default(),
+            leaving: RefCell::default(),
         })
     }
 
@@ -99,6 +106,21 @@
         (self.adapter.clock)()
     }
 
+    /// Whether new work may go to a primary that may be about to end.
+    ///
+    /// It goes on to serve until it is replaced, which takes milliseconds as a rule. Where that is held
+    /// up, it may end at any moment, and what it was sent last would be lost with it.
+    fn takes_new_work(&self, database: &Database) -> bool {
+        let now = self.now();
+        let mut leaving = self.leaving.borrow_mut();
+        if !database.leaving {
+            leaving.remove(&database.id);
+            return true;
+        }
+        let since = leaving.entry(database.id.clone()).or_insert(now);
+        now < *since + LEAVING
+    }
+
     /// Whether something new may start on a group's primary of `epoch`.
     pub fn may_start(&self, group: &GroupId, epoch: Epoch) -> bool {
         let lease = self.shared.look().book.lease(group, self.now());
@@ -117,14 +139,17 @@
             let (lease, database) = view.primary(group, self.now())?;
             (lease, Rc::new(database.clone()))
         };
+        if !self.takes_new_work(&database) {
+            return None;
+        }
         Some((lease, self.target(database)))
     }
 
     /// Waits until the primary that may be used is not that of `epoch` any more (none, if there
     /// was none); tells whether that came within `span`.
     ///
-    /// A lease on a database that is not registered is no use: taken for news, it would let
-    /// whoever waits ask again at once and for ever.
+    /// A lease on a database that is not registered, or is about to end, is no use: taken for
+    /// news, it would let whoever waits ask again at once and for ever.
     pub async fn wait_for_news(&self, group: &GroupId, epoch: Option<Epoch>, span: Span) -> bool {
         let news = async {
             loop {
@@ -140,8 +165,7 @@
 
     /// The epoch of the primary that may be used now.
     fn usable_epoch(&self, group: &GroupId) -> Option<Epoch> {
-        let view = self.shared.look();
-        let (lease, _) = view.primary(group, self.now())?;
+        let (lease, _) = self.primary(group)?;
         Some(lease.epoch)
     }
 
--- a/tests/direct_serve.rs
+++ b/tests/direct_serve.rs
@@ -354,3 +354,23 @@
     })
     .unwrap();
 }
+
+/// The primary is about to end, and its replacement is held up. It serves for some seconds more;
+/// what it is sent after that would be lost with it.
+#[test]
+fn a_primary_that_leaves_gets_no_new_work_after_some_seconds() {
+    play(async {
+        let world = World::new();
+        world.shared.change(|view| {
+            view.databases
+                .get_mut(&"a".parse().unwrap())
+                .unwrap()
+                .leaving = true;
+        });
+        let mut caller = world.caller("newest").await;
+        assert_snapshot!(caller.ask("write x 1").await, @"done sig | state idle 1/10");
+        tokio::time::sleep(Span::from_millis(4_500).into()).await;
+        assert_snapshot!(caller.ask("write x 1").await, @"error busy no primary is known; retry_ms=500 | state idle -");
+    })
+    .unwrap();
+}
