Never run the first statement of a transaction twice

A world that loses answers found a transaction on two connections: a replica's answer to its first statement was lost, and the read was tried on the next copy.

--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -54,6 +54,16 @@
     }
 }
 
+/// How a read ended on copies.
+enum OnCopies {
+    Answered(Answer, Box<Held>),
+    /// No copy ran it.
+    NotRun,
+    /// It may have run. The first statement of a transaction is not run again then: it would be
+    /// on another connection than before.
+    Lost(Why),
+}
+
 /// What to do after a try at the primary.
 enum Then {
     Answer(Ran),
@@ -81,8 +91,15 @@
         loop {
             if !tried_copies && let Some(after) = self.needed(session, job) {
                 tried_copies = true;
-                if let Some((answer, held)) = self.on_copies(session, job, after).await {
-                    return self.settle(session, job, answer, held);
+                match self.on_copies(session, job, after).await {
+                    OnCopies::Answered(answer, held) => {
+                        return self.settle(session, job, answer, held);
+                    }
+                    OnCopies::Lost(why) => {
+                        let (code, text) = outcome::lost(job, false, why);
+                        return self.fail(session, job, code, text);
+                    }
+                    OnCopies::NotRun => {}
                 }
             }
             if let Then::Answer(ran) = self.on_primary(session, job).await {
@@ -123,16 +140,11 @@
     }
 
     /// Tries copies that are new enough, the best first.
-    async fn on_copies(
-        &self,
-        session: &Session,
-        job: &Job<'_>,
-        after: Position,
-    ) -> Option<(Answer, Box<Held>)> {
+    async fn on_copies(&self, session: &Session, job: &Job<'_>, after: Position) -> OnCopies {
         let urgency = job.urgency();
         for target in self.targets.copies(&job.route.group, after, urgency) {
             if self.targets.now() >= job.deadline() {
-                return None;
+                return OnCopies::NotRun;
             }
             let plan = Plan {
                 target,
@@ -140,13 +152,13 @@
                 after: Some(after),
             };
             match attempt::run(&self.targets, session, job, &plan).await {
-                Attempt::Answered(answer, held) => return Some((answer, held)),
+                Attempt::Answered(answer, held) => return OnCopies::Answered(answer, held),
                 Attempt::NotRun(_) | Attempt::Unreached => {}
-                Attempt::Lost(_) if self.may_repeat() => {}
-                Attempt::Lost(_) => return None,
+                Attempt::Lost(_) if job.is_repeatable() && self.may_repeat() => {}
+                Attempt::Lost(why) => return OnCopies::Lost(why),
             }
         }
-        None
+        OnCopies::NotRun
     }
 
     fn may_repeat(&self) -> bool {
--- a/tests/direct_serve.rs
+++ b/tests/direct_serve.rs
@@ -374,3 +374,28 @@
     })
     .unwrap();
 }
+
+/// A replica loses the answer to the first statement of a transaction. Run again on another
+/// connection, the transaction would stand on two; its caller is told that it was rolled back.
+#[test]
+fn the_first_statement_of_a_transaction_is_not_run_twice() {
+    play(async {
+        let world = World::new();
+        let mut caller = world.caller("aged").await;
+        caller.ask("read x").await;
+        world.script(|id, _, text| (id == "b" && text.starts_with("read")).then_some(Act::Break));
+        world.seen();
+        let told = caller.play(&["begin read", "read x", "rollback"]).await;
+        assert_snapshot!(told, @r"
+        begin read: done - | state open -
+        read x: error rolled-back the connection to the database broke | state failed -
+        rollback: done - | state idle -
+        ");
+        assert_snapshot!(world.seen(), @r"
+        b2 start
+        b2 - after 1/10 begin read
+        b2 q read x
+        ");
+    })
+    .unwrap();
+}
