--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -55,6 +55,16 @@
     }
 }
 
+/// How a read ended on copies.
+enum OnCopies {
+    Answered(Answer, Box<Held>),
+    /// No copy ran it.
+    NotRun,
+    /// It may have run. The first statement of a transaction is not run again then: it would be
+    /// on another connection than before.
+    Lost(Why),
+}
+
 /// What to do after a try at the primary.
 enum Then {
     Answer(Ran),
@@ -82,8 +92,15 @@
         loop {
             if !tried_copies && let Some(after) = self.needed(session, job) {
                 tried_copies = true;
-                if let Some((answer, held)) = self.on_copies(session, job, after).await {
-                    return self.settle(session, job, answer, held);
+                match self.on_copies(session, job, after).await {
+                    OnCopies::Answered(answer, held) => {
+                        return self.settle(session, job, answer, held);
+                    }
+                    OnCopies::Lost(why) => {
+                        let (code, text) = outcome::lost(job, false, why);
+                        return self.fail(session, job, code, text);
+                    }
+                    OnCopies::NotRun => {}
                 }
             }
             if let Then::Answer(ran) = self.on_primary(session, job).await {
@@ -124,16 +141,11 @@
     }
 
     /// Tries copies that are new enough, the best first.
-    async fn on_copies(
-        &self,
-        session: &Session,
-        job: &Job<'_>,
-        after: Position,
-    ) -> Option<(Answer, Box<Held>)> {
+    async fn on_copies(&self, session: &Session, job: &Job<'_>, after: Position) -> OnCopies {
         let urgency = job.urgency();
         for target in self.targets.copies(&job.route.group, after, urgency) {
             if self.targets.now() >= job.deadline() {
-                return None;
+                return OnCopies::NotRun;
             }
             let plan = Plan {
                 target,
@@ -141,13 +153,13 @@
                 after: Some(after),
             };
             match attempt::run(&self.targets, session, job, &plan).await {
-                Attempt::Answered(answer, held) => return Some((answer, held)),
+                Attempt::Answered(answer, held) => return OnCopies::Answered(answer, held),
                 Attempt::NotRun(_) | Attempt::Unreached => {}
-                Attempt::Lost(_) if self.may_repeat() => {}
-                Attempt::Lost(_) => return None,
+                Attempt::Lost(_) if job.is_repeatable() && self.may_repeat() => {}
+                Attempt::Lost(why) => return OnCopies::Lost(why),
             }
         }
-        None
+        OnCopies::NotRun
     }
 
     fn may_repeat(&self) -> bool {
@@ -197,11 +209,13 @@
             Attempt::Answered(answer, held) => {
                 Then::Answer(self.settle(session, job, answer, held))
             }
-            Attempt::NotRun(Code::Busy | Code::Full) if now + BUSY_PAUSE >= job.queue_until() => {
+            Attempt::NotRun(Code::Busy | Code::Full | Code::NoStatement)
+                if now + BUSY_PAUSE >= job.queue_until() =>
+            {
                 let retry = plan.target.pool.retry(now);
                 Then::Answer(self.busy(session, job, retry, "the primary is busy"))
             }
-            Attempt::NotRun(Code::Busy) => {
+            Attempt::NotRun(Code::Busy | Code::NoStatement) => {
                 tokio::time::sleep(BUSY_PAUSE.into()).await;
                 Then::Again
             }
@@ -209,7 +223,6 @@
                 plan.target.pool.wait().await;
                 Then::Again
             }
-            Attempt::NotRun(Code::NoStatement) => Then::Again,
             Attempt::NotRun(code) if !outcome::may_do_elsewhere(code) => {
                 Then::Answer(self.fail(session, job, code, "refused by the database"))
             }
