--- a/tests/direct_takeover.rs
+++ b/tests/direct_takeover.rs
@@ -4,7 +4,7 @@
 
 use lentilspoke::standin::direct::fault::Fault;
 use lentilspoke::standin::direct::network::Node;
-use lentilspoke::standin::direct::world::Setup;
+use lentilspoke::standin::direct::setup::Setup;
 use scene::{db, play, vm};
 
 /// Milliseconds after a primary fell silent, around the order that another one leads, and for as
