--- a/tests/direct_takeover.rs
+++ b/tests/direct_takeover.rs
@@ -21,7 +21,8 @@
 /// A primary falls silent, the steward orders that another leads, and dies; while that order comes
 /// true, the old primary is reached again and takes itself for the primary still. Whoever goes on
 /// must not name the old one: the platform would say that nothing has to be done, and a moment
-/// later the other one leads. (Played on a day with a split cut: reads lacked acknowledged writes.)
+/// later the other one leads. (Seen on a day with a split cut. This scene passes without the
+/// safeguards too: the stand-in refuses an order beside one that has not come true yet.)
 #[test]
 fn old_primary_returns_while_another_is_promoted() {
     for step in STEPS {
