--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -67,6 +67,7 @@
 pub async fn run(place: Place, build: Build) -> io::Result<()> {
     let stop = util::asked_to_stop()?;
     let listeners = Listeners::open(&place)?;
+    println!("ready {}", place.settings.callers);
     let adapter = build(Outside {
         store: place.settings.platform[0],
         orders: place.direct.orders,
