--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -370,7 +370,7 @@
             // The old primary is one only if it was lost. A steward before may have ordered another
             // database to lead, which takes effect whatever the old one says now.
             let out = work.cause.is_planned() || work.cause == Cause::Unfinished;
-            !(out && d.id == work.old) && !not.contains(&d.id)
+            !(not.contains(&d.id) || out && d.id == work.old)
         };
         let members: Vec<_> = view.members(&work.group).filter(stays).cloned().collect();
         let staying: Vec<_> = members.iter().filter(|d| !d.leaving).cloned().collect();
