--- a/src/direct/control/vouch.rs
+++ b/src/direct/control/vouch.rs
@@ -37,22 +37,26 @@
         let rest = match control.ages_at() {
             Some(at) if at <= now => control.round(&mut last).await,
             Some(at) => at.since(now),
-            None => IDLE,
+            None => {
+                control.forget(&[], &mut last);
+                IDLE
+            }
         };
         tokio::time::sleep(Duration::from(rest)).await;
     }
 }
 
 impl Control {
-    /// When the first reading of a group gets old.
+    /// When the first reading gets old of the groups whose leases may go on.
     fn ages_at(&self) -> Option<Time> {
         let view = self.setup.shared.look();
-        let asked = |group| view.book.known(group).map(|(_, asked)| asked + OLD);
-        view.book.groups().filter_map(asked).min()
+        let open = view.book.vouches(self.now());
+        let asked = |(group, _): &(GroupId, Epoch)| Some(view.book.known(group)?.1 + OLD);
+        open.iter().filter_map(asked).min()
     }
 
-    /// Asks all others once; returns how long to rest. `last` has what each group's lease was in
-    /// the round before: whose word it stood by, and whether it had lapsed.
+    /// Asks all others once; returns how long to rest. `last` has how each lease stood after the
+    /// round before.
     async fn round(&self, last: &mut BTreeMap<GroupId, (Epoch, Standing)>) -> Span {
         let asked = self.now();
         let wanted = self.setup.shared.look().book.vouches(asked);
@@ -74,10 +78,25 @@
             all &= enough;
             self.note_standing(group, *epoch, (stand, members), last);
         }
-        last.retain(|group, _| wanted.iter().any(|(wanted, _)| wanted == group));
+        self.forget(&wanted, last);
         if all { AGAIN } else { FAILED }
     }
 
+    /// Forgets leases that may not go on any more.
+    fn forget(&self, wanted: &[(GroupId, Epoch)], last: &mut BTreeMap<GroupId, (Epoch, Standing)>) {
+        let now = self.now();
+        last.retain(|group, &mut (epoch, standing)| {
+            if wanted.iter().any(|(wanted, _)| wanted == group) {
+                return true;
+            }
+            let lapsed = self.setup.shared.look().book.until(group) <= Some(now);
+            if lapsed && standing == Standing::Vouched {
+                log::warn!(group:%, epoch; "a lease has lapsed");
+            }
+            false
+        });
+    }
+
     /// What the others vouch for, and how many VMs there are, this one included.
     async fn ask_fellows(&self) -> (Vec<Vec<(GroupId, Epoch)>>, usize) {
         let mut fellows: Vec<SocketAddr> = self.state.borrow().fellows.clone();
