--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -6,7 +6,7 @@
 //! of others (`vouch`). One VM at a time is the steward: it
 //! takes and renews the duty in the store (`duty`, [`takeover`]), reads for the others and looks
 //! what has to be done (`errands`, [`steward`], [`evidence`]), and replaces primaries (`change`,
-//! [`promotion`], [`probe`]). What is kept in the store is in [`rows`].
+//! `order`, [`promotion`], [`probe`]). What is kept in the store is in [`rows`].
 
 pub mod backoff;
 mod change;
@@ -15,6 +15,7 @@
 pub mod evidence;
 mod heartbeat;
 mod news;
+mod order;
 mod own;
 pub mod probe;
 pub mod promotion;
@@ -136,7 +137,9 @@
                     control.drop_epoch(group, epoch, patience).await;
                     Answer::Dropped(control.setup.life)
                 }
-                Question::HandOver { token } => Answer::Taken(control.take_offer(token).await),
+                Question::HandOver { token, version } => {
+                    Answer::Taken(control.take_offer(token, version).await)
+                }
                 Question::Vouch => {
                     let vouched = control.setup.shared.look().book.vouches(control.now());
                     Answer::Vouched(control.setup.life, vouched)
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -54,6 +54,7 @@
                     .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
                     .collect()
             }),
+            fresh: self.setup.shared.look().fresh.told(now),
             members: reading.map_or_else(Vec::new, Reading::addresses),
             config: newer.map(|config| (*config).clone()),
             register: self.register_news(beat.register, now),
@@ -125,6 +126,9 @@
             let changes = self.state.borrow_mut().register.told(found, asked - age);
             self.publish(&changes, age);
         }
+        for progress in &news.fresh {
+            self.setup.shared.quietly().fresh.hear(progress, asked);
+        }
         if !news.members.is_empty() {
             self.state.borrow_mut().fellows = news.members;
         }
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -4,7 +4,9 @@
 use crate::clock::Span;
 use crate::direct::adapter::Later;
 use crate::direct::config::{Config, Database};
+use crate::direct::fresh::Progress;
 use crate::direct::lead::{Epoch, Lead};
+use crate::direct::table;
 use crate::direct::view::Report;
 use crate::types::{DatabaseId, GroupId, Life, Version, VmId};
 use serde::{Deserialize, Serialize};
@@ -29,6 +31,8 @@
     HandOver {
         /// The fencing token that it held.
         token: u64,
+        /// The version of the duty's row for which this counts.
+        version: table::Version,
     },
     /// Which epochs do you vouch for: asked while the store or the steward is not heard.
     Vouch,
@@ -90,6 +94,8 @@
     pub member: bool,
     /// Who leads, with the age of that reading of the store when this answer was made.
     pub leads: Vec<(GroupId, Lead, Span)>,
+    /// How far primaries have come, as this VM was last answered.
+    pub fresh: Vec<Progress>,
     /// Where the VMs of that reading listen, one address for each of them.
     pub members: Vec<SocketAddr>,
     /// The configuration, if it is newer than the one told.
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -2,7 +2,9 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::config::{Config, Database, Route};
+use crate::direct::fresh::Fresh;
 use crate::direct::lead::{Book, Epoch, Lease};
+use crate::direct::meter::Meter;
 use crate::types::{DatabaseId, GroupId};
 use serde::{Deserialize, Serialize};
 use std::cell::{Ref, RefCell, RefMut};
@@ -19,6 +21,8 @@
     pub databases: BTreeMap<DatabaseId, Database>,
     /// Who leads.
     pub book: Book,
+    /// How far primaries have come.
+    pub fresh: Fresh,
     /// How databases have answered this VM.
     pub reports: Reports,
     /// Statements and transactions on primaries that are not over.
@@ -49,6 +53,8 @@
 /// The view as tasks share it; whoever changes it wakes those that wait for a change.
 #[derive(Debug, Default)]
 pub struct Shared {
+    /// What is counted for the scraper.
+    pub meter: Meter,
     view: RefCell<View>,
     changed: Notify,
 }
