--- a/tests/direct_mesh.rs
+++ b/tests/direct_mesh.rs
@@ -10,7 +10,8 @@
 const WITHIN: Span = Span::from_secs(10);
 
 fn question(token: u64) -> Question {
-    Question::HandOver { token }
+    let version = 7;
+    Question::HandOver { token, version }
 }
 
 /// A VM that takes the duty if its token is even.
@@ -20,7 +21,7 @@
     let answerer: mesh::Answerer = Rc::new(|question| {
         Box::pin(async move {
             match question {
-                Question::HandOver { token } => Answer::Taken(token % 2 == 0),
+                Question::HandOver { token, .. } => Answer::Taken(token % 2 == 0),
                 _ => std::future::pending().await,
             }
         })
