Let a lease go on by the word of three VMs, not of a majority

Change: three VMs are enough: a replacement takes the short wait only if no more than two are unheard.

--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -18,6 +18,8 @@
     pub reading: Option<Reading>,
     /// Where the VMs of the newest reading listen that was a lease for this VM.
     pub fellows: Vec<SocketAddr>,
+    /// How many of them were asked to vouch so far: the next ones are asked next.
+    pub vouch_turn: usize,
     /// When the rows were last read here for want of a steward's word.
     pub looked: Option<Time>,
     /// The databases.
--- a/src/direct/control/vouch.rs
+++ b/src/direct/control/vouch.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::control::Control;
-use crate::direct::lead::{Epoch, quorum};
+use crate::direct::lead::{Epoch, QUORUM};
 use crate::direct::mesh::{Answer, Question};
 use crate::types::GroupId;
 use std::collections::BTreeMap;
@@ -22,6 +22,10 @@
 /// How long their answers are waited for.
 const CALL: Span = Span::from_millis(300);
 
+/// How many others are asked in a round: all on a site of eight VMs; on a large one more than twice
+/// as many as are needed, so that the load of an outage does not grow with the square of the site.
+const MOST_ASKED: usize = 7;
+
 /// The pause after a round: in which a quorum vouched for all, or not.
 const AGAIN: Span = Span::from_millis(700);
 const FAILED: Span = Span::from_millis(100);
@@ -60,12 +64,12 @@
     async fn round(&self, last: &mut BTreeMap<GroupId, (Epoch, Standing)>) -> Span {
         let asked = self.now();
         let wanted = self.setup.shared.look().book.vouches(asked);
-        let (words, members) = self.ask_fellows().await;
+        let words = self.ask_fellows().await;
         let mut all = !wanted.is_empty();
         for (group, epoch) in &wanted {
             let word = (group.clone(), *epoch);
             let stand = 1 + words.iter().filter(|words| words.contains(&word)).count();
-            let enough = stand >= quorum(members);
+            let enough = stand >= QUORUM;
             if enough {
                 let shared = &self.setup.shared;
                 let lapsed = shared.look().book.until(group) <= Some(self.now());
@@ -76,7 +80,7 @@
                 }
             }
             all &= enough;
-            self.note_standing(group, *epoch, (stand, members), last);
+            self.note_standing(group, *epoch, stand, last);
         }
         self.forget(&wanted, last);
         if all { AGAIN } else { FAILED }
@@ -97,29 +101,35 @@
         });
     }
 
-    /// What the others vouch for, and how many VMs there are, this one included.
-    async fn ask_fellows(&self) -> (Vec<Vec<(GroupId, Epoch)>>, usize) {
+    /// What some others vouch for, other ones in each round where there are many.
+    async fn ask_fellows(&self) -> Vec<Vec<(GroupId, Epoch)>> {
         let mut fellows: Vec<SocketAddr> = self.state.borrow().fellows.clone();
-        let members = fellows.len();
         fellows.sort();
         fellows.dedup();
         fellows.retain(|address| *address != self.setup.address);
+        if !fellows.is_empty() {
+            let mut state = self.state.borrow_mut();
+            let next = state.vouch_turn % fellows.len();
+            fellows.rotate_left(next);
+            state.vouch_turn += MOST_ASKED;
+        }
         let calls = fellows
             .into_iter()
+            .take(MOST_ASKED)
             .map(|address| (self.setup.call)(address, Question::Vouch, CALL));
         let answers = futures_util::future::join_all(calls).await;
         let words = answers.into_iter().filter_map(|answer| match answer {
             Some(Answer::Vouched(life, words)) if life != self.setup.life => Some(words),
             _ => None,
         });
-        (words.collect(), members)
+        words.collect()
     }
 
     fn note_standing(
         &self,
         group: &GroupId,
         epoch: Epoch,
-        (stand, members): (usize, usize),
+        stand: usize,
         last: &mut BTreeMap<GroupId, (Epoch, Standing)>,
     ) {
         let now = self.now();
@@ -127,7 +137,7 @@
             let view = self.setup.shared.look();
             (view.book.holds(group, epoch, now), view.book.until(group))
         };
-        let standing = match (holds, stand >= quorum(members)) {
+        let standing = match (holds, stand >= QUORUM) {
             (false, _) => Standing::Lapsed,
             (true, true) => Standing::Vouched,
             (true, false) => return,
@@ -138,9 +148,9 @@
         let lease_ms = until.map_or(0, |until| until.since(now).0 / 1_000);
         match standing {
             Standing::Vouched => log::info!(
-                group:%, epoch, stand, members, lease_ms; "a lease goes on by the word of other VMs"
+                group:%, epoch, stand, lease_ms; "a lease goes on by the word of other VMs"
             ),
-            Standing::Lapsed => log::warn!(group:%, epoch, stand, members; "a lease has lapsed"),
+            Standing::Lapsed => log::warn!(group:%, epoch, stand; "a lease has lapsed"),
         }
     }
 }
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -31,11 +31,10 @@
 /// How many VMs may not have been heard for a replacement to wait for [`TERM`] only.
 pub const UNHEARD: usize = 2;
 
-/// How many VMs, the one with the lease among them, have to stand by it beyond [`TERM`]: more than
-/// may be unheard, and most of those that `members` rows showed.
-pub fn quorum(members: usize) -> usize {
-    (UNHEARD + 1).max(members / 2 + 1)
-}
+/// How many VMs, the one with the lease among them, have to stand by it beyond [`TERM`]: one more
+/// than may be unheard, so that one of them gave its word to whoever replaces the primary. A majority
+/// is not needed for that, and would stop the writes of all VMs on the lesser side of a cut.
+pub const QUORUM: usize = UNHEARD + 1;
 
 /// Which change of primary a group has come to.
 pub type Epoch = u64;
