Close a session on a planned stop only once it has been quiet for 150 ms

Change: direct::caller::QUIET. Test: a_stop_answers_whoever_has_just_connected, which fails without it.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -27,6 +27,15 @@
 /// How long the end of a session may take to be sent.
 const FAREWELL: Span = Span::from_millis(200);
 
+/// How long a session has to have been quiet before a planned stop closes it.
+///
+/// **Failure answered.** A caller that has just opened its session, or prepared a statement, has
+/// its next message on the way when the session is closed.
+/// **Symptom without it.** The message gets no answer; a single write may then not be repeated.
+/// **Why it suffices.** Callers that go on do so within a round trip and the time they take.
+/// Whoever never rests is closed when transactions are rolled back.
+const QUIET: Span = Span::from_millis(150);
+
 /// How long an answer may take to be read by its caller before the session is given up.
 const SLOW_CALLER: Span = Span::from_secs(15);
 
@@ -56,6 +65,8 @@
     /// The route of `database` in a configuration.
     routed: Option<(Rc<Config>, Rc<Route>)>,
     stopping: watch::Receiver<Stopping>,
+    /// When it was last sent anything.
+    told: Time,
 }
 
 impl fmt::Debug for Caller {
@@ -80,6 +91,7 @@
             database: Box::default(),
             routed: None,
             stopping,
+            told: Time::default(),
         }
     }
 
@@ -166,11 +178,13 @@
     /// Reads more input, or does what is due while none comes.
     async fn receive(&mut self) -> Result<(), Gone> {
         let stopping = *self.stopping.borrow_and_update();
-        if stopping != Stopping::No && self.end_for(stopping).await? {
+        let quiet = self.quiet_span(stopping);
+        if stopping != Stopping::No && quiet.is_none() && self.end_for(stopping).await? {
             return Ok(());
         }
         let idle = self.idle_span();
-        let limit = idle.unwrap_or(Span::from_secs(86_400));
+        let limit = idle.or(quiet);
+        let rest = limit.unwrap_or(Span::from_secs(86_400));
         tokio::select! {
             biased;
             read = self.stream.read_buf(&mut self.input) => match read? {
@@ -178,13 +192,23 @@
                 _ => Ok(()),
             },
             _ = self.stopping.changed() => Ok(()),
-            () = tokio::time::sleep(limit.into()), if idle.is_some() => {
-                self.break_off("the transaction was idle for too long");
+            () = tokio::time::sleep(rest.into()), if limit.is_some() => {
+                if idle.is_some() {
+                    self.break_off("the transaction was idle for too long");
+                }
                 Ok(())
             }
         }
     }
 
+    /// How long a session that a planned stop is about to close may still go on.
+    fn quiet_span(&self, stopping: Stopping) -> Option<Span> {
+        let now = self.front.now();
+        let quiet = self.told + QUIET;
+        let goes_on = stopping == Stopping::Idle && self.transaction.is_none() && now < quiet;
+        goes_on.then(|| quiet.since(now))
+    }
+
     /// How long the open transaction may stay idle.
     fn idle_span(&self) -> Option<Span> {
         self.transaction.as_ref()?;
@@ -324,7 +348,9 @@
             self.stream.write_all(output).await?;
             self.stream.flush().await
         };
-        match tokio::time::timeout(SLOW_CALLER.into(), written).await {
+        let written = tokio::time::timeout(SLOW_CALLER.into(), written).await;
+        self.told = self.front.now();
+        match written {
             Ok(result) => Ok(result?),
             Err(_) => Err(Gone::Left),
         }
--- a/tests/direct_serve.rs
+++ b/tests/direct_serve.rs
@@ -334,6 +334,23 @@
     .unwrap();
 }
 
+/// A caller connects to a VM that stops, just before idle sessions are closed. Its first statement is
+/// on the way when they are, and it is answered: a session is closed only once it has been quiet.
+#[test]
+fn a_stop_answers_whoever_has_just_connected() {
+    play(async {
+        let world = World::new();
+        let front = Rc::clone(&world.front);
+        tokio::task::spawn_local(async move { front.stop(Span::from_secs(6)).await });
+        tokio::time::sleep(Span::from_millis(2_190).into()).await;
+        let mut caller = world.caller("newest").await;
+        tokio::time::sleep(Span::from_millis(20).into()).await;
+        assert_snapshot!(caller.play(&["write x 1"]).await, @"write x 1: done sig | state idle 1/10");
+        assert_snapshot!(caller.line().await, @"(closed)");
+    })
+    .unwrap();
+}
+
 /// The route goes while a transaction is open. The change applies from the next transaction on.
 #[test]
 fn a_transaction_keeps_its_route() {
