Print what callers were told in one place

Cause: src/schedule/direct.rs and the checker of direct worlds wrote the same counts twice. Change: Display of check::Count, used by both. The text is the same.

--- a/src/schedule/direct.rs
+++ b/src/schedule/direct.rs
@@ -64,17 +64,7 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Count {
-            done,
-            promised,
-            failed,
-            untold,
-        } = self.told;
-        write!(
-            f,
-            "seed {}: {done} done, {promised} not run, {failed} failed, {untold} untold",
-            self.seed
-        )?;
+        write!(f, "seed {}: {}", self.seed, self.told)?;
         for broken in &self.broken {
             write!(f, "\n  BROKEN: {broken}")?;
         }
--- a/src/standin/direct/check.rs
+++ b/src/standin/direct/check.rs
@@ -34,18 +34,24 @@
     pub told: Count,
 }
 
-impl fmt::Display for Report {
+impl fmt::Display for Count {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Count {
+        let Self {
             done,
             promised,
             failed,
             untold,
-        } = self.told;
+        } = self;
         write!(
             f,
             "{done} done, {promised} not run, {failed} failed, {untold} untold"
-        )?;
+        )
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.told)?;
         for broken in &self.broken {
             write!(f, "\n  {broken}")?;
         }
