Print schedules and their verdict in one place

Cause: the subcommand held the same printing and the same exit for both kinds of worlds. Change: show and verdict, called by both. The output is the same.

--- a/src/cmd/schedules.rs
+++ b/src/cmd/schedules.rs
@@ -70,10 +70,7 @@
         let fails = !report.broken.is_empty();
         failed += u64::from(fails);
         if fails || args.script {
-            println!("{report}");
-            for line in &report.script {
-                println!("    {line}");
-            }
+            show(&report, &report.script);
         }
     }
     let schedule::Told {
@@ -86,10 +83,7 @@
          {unknown} unknown; {:.1} s",
         begun.elapsed().as_secs_f64()
     );
-    match failed {
-        0 => Ok(()),
-        _ => Err(Error::failed(format!("{failed} seeds broke a property"))),
-    }
+    verdict(failed)
 }
 
 /// Plays worlds of direct access.
@@ -104,16 +98,25 @@
         let fails = !report.broken.is_empty();
         failed += u64::from(fails);
         if fails || args.script {
-            println!("{report}");
-            for line in &report.script {
-                println!("    {line}");
-            }
+            show(&report, &report.script);
         }
     }
     println!(
         "{played} seeds, {failed} failed; statements: {done} done; {:.1} s",
         begun.elapsed().as_secs_f64()
     );
+    verdict(failed)
+}
+
+/// Prints a seed's report, and what was played.
+fn show(report: &impl std::fmt::Display, script: &[Box<str>]) {
+    println!("{report}");
+    for line in script {
+        println!("    {line}");
+    }
+}
+
+fn verdict(failed: u64) -> Result<(), Error> {
     match failed {
         0 => Ok(()),
         _ => Err(Error::failed(format!("{failed} seeds broke a property"))),
