Tell VMs of each other only when that changed, and where each relays statements

Cause: with 63 VMs the steward's answer to each heartbeat listed all of them, 126 times a second. It has the list only for a VM whose digest differs now, as with the register. The list gains the failure domain and the address where a VM relays statements to databases, which the data path needs to find a database's owners. A row of a former release has no such address and is read as one without.

--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -69,6 +69,8 @@
     /// Where it listens for other VMs. It has to listen before it starts the control path: a
     /// refused connection tells others that the life which is registered there has ended.
     pub address: SocketAddr,
+    /// Where it relays other VMs' statements to databases, if it does.
+    pub relay: Option<SocketAddr>,
     /// Addresses of some other VMs, perhaps stale.
     pub seeds: Vec<SocketAddr>,
 }
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -8,6 +8,7 @@
 use crate::direct::control::{Control, watch};
 use crate::direct::lead::Lead;
 use crate::direct::mesh::{Beat, Heard, News};
+use crate::direct::view::Fellow;
 use crate::types::{DatabaseId, GroupId};
 use std::collections::BTreeMap;
 
@@ -25,6 +26,7 @@
                 .as_ref()
                 .map_or_else(Default::default, |c| c.version),
             register: self.state.borrow().register.digest(),
+            fellows: view.fellows.digest(),
             reports: view.reports.all(now),
         }
     }
@@ -55,7 +57,7 @@
                     .collect()
             }),
             fresh: self.setup.shared.look().fresh.told(now),
-            members: reading.map_or_else(Vec::new, Reading::addresses),
+            fellows: reading.and_then(|reading| self.fellows_news(reading, beat.fellows)),
             config: newer.map(|config| (*config).clone()),
             register: self.register_news(beat.register, now),
         }
@@ -83,6 +85,13 @@
         })
     }
 
+    /// The VMs of a reading, unless whoever asks knows them. The list is made for a VM that lacks
+    /// it only: sixty VMs ask twice a second.
+    fn fellows_news(&self, reading: &Reading, known: u64) -> Option<Vec<Fellow>> {
+        let own = self.setup.shared.look().fellows.digest();
+        (own != known || own == 0).then(|| reading.fellows())
+    }
+
     fn register_news(&self, known: u64, now: Time) -> Option<(Vec<Database>, Span)> {
         let state = self.state.borrow();
         let asked = state.register.asked()?;
@@ -129,8 +138,8 @@
         for progress in &news.fresh {
             self.setup.shared.quietly().fresh.hear(progress, asked);
         }
-        if !news.members.is_empty() {
-            self.state.borrow_mut().fellows = news.members;
+        if let Some(fellows) = news.fellows {
+            self.learn_fellows(fellows);
         }
         for (group, lead, age) in news.leads {
             self.learn_lead(&group, lead, asked - age);
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -4,6 +4,7 @@
 use crate::direct::control::rows::{Member, Reading, encode, member_row};
 use crate::direct::control::state::Held;
 use crate::direct::table::{Change, Fault};
+use crate::direct::view::Fellow;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -29,7 +30,7 @@
         let lease = reading.is_lease_for(&self.id, self.setup.life);
         self.member.set(lease);
         if lease {
-            self.state.borrow_mut().fellows = reading.addresses();
+            self.learn_fellows(reading.fellows());
             for (group, (lead, _)) in &reading.leads {
                 self.learn_lead(group, lead.clone(), reading.asked);
             }
@@ -38,6 +39,11 @@
         self.state.borrow_mut().merge(reading);
     }
 
+    /// Learns which VMs there are.
+    pub(super) fn learn_fellows(&self, fellows: Vec<Fellow>) {
+        self.setup.shared.quietly().fellows.learn(fellows);
+    }
+
     /// Learns who holds the duty: it may have gone to another VM, or come to this one by a write
     /// whose answer was lost.
     fn learn_duty(self: &Rc<Self>, reading: &Reading) {
@@ -100,6 +106,7 @@
         let member = Member {
             life: self.setup.life,
             address: self.setup.address,
+            relay: self.setup.relay,
             domain: self.setup.domain.clone(),
             evicted: false,
         };
--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -4,6 +4,7 @@
 use crate::clock::Time;
 use crate::direct::lead::Lead;
 use crate::direct::table::{Row, RowId, Version};
+use crate::direct::view::Fellow;
 use crate::types::{Domain, GroupId, Life, VmId};
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
@@ -57,6 +58,9 @@
     pub life: Life,
     /// Where it listens for other VMs.
     pub address: SocketAddr,
+    /// Where it relays other VMs' statements, if it does. A former release wrote nothing here.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
     /// Its failure domain.
     pub domain: Domain,
     /// Set by a steward that does not hear it: readings asked after this are no lease for it.
@@ -111,9 +115,15 @@
         }
     }
 
-    /// Where its VMs listen, one address for each row.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.members.values().map(|(m, _)| m.address).collect()
+    /// Its VMs, one for each row.
+    pub fn fellows(&self) -> Vec<Fellow> {
+        let members = self.members.values();
+        let fellow = |(member, _): &(Member, Version)| Fellow {
+            address: member.address,
+            relay: member.relay.filter(|_| !member.evicted),
+            domain: member.domain.clone(),
+        };
+        members.map(fellow).collect()
     }
 
     /// Whether this reading is a lease for a life of a VM.
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -16,8 +16,6 @@
 pub(super) struct State {
     /// The newest reading of the rows.
     pub reading: Option<Reading>,
-    /// Where the VMs of the newest reading listen that was a lease for this VM.
-    pub fellows: Vec<SocketAddr>,
     /// How many of them were asked to vouch so far: the next ones are asked next.
     pub vouch_turn: usize,
     /// When the rows were last read here for want of a steward's word.
--- a/src/direct/control/vouch.rs
+++ b/src/direct/control/vouch.rs
@@ -103,7 +103,10 @@
 
     /// What some others vouch for, other ones in each round where there are many.
     async fn ask_fellows(&self) -> Vec<Vec<(GroupId, Epoch)>> {
-        let mut fellows: Vec<SocketAddr> = self.state.borrow().fellows.clone();
+        let mut fellows: Vec<SocketAddr> = {
+            let view = self.setup.shared.look();
+            view.fellows.list().iter().map(|f| f.address).collect()
+        };
         fellows.sort();
         fellows.dedup();
         fellows.retain(|address| *address != self.setup.address);
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -7,7 +7,7 @@
 use crate::direct::fresh::Progress;
 use crate::direct::lead::{Epoch, Lead};
 use crate::direct::table;
-use crate::direct::view::Report;
+use crate::direct::view::{Fellow, Report};
 use crate::types::{DatabaseId, GroupId, Life, Version, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -58,6 +58,8 @@
     pub config: Version,
     /// The digest of the register that it has.
     pub register: u64,
+    /// The digest of the VMs that it knows.
+    pub fellows: u64,
     /// How databases have answered it.
     pub reports: Vec<(DatabaseId, Report)>,
 }
@@ -96,8 +98,8 @@
     pub leads: Vec<(GroupId, Lead, Span)>,
     /// How far primaries have come, as this VM was last answered.
     pub fresh: Vec<Progress>,
-    /// Where the VMs of that reading listen, one address for each of them.
-    pub members: Vec<SocketAddr>,
+    /// The VMs of that reading, if they differ from those told.
+    pub fellows: Option<Vec<Fellow>>,
     /// The configuration, if it is newer than the one told.
     pub config: Option<Config>,
     /// The register, if it differs from the one told, with its age.
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -5,12 +5,14 @@
 use crate::direct::fresh::Fresh;
 use crate::direct::lead::{Book, Epoch, Lease};
 use crate::direct::meter::Meter;
-use crate::types::{DatabaseId, GroupId};
+use crate::types::{DatabaseId, Domain, GroupId};
 use serde::{Deserialize, Serialize};
 use std::cell::{Ref, RefCell, RefMut};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// What is known at one moment.
 #[derive(Debug, Default)]
@@ -21,6 +23,8 @@
     pub databases: BTreeMap<DatabaseId, Database>,
     /// Who leads.
     pub book: Book,
+    /// The VMs that are registered, this one among them.
+    pub fellows: Fellows,
     /// How far primaries have come.
     pub fresh: Fresh,
     /// How databases have answered this VM.
@@ -83,6 +87,48 @@
     }
 }
 
+/// A VM as the rows show it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fellow {
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+    /// Where it relays other VMs' statements to databases, if it does.
+    pub relay: Option<SocketAddr>,
+    /// Its failure domain.
+    pub domain: Domain,
+}
+
+/// The VMs of the newest reading that was a lease for this VM, in order.
+#[derive(Debug, Clone, Default)]
+pub struct Fellows {
+    list: Rc<[Fellow]>,
+    digest: u64,
+}
+
+impl Fellows {
+    /// The VMs.
+    pub fn list(&self) -> &Rc<[Fellow]> {
+        &self.list
+    }
+
+    /// Tells this list from others; 0 while none is known.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes over a list; returns whether it differs from the one known.
+    pub fn learn(&mut self, mut list: Vec<Fellow>) -> bool {
+        list.sort();
+        if *list == *self.list {
+            return false;
+        }
+        // Plain structs of names and numbers always have an encoding.
+        self.digest = xxh3_64(&postcard::to_stdvec(&list).unwrap_or_default());
+        self.list = list.into();
+        true
+    }
+}
+
 /// How one database has answered this VM of late.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -157,6 +157,7 @@
             life: Life(rand::random()),
             domain: settings.domain.clone(),
             address: settings.peers,
+            relay: direct.relay,
             seeds: direct.seeds.clone(),
         });
         let place = front::Place {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -51,6 +51,9 @@
 pub struct Direct {
     /// Where the balancer asks whether callers may come.
     pub ready: SocketAddr,
+    /// Where this VM relays other VMs' statements to databases. Absent: it relays none.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
     /// Where orders to promote a database go.
     pub orders: SocketAddr,
     /// `peers` of some VMs; they may be stale.
@@ -125,11 +128,10 @@
             ("peers", self.peers),
             ("admin", self.admin),
         ];
-        listens.extend(
-            self.direct
-                .iter()
-                .map(|direct| ("direct.ready", direct.ready)),
-        );
+        if let Some(direct) = &self.direct {
+            listens.push(("direct.ready", direct.ready));
+            listens.extend(direct.relay.map(|relay| ("direct.relay", relay)));
+        }
         let mut taken = BTreeMap::new();
         for (key, address) in listens {
             if let Some(other) = taken.insert(address, key)
--- a/src/standin/direct/program.rs
+++ b/src/standin/direct/program.rs
@@ -31,6 +31,7 @@
         life: machine.life,
         domain: machine.domain.clone(),
         address: machine.address,
+        relay: None,
         seeds: machine.seeds,
     });
     let place = Place {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -198,6 +198,6 @@
     10:18: invalid type: integer `6`, expected a span of time in quotes with its unit, such as "250ms" or "5s"
     10:40: invalid value: integer `-1`, expected a whole number
     9:59: `mombasa 1` is not a name: use 1 to 63 letters, digits, `-`, `_` or `.`
-    8:48: unknown field `order`, expected one of `ready`, `orders`, `seeds`, `regions`, `grace`, `descriptors`: correct or remove it
+    8:48: unknown field `order`, expected one of `ready`, `relay`, `orders`, `seeds`, `regions`, `grace`, `descriptors`: correct or remove it
     "#);
 }
--- a/tests/direct_control.rs
+++ b/tests/direct_control.rs
@@ -332,6 +332,7 @@
             let row = Member {
                 life: Life(u64::from(number)),
                 address: format!("10.0.0.{number}:1").parse().unwrap(),
+                relay: None,
                 domain: "d".parse().unwrap(),
                 evicted: false,
             };
