Count only VMs that have an opinion on a database

Cause: a primary that some VMs do not reach was replaced only if a third of all VMs that are heard failed to reach it. Once most VMs reach a database by way of a few, these can never be a third of 63.

Change: the share is one of the VMs that the database answered within a second or that see it fail; the steward's own attempt that was answered counts as somebody who reaches it; the replica that is to be better is compared by shares too.

Verdicts where every VM has an opinion are as before (verdicts_on_a_primary, unchanged).

--- a/src/direct/control/evidence.rs
+++ b/src/direct/control/evidence.rs
@@ -7,6 +7,9 @@
 //! **Thresholds.** A statement takes 6 to 50 ms and a connection 12 ms beside a round trip of
 //! 24 ms: 400 ms without a single answer while something was tried is not load. A primary that
 //! some VMs reach is left for 1.2 s, as a change costs all of them about that.
+//!
+//! Most VMs may reach a database by way of a few others and never try it: only those that it
+//! answered of late, or that see it fail, have an opinion.
 
 use crate::clock::{Span, Time};
 use crate::direct::view::Report;
@@ -23,7 +26,7 @@
 /// How long a primary that only some VMs reach is left.
 const SPLIT: Span = Span::from_millis(1_200);
 
-/// One in so many of the VMs that are heard has to fail before a primary that others reach is
+/// One in so many of the VMs with an opinion has to fail before a primary that others reach is
 /// replaced, and this many at least.
 const SPLIT_SHARE: usize = 3;
 const SPLIT_LEAST: usize = 2;
@@ -84,14 +87,22 @@
     pub long: usize,
     /// VMs that it has answered of late, and that do not see it fail.
     pub fine: usize,
-    /// VMs that were heard.
-    pub heard: usize,
+    /// VMs that were heard, and that either see it fail or were answered of late.
+    pub opinions: usize,
     /// When the first failure was that no answer to that VM followed.
     pub since: Option<Time>,
     /// The last answer to any VM.
     pub answered: Option<Time>,
 }
 
+impl Votes {
+    /// Whether less than half as large a share of the VMs with an opinion sees it fail for long as
+    /// of those with one on `other`.
+    pub fn fails_less(&self, other: &Self) -> bool {
+        self.long * other.opinions.max(1) * 2 < other.long * self.opinions.max(1)
+    }
+}
+
 /// Counts what the VMs say.
 pub fn count(witnesses: impl IntoIterator<Item = Witness>, now: Time) -> Votes {
     let mut votes = Votes::default();
@@ -99,13 +110,15 @@
         if heard + HEARD < now {
             continue;
         }
-        votes.heard += 1;
         let answered = report.answered.map(|ago| heard - ago);
         votes.answered = votes.answered.max(answered);
         let Some(failing) = report.failing.map(|ago| heard - ago) else {
-            votes.fine += usize::from(answered.is_some_and(|at| at + RECENT >= now));
+            let fine = usize::from(answered.is_some_and(|at| at + RECENT >= now));
+            votes.fine += fine;
+            votes.opinions += fine;
             continue;
         };
+        votes.opinions += 1;
         votes.since = Some(votes.since.map_or(failing, |since| since.min(failing)));
         votes.silent += usize::from(failing + SILENT <= now);
         votes.long += usize::from(failing + SPLIT <= now);
@@ -118,11 +131,13 @@
     let Some(since) = votes.since else {
         return Verdict::Fine;
     };
-    let split = votes.long >= SPLIT_LEAST && votes.long * SPLIT_SHARE >= votes.heard;
-    if votes.fine > 0 && split {
+    let fresh = tried.filter(|tried| tried.began >= since && tried.ended + TRIED >= now);
+    // The steward may be the only one that reaches it.
+    let reached = votes.fine > 0 || fresh.is_some_and(|t| t.attempt == Attempt::Answered);
+    let split = votes.long >= SPLIT_LEAST && votes.long * SPLIT_SHARE >= votes.opinions;
+    if reached && split {
         return Verdict::Split;
     }
-    let fresh = tried.filter(|tried| tried.began >= since && tried.ended + TRIED >= now);
     let lost = fresh.is_some_and(|tried| {
         let answered = votes.answered.is_some_and(|at| at > tried.began);
         match tried.attempt {
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -183,7 +183,7 @@
 
     fn witnesses<'a>(&'a self, database: &'a DatabaseId) -> impl Iterator<Item = Witness> + 'a {
         self.told.values().map(|told| {
-            // A VM that never tried has no vote, but it is one of those that are heard.
+            // A VM that never tried has no opinion.
             let report = told.reports.get(database).copied().unwrap_or_default();
             Witness {
                 heard: told.at,
@@ -198,11 +198,10 @@
         if damper.is_some_and(|damper| self.now < damper.allows_at()) {
             return false;
         }
-        let fails = |id: &DatabaseId| self.votes(id).long;
-        let failing = fails(&primary.id);
+        let failing = self.votes(&primary.id);
         let others = self.databases.values().filter(|d| d.group == *group);
         let mut others = others.filter(|d| d.id != primary.id && !d.leaving);
-        others.any(|d| fails(&d.id) * 2 < failing)
+        others.any(|d| self.votes(&d.id).fails_less(&failing))
     }
 
     fn has_successor(&self, primary: &Database) -> bool {
