Do not wait 700 ms for a silent primary when the next one is chosen

Cause: the choice may be made 150 ms after it began without the old primary's word, but it was looked at only when a database answered. The question to a silent one ends after 700 ms (a kept session, then a new one).

Change: the answers are waited for until the choice says to look again.

--- a/src/direct/control/order.rs
+++ b/src/direct/control/order.rs
@@ -13,6 +13,7 @@
 use crate::types::{DatabaseId, Domain, Position};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// By then a promotion that was taken has taken effect.
 const PROMOTED_WITHIN: Span = Span::from_millis(2_500);
@@ -212,14 +213,20 @@
         for database in candidates {
             asks.push(async move { (database.id.clone(), self.standing(database).await) });
         }
-        while let Some((id, word)) = asks.next().await {
-            if choice.say(&id, word) {
-                log::info!(database:% = id, word:?; "a candidate says how it stands");
-            }
-            if let Pick::Take(id, _) = choice.pick(self.now()) {
-                return Some(id);
+        loop {
+            // One that says nothing is asked for longer than the choice waits for it.
+            let left = match choice.pick(self.now()) {
+                Pick::Take(id, _) => return Some(id),
+                Pick::Wait(until) => until.since(self.now()),
+                Pick::Nobody => return None,
+            };
+            match tokio::time::timeout(Duration::from(left), asks.next()).await {
+                Ok(Some((id, word))) if choice.say(&id, word) => {
+                    log::info!(database:% = id, word:?; "a candidate says how it stands");
+                }
+                Ok(Some(_)) | Err(_) => {}
+                Ok(None) => return None,
             }
         }
-        None
     }
 }
--- a/tests/direct_vms.rs
+++ b/tests/direct_vms.rs
@@ -233,3 +233,19 @@
         assert_eq!((told.failed, told.untold), (0, 0), "{told:?}");
     });
 }
+
+/// A primary falls silent without a refusal. Both replicas say within milliseconds how far they are,
+/// while the question to the silent one is given up after 700 ms: the choice waits 150 ms for it, as
+/// each millisecond of waiting is one without writes.
+#[test]
+fn choice_does_not_wait_for_a_dark_primary() {
+    play(Setup::default(), |scene| async move {
+        scene.until(5_000).await;
+        let dark = Fault::Dark(Node::Database(db("db0a")));
+        scene.fault(dark, 5_000, 12_000).await;
+        scene.passes().await;
+        assert_ne!(scene.leader(), db("db0a"));
+        let gap = scene.gap(5_000);
+        assert!(gap < Duration::from_millis(2_200), "{gap:?}");
+    });
+}
