Keep a primary whose entry a new VM never saw for 2.5 s

Cause: an entry that expires in an outage of the store is kept by a VM that had it. A VM that starts then never had it, took the primary for gone at once and replaced it.

The steward replaced a primary 0.4 s after the store's return (cause=Gone registered=false), 1.2 s without writes and commits rolled back.

Change: a missing entry counts once the register has been known for 2.5 s; entries are back within 2 s.

--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -108,6 +108,7 @@
             own: &self.id,
             reading,
             databases: state.register.databases(),
+            began: state.register.began(),
             up: self.store.health().up,
             told: &told.collect(),
             tried: &state.tried,
--- a/src/direct/control/register.rs
+++ b/src/direct/control/register.rs
@@ -26,6 +26,7 @@
     databases: BTreeMap<DatabaseId, Database>,
     /// Entries that were there and are not: when the first reading without them was asked.
     missing: BTreeMap<DatabaseId, Time>,
+    began: Option<Time>,
     asked: Option<Time>,
     digest: u64,
 }
@@ -51,6 +52,12 @@
         &self.databases
     }
 
+    /// When the first reading was asked that is known here. A VM that starts while entries are
+    /// missing never had them, and can't keep them.
+    pub fn began(&self) -> Option<Time> {
+        self.began
+    }
+
     /// When the newest reading was asked.
     pub fn asked(&self) -> Option<Time> {
         self.asked
@@ -89,6 +96,7 @@
         if self.asked.is_some_and(|known| known > asked) {
             return Changes::default();
         }
+        self.began.get_or_insert(asked);
         self.asked = Some(asked);
         let changes = compare(&self.databases, &found);
         if changes.any {
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -26,6 +26,10 @@
 /// to a second, and its report to the register another two.
 const UNLED: Span = Span::from_secs(5);
 
+/// How long a VM has to know the register before an entry that it never had counts as gone: those
+/// that expired in an outage are back within 2 s of its end, and a VM may start just then.
+const ENTERED: Span = Span::from_millis(2_500);
+
 /// How long a group without a lead row may have no database that takes itself for the primary.
 const HEADLESS: Span = Span::from_secs(6);
 
@@ -109,6 +113,8 @@
     pub reading: &'a Reading,
     /// The databases.
     pub databases: &'a BTreeMap<DatabaseId, Database>,
+    /// When the first reading of the register was asked that is known here.
+    pub began: Option<Time>,
     /// Since when the store answers each call.
     pub up: Option<Time>,
     /// What VMs told, this one too.
@@ -144,11 +150,12 @@
         }
         self.look_for_old_primaries(group, lead, errands);
         let Some(primary) = self.databases.get(&lead.primary) else {
-            // The register is only believed to lack it once the store has answered for a while.
-            if self.databases.values().any(|d| d.group == *group) {
+            // A register that had the entry keeps it until it is believed to be gone.
+            let settled = self.began.is_some_and(|at| at + ENTERED <= self.now);
+            if settled && self.databases.values().any(|d| d.group == *group) {
                 errands.push(Errand::Change(group.clone(), Cause::Gone));
             }
-            return false;
+            return !settled;
         };
         let votes = self.votes(&primary.id);
         let tried = self.tried.get(&primary.id).copied();
--- a/tests/direct_control.rs
+++ b/tests/direct_control.rs
@@ -335,6 +335,7 @@
     epochs: BTreeMap<GroupId, (u64, Time)>,
     dampers: BTreeMap<GroupId, Damper>,
     heard: Time,
+    began: Time,
 }
 
 fn member(number: u32) -> MemberId {
@@ -367,6 +368,7 @@
             epochs: BTreeMap::from([("g".parse().unwrap(), (1, at(0)))]),
             dampers: BTreeMap::new(),
             heard: at(19_900),
+            began: at(0),
         }
     }
 
@@ -386,6 +388,7 @@
             own: &member(1),
             reading: &self.reading,
             databases: &self.databases,
+            began: Some(self.began),
             up: Some(at(0)),
             told: &told,
             tried: &self.tried,
@@ -410,6 +413,8 @@
     let mut gone = Fixture::new();
     gone.databases.remove(&id("a"));
     assert_eq!(gone.survey(), change(Cause::Gone));
+    gone.began = at(18_000);
+    assert_eq!(gone.survey(), [], "an outage's end may be as near");
 
     let mut leaving = Fixture::new();
     leaving.databases.get_mut(&id("a")).unwrap().leaving = true;
