Tell who leads only where it differs from what the asker knows

Cause: each answer to a heartbeat listed every group's lead, twice a second for each VM. With 8 groups that is about a quarter of a kilobyte, 126 times a second at a steward of 63 VMs, and it grows with groups times VMs.

Change: a heartbeat tells the digest of the leads that are known; an answer whose digest is the same tells the reading's age alone. It counts only while this VM still knows just that: it may have learned of a change since.

Shown: tests/direct_news.rs for that rule; direct_vms, direct_takeover, direct_lease and direct_mesh pass.

--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -6,8 +6,8 @@
 use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Beaten;
 use crate::direct::control::{Control, watch};
-use crate::direct::lead::Lead;
-use crate::direct::mesh::{Beat, Heard, News};
+use crate::direct::lead::{self, Lead};
+use crate::direct::mesh::{Beat, Heard, Leads, News};
 use crate::direct::view::Fellow;
 use crate::types::{DatabaseId, GroupId};
 use std::collections::BTreeMap;
@@ -27,6 +27,7 @@
                 .map_or_else(Default::default, |c| c.version),
             register: self.state.borrow().register.digest(),
             fellows: view.fellows.digest(),
+            leads: view.book.digest(),
             reports: view.reports.all(now),
         }
     }
@@ -49,13 +50,7 @@
             steward,
             duty: self.duty_heard(now),
             member: reading.is_some(),
-            leads: reading.map_or_else(Vec::new, |reading| {
-                let age = now.since(reading.asked);
-                let leads = reading.leads.iter();
-                leads
-                    .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
-                    .collect()
-            }),
+            leads: reading.map(|reading| leads_news(reading, beat.leads, now)),
             fresh: self.setup.shared.look().fresh.told(now),
             fellows: reading.and_then(|reading| self.fellows_news(reading, beat.fellows)),
             config: newer.map(|config| (*config).clone()),
@@ -141,8 +136,18 @@
         if let Some(fellows) = news.fellows {
             self.learn_fellows(fellows);
         }
-        for (group, lead, age) in news.leads {
-            self.learn_lead(&group, lead, asked - age);
+        if let Some(leads) = news.leads {
+            self.take_leads(leads, asked);
+        }
+    }
+
+    /// Learns who leads. That nothing changed is as good as the rows, unless this VM has learned of
+    /// a change since it asked: then the reading showed less than is known here.
+    fn take_leads(&self, leads: Leads, asked: Time) {
+        let shown = || self.setup.shared.look().book.shown(leads.digest);
+        let rows = leads.rows.or_else(shown).unwrap_or_default();
+        for (group, lead) in rows {
+            self.learn_lead(&group, lead, asked - leads.age);
         }
     }
 
@@ -198,6 +203,18 @@
     }
 }
 
+/// Who leads, in full only for a VM that knows something else.
+fn leads_news(reading: &Reading, known: u64, now: Time) -> Leads {
+    let leads = || reading.leads.iter().map(|(group, (lead, _))| (group, lead));
+    let digest = lead::digest(leads());
+    let rows = || leads().map(|(group, lead)| (group.clone(), lead.clone()));
+    Leads {
+        age: now.since(reading.asked),
+        digest,
+        rows: (digest != known).then(|| rows().collect()),
+    }
+}
+
 /// Ids as one word of a log line.
 pub(super) fn list(ids: &[DatabaseId]) -> String {
     let ids: Vec<&str> = ids.iter().map(DatabaseId::as_str).collect();
--- /dev/null
+++ b/tests/direct_news.rs
@@ -0,0 +1,46 @@
+//! What VMs tell each other of who leads.
+
+use lentilspoke::clock::Time;
+use lentilspoke::direct::lead::{Book, Lead, digest};
+use lentilspoke::types::GroupId;
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+fn lead(epoch: u64, primary: &str, changing: bool) -> Lead {
+    Lead {
+        epoch,
+        primary: primary.parse().unwrap(),
+        changing,
+    }
+}
+
+/// A VM asks the steward and, before the answer is there, learns from the store that a group has
+/// another primary. The answer says of a reading from before that nothing has changed: it must not
+/// count for the new primary, whose lease it would make longer than any reading allows.
+#[test]
+fn nothing_changed_is_said_of_what_was_known() {
+    let groups: [GroupId; 2] = ["g", "h"].map(|name| name.parse().unwrap());
+    let mut book = Book::default();
+    for group in &groups {
+        book.learn(group, lead(1, "a", false), at(1_000));
+    }
+    let told = book.digest();
+    let known = groups.iter().map(|group| (group, lead(1, "a", false)));
+    let known: Vec<_> = known.collect();
+    assert_eq!(
+        told,
+        digest(known.iter().map(|(group, lead)| (*group, lead)))
+    );
+    assert_eq!(book.shown(told).map(|rows| rows.len()), Some(2));
+    for newer in [lead(1, "a", true), lead(2, "b", false), lead(3, "a", false)] {
+        book.learn(&groups[0], newer, at(1_200));
+        assert_eq!(book.shown(told), None);
+        assert_ne!(book.digest(), told);
+    }
+    let group: GroupId = "i".parse().unwrap();
+    let before = book.digest();
+    book.learn(&group, lead(1, "a", false), at(1_300));
+    assert_eq!(book.shown(before), None);
+}
