Tell of databases in a heartbeat only what a verdict needs

Each heartbeat tells how every database answered, each answer how far every primary has come.

Shown: tests/direct_news.rs; direct_vms, direct_failures, direct_takeover, direct_random and direct_control pass.

--- a/tests/direct_news.rs
+++ b/tests/direct_news.rs
@@ -1,12 +1,12 @@
-//! What VMs tell each other of who leads.
+//! What VMs tell each other of who leads, and of how databases answered them.
 
-use lentilspoke::clock::Time;
+mod registered;
+
+use lentilspoke::direct::control::news::telling;
 use lentilspoke::direct::lead::{Book, Lead, digest};
+use lentilspoke::direct::view::View;
 use lentilspoke::types::GroupId;
-
-fn at(millis: u64) -> Time {
-    Time(millis * 1_000)
-}
+use registered::{at, databases, id};
 
 fn lead(epoch: u64, primary: &str, changing: bool) -> Lead {
     Lead {
@@ -44,3 +44,32 @@
     book.learn(&group, lead(1, "a", false), at(1_300));
     assert_eq!(book.shown(before), None);
 }
+
+/// A VM is answered by a primary and by two replicas. It tells of the primary alone, until something
+/// of that group fails: then the steward has to know what else would do better.
+#[test]
+fn replicas_are_told_of_once_something_fails() {
+    let mut view = View {
+        databases: databases(&["a", "b", "c"]),
+        ..View::default()
+    };
+    let group: GroupId = "g".parse().unwrap();
+    view.book.learn(&group, lead(1, "a", false), at(1_000));
+    for name in ["a", "b", "c"] {
+        view.reports.answered(&id(name), at(2_000));
+    }
+    let told = |view: &View| {
+        let reports = telling(view, at(2_100));
+        let ids = reports.into_iter().map(|(id, _)| id.to_string());
+        ids.collect::<Vec<_>>().join(" ")
+    };
+    assert_eq!(told(&view), "a");
+    view.reports.failed(&id("b"), at(2_050));
+    assert_eq!(told(&view), "a b c");
+    view.reports.answered(&id("b"), at(2_060));
+    view.book.learn(&group, lead(2, "c", false), at(2_000));
+    assert_eq!(told(&view), "c");
+    view.databases.clear();
+    view.reports.failed(&id("b"), at(2_070));
+    assert_eq!(told(&view), "b");
+}
