Ask all VMs for heartbeats at most four times a second

At a first start the steward writes the first primary of each group in turn, reads all rows and asks all VMs to beat after each: with 68 groups 6,700 nudges and as many heartbeats. On a VM with an eighth of a core that is seconds of work, no heartbeat is answered in its 0.4 s, all VMs look after themselves and connect anew. Which VM comes first is chance, so it shows on some starts.

Change: nudges that follow within 250 ms go out as one; the rows are not read again after each group's first write.

Shown: tests/direct_news.rs news_of_many_groups_are_one_nudge.

--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -290,7 +290,7 @@
 
     /// Learns what was written here, as if the last reading had shown it. Its time stays: it is
     /// when the VMs' rows were seen.
-    fn learn_written(&self, group: &GroupId, lead: Lead, version: Version) {
+    pub(super) fn learn_written(&self, group: &GroupId, lead: Lead, version: Version) {
         let mut state = self.state.borrow_mut();
         let Some(reading) = &mut state.reading else {
             return;
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -177,8 +177,23 @@
         }
     }
 
-    /// Has every VM send a heartbeat now.
-    pub(super) fn nudge_all(&self) {
+    /// Has every VM send a heartbeat now, or in a moment if all were asked just before.
+    pub(super) fn nudge_all(self: &Rc<Self>) {
+        let now = self.now();
+        let Some(at) = self.state.borrow_mut().nudge.ask(now) else {
+            return;
+        };
+        if at <= now {
+            return self.nudge_each();
+        }
+        let control = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(Duration::from(at.since(now))).await;
+            control.nudge_each();
+        });
+    }
+
+    fn nudge_each(&self) {
         let token = self.state.borrow().held.as_ref().map(|held| held.token);
         let Some(token) = token else { return };
         for (_, address) in self.others() {
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -4,6 +4,7 @@
 use crate::direct::config::Database;
 use crate::direct::control::Control;
 use crate::direct::control::backoff::Backoff;
+use crate::direct::control::duty::Renewed;
 use crate::direct::control::evidence::Tried;
 use crate::direct::control::probe;
 use crate::direct::control::promotion::Word;
@@ -166,8 +167,13 @@
             expect: 0,
             value: encode(&lead),
         };
-        self.renew(token, Some(&extra)).await;
-        let _ = self.read_rows().await;
+        match self.renew(token, Some(&extra)).await {
+            Renewed::Done { version, .. } => self.learn_written(group, lead, version),
+            // Another VM may have written it.
+            Renewed::Conflict | Renewed::Lost => {
+                let _ = self.read_rows().await;
+            }
+        }
         self.nudge_all();
     }
 
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -15,6 +15,7 @@
 pub mod evidence;
 mod heartbeat;
 pub mod news;
+pub mod nudge;
 mod order;
 mod own;
 pub mod probe;
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Time;
 use crate::direct::control::evidence::Tried;
+use crate::direct::control::nudge::Nudge;
 use crate::direct::control::register::Register;
 use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::takeover::{Hearing, Watch};
@@ -28,6 +29,8 @@
     pub post: Option<Post>,
     /// The duty, while it is held here.
     pub held: Option<Held>,
+    /// When all VMs were asked to beat.
+    pub nudge: Nudge,
     /// What VMs told the steward.
     pub heard: BTreeMap<MemberId, Beaten>,
     /// VMs that a reading showed as evicted: the row's version, and when that was seen first.
--- a/tests/direct_news.rs
+++ b/tests/direct_news.rs
@@ -2,7 +2,9 @@
 
 mod registered;
 
+use lentilspoke::clock::{Span, Time};
 use lentilspoke::direct::control::news::telling;
+use lentilspoke::direct::control::nudge::Nudge;
 use lentilspoke::direct::lead::{Book, Lead, digest};
 use lentilspoke::direct::view::View;
 use lentilspoke::types::GroupId;
@@ -73,3 +75,22 @@
     view.reports.failed(&id("b"), at(2_070));
     assert_eq!(told(&view), "b");
 }
+
+/// Callers of 99 VMs are refused from the start on: the steward writes the first primary of 68
+/// groups, 16 ms apart, and asks all VMs to beat after each. It answers none of 6,700 heartbeats in
+/// time, so all VMs read the store themselves. Five rounds tell the same, the last one after all.
+#[test]
+fn news_of_many_groups_are_one_nudge() {
+    let mut nudge = Nudge::default();
+    let asked: Vec<Time> = (0..68).map(|group| at(1_000 + 16 * group)).collect();
+    let rounds: Vec<Time> = asked.iter().filter_map(|now| nudge.ask(*now)).collect();
+    assert!(rounds.len() <= 6, "{rounds:?}");
+    assert_eq!(rounds.first(), Some(&at(1_000)), "the first is at once");
+    let each = |now: &Time| {
+        rounds
+            .iter()
+            .any(|at| at >= now && at.since(*now) <= Span::from_millis(250))
+    };
+    assert!(asked.iter().all(each), "{rounds:?}");
+    assert_eq!(nudge.ask(at(9_000)), Some(at(9_000)));
+}
