--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -14,7 +14,7 @@
 mod errands;
 pub mod evidence;
 mod heartbeat;
-mod news;
+pub mod news;
 pub mod nudge;
 mod order;
 mod own;
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -6,11 +6,41 @@
 use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Beaten;
 use crate::direct::control::{Control, watch};
-use crate::direct::lead::Lead;
-use crate::direct::mesh::{Beat, Heard, News};
+use crate::direct::fresh::Progress;
+use crate::direct::lead::{self, Lead};
+use crate::direct::mesh::{Beat, Heard, Leads, News};
 use crate::direct::view::Fellow;
+use crate::direct::view::{Report, View};
 use crate::types::{DatabaseId, GroupId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What was told this long ago at the latest has been heard by all that beat: two beats.
+const NEWS: Span = Span::from_secs(1);
+
+/// What a heartbeat tells of how databases answered.
+///
+/// **Pattern answered.** Hundreds of databases, nearly all of which are well, and a word on each of
+/// them from every VM twice a second. **Without it** the steward of 99 VMs moves 3 MB a second.
+/// **Why it suffices.** The steward judges primaries only: every VM that they answered says so.
+/// Replicas are weighed by whoever sees something of their group fail.
+pub fn telling(view: &View, now: Time) -> Vec<(DatabaseId, Report)> {
+    let mut reports = view.reports.all(now);
+    let group = |id: &DatabaseId| view.databases.get(id).map(|database| &database.group);
+    let failing = reports
+        .iter()
+        .filter(|(_, report)| report.failing.is_some());
+    let failing: BTreeSet<&GroupId> = failing.filter_map(|(id, _)| group(id)).collect();
+    reports.retain(|(id, report)| {
+        let leads = |group| {
+            view.book
+                .known(group)
+                .is_some_and(|(lead, _)| lead.primary == *id)
+        };
+        let told = |group| failing.contains(group) || leads(group);
+        report.failing.is_some() || group(id).is_some_and(told)
+    });
+    reports
+}
 
 impl Control {
     /// This VM's heartbeat.
@@ -27,7 +57,8 @@
                 .map_or_else(Default::default, |c| c.version),
             register: self.state.borrow().register.digest(),
             fellows: view.fellows.digest(),
-            reports: view.reports.all(now),
+            leads: view.book.digest(),
+            reports: telling(&view, now),
         }
     }
 
@@ -49,20 +80,21 @@
             steward,
             duty: self.duty_heard(now),
             member: reading.is_some(),
-            leads: reading.map_or_else(Vec::new, |reading| {
-                let age = now.since(reading.asked);
-                let leads = reading.leads.iter();
-                leads
-                    .map(|(g, (lead, _))| (g.clone(), lead.clone(), age))
-                    .collect()
-            }),
-            fresh: self.setup.shared.look().fresh.told(now),
+            leads: reading.map(|reading| leads_news(reading, beat.leads, now)),
+            fresh: self.fresh_news(now),
             fellows: reading.and_then(|reading| self.fellows_news(reading, beat.fellows)),
             config: newer.map(|config| (*config).clone()),
             register: self.register_news(beat.register, now),
         }
     }
 
+    /// How far primaries have come, as far as that was not told before.
+    fn fresh_news(&self, now: Time) -> Vec<Progress> {
+        let told = self.setup.shared.look().fresh.told(now);
+        let new = told.into_iter().filter(|progress| progress.age < NEWS);
+        new.collect()
+    }
+
     fn duty_heard(&self, now: Time) -> Option<Heard> {
         let state = self.state.borrow();
         if let Some(held) = &state.held {
@@ -141,8 +173,18 @@
         if let Some(fellows) = news.fellows {
             self.learn_fellows(fellows);
         }
-        for (group, lead, age) in news.leads {
-            self.learn_lead(&group, lead, asked - age);
+        if let Some(leads) = news.leads {
+            self.take_leads(leads, asked);
+        }
+    }
+
+    /// Learns who leads. That nothing changed is as good as the rows, unless this VM has learned of
+    /// a change since it asked: then the reading showed less than is known here.
+    fn take_leads(&self, leads: Leads, asked: Time) {
+        let shown = || self.setup.shared.look().book.shown(leads.digest);
+        let rows = leads.rows.or_else(shown).unwrap_or_default();
+        for (group, lead) in rows {
+            self.learn_lead(&group, lead, asked - leads.age);
         }
     }
 
@@ -198,6 +240,18 @@
     }
 }
 
+/// Who leads, in full only for a VM that knows something else.
+fn leads_news(reading: &Reading, known: u64, now: Time) -> Leads {
+    let leads = || reading.leads.iter().map(|(group, (lead, _))| (group, lead));
+    let digest = lead::digest(leads());
+    let rows = || leads().map(|(group, lead)| (group.clone(), lead.clone()));
+    Leads {
+        age: now.since(reading.asked),
+        digest,
+        rows: (digest != known).then(|| rows().collect()),
+    }
+}
+
 /// Ids as one word of a log line.
 pub(super) fn list(ids: &[DatabaseId]) -> String {
     let ids: Vec<&str> = ids.iter().map(DatabaseId::as_str).collect();
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -18,6 +18,7 @@
 use crate::types::{DatabaseId, GroupId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long a reading of the lead rows is believed at most: longer than an outage of the store
 /// usually lasts (4 to 6 s), so that one stops no writes.
@@ -50,6 +51,14 @@
     pub changing: bool,
 }
 
+/// Stands for what a reading shows of who leads, to tell whether two VMs have the same. Epochs only
+/// rise, so what was the same once and is the same again was the same all the while.
+pub fn digest<'a>(leads: impl IntoIterator<Item = (&'a GroupId, &'a Lead)>) -> u64 {
+    let leads: Vec<_> = leads.into_iter().collect();
+    // Plain structs of names and numbers always have an encoding.
+    xxh3_64(&postcard::to_stdvec(&leads).unwrap_or_default())
+}
+
 /// A lease on a group's primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Lease {
@@ -184,6 +193,22 @@
         Some((&known.lead, known.asked))
     }
 
+    /// Stands for who leads, as far as is known.
+    pub fn digest(&self) -> u64 {
+        digest(
+            self.groups
+                .iter()
+                .map(|(group, known)| (group, &known.lead)),
+        )
+    }
+
+    /// Who leads, if that is just what a reading of this digest showed.
+    pub fn shown(&self, by: u64) -> Option<Vec<(GroupId, Lead)>> {
+        let leads = self.groups.iter();
+        let leads = || leads.map(|(group, known)| (group.clone(), known.lead.clone()));
+        (self.digest() == by).then(|| leads().collect())
+    }
+
     /// All groups that are known.
     pub fn groups(&self) -> impl Iterator<Item = &GroupId> {
         self.groups.keys()
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -60,6 +60,8 @@
     pub register: u64,
     /// The digest of the VMs that it knows.
     pub fellows: u64,
+    /// The digest of who leads, as far as it knows.
+    pub leads: u64,
     /// How databases have answered it.
     pub reports: Vec<(DatabaseId, Report)>,
 }
@@ -94,8 +96,8 @@
     /// Whether the reading shows the asking VM's row. If not, no leads are told, and it has to
     /// register.
     pub member: bool,
-    /// Who leads, with the age of that reading of the store when this answer was made.
-    pub leads: Vec<(GroupId, Lead, Span)>,
+    /// Who leads, by a reading that shows the asking VM's row.
+    pub leads: Option<Leads>,
     /// How far primaries have come, as this VM was last answered.
     pub fresh: Vec<Progress>,
     /// The VMs of that reading, if they differ from those told.
@@ -106,6 +108,17 @@
     pub register: Option<(Vec<Database>, Span)>,
 }
 
+/// What a reading of the store showed of who leads.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leads {
+    /// How old the reading was when this answer was made.
+    pub age: Span,
+    /// The digest of what it showed.
+    pub digest: u64,
+    /// What it showed, if that differs from what the asking VM knew.
+    pub rows: Option<Vec<(GroupId, Lead)>>,
+}
+
 /// A steward, as another VM knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heard {
