Ask a replica again that was behind, and refuse at its owner what it can't have yet

Each VM reads there about once a second, so that it never learned how fast they move (hints further apart than a second don't count); it sent all reads of the group to the primary for the rest of that reign, 20 s, and 9,888 of 14,100 refusals were this group's. 4,575 statements took a slot of a replica for being told that it is behind. Change: a replica whose last word is over a second old is tried before the primary where none is known to do; an owner answers by itself that its database is behind, if it heard so within 40 ms, and tells each VM how far the log is. A read that fails on one copy runs on the next, within the budget of repeated reads, and the copy's share falls to a quarter.

--- a/src/core/ramp.rs
+++ b/src/core/ramp.rs
@@ -58,6 +58,12 @@
         self.value
     }
 
+    /// Falls to `part` of what it was, at once.
+    pub fn cut(&mut self, now: Time, part: f64) {
+        self.value = (self.value * part).max(LEAST);
+        self.at = now.max(self.at);
+    }
+
     /// Moves towards `target`, as far as the time since the last move allows.
     pub fn move_to(&mut self, now: Time, target: f64) {
         let target = target.clamp(LEAST, 1.0);
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -36,7 +36,9 @@
 /// no longer asked is asked again within a few such spans.
 const FORGET: Span = Span::from_secs(2);
 
-/// A hint older than this says nothing of the queue or the age: four probe rounds.
+/// A hint older than this says nothing of the queue, the age or the position: four probe rounds. A
+/// replica that was behind is asked again then; with few reads its speed is never learned, and it
+/// would be passed over until the next change of primary.
 const HINT_LIFE: Span = Span::from_millis(1_000);
 
 /// How much longer than the position alone tells a read's floor is taken to need. The
@@ -50,6 +52,10 @@
 /// a lost connection takes to be noticed and opened again, several times over.
 const LEFT_OUT: Span = Span::from_millis(500);
 
+/// What remains of a replica's share after an error: below what a copy near by needs to go first,
+/// for two seconds.
+const ERRED_SHARE: f64 = 0.25;
+
 /// Replicas' queues longer than this may spill reads to the primary: above the scatter of
 /// a queue that empties, so that in ordinary load the primary keeps its slots for writes.
 const SPILL_WAIT: Span = Span::from_millis(25);
@@ -161,6 +167,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
     Fit,
+    /// It was behind when last heard of, which is too long ago to tell anything.
+    Unheard,
     Behind,
     Failing,
 }
@@ -191,10 +199,11 @@
             .map(|candidate| self.choice(now, need, candidate))
             .collect();
         choices.sort_by_key(|choice| (choice.rank, choice.cost));
-        let fit = choices
-            .iter()
-            .filter(|choice| choice.rank == Rank::Fit)
-            .count();
+        let best = choices.first().map_or(Rank::Failing, |choice| choice.rank);
+        let fit = match best {
+            Rank::Fit | Rank::Unheard => choices.iter().filter(|c| c.rank == best).count(),
+            Rank::Behind | Rank::Failing => 0,
+        };
         self.draw_first(&mut choices[..fit]);
         let spills = fit == 0 || self.spills(now, primary, &choices[0]);
         let mut order: Vec<DatabaseId> =
@@ -234,6 +243,14 @@
         }
     }
 
+    /// `database` ran a read and failed: some of its answers are errors though it is well otherwise.
+    /// It is left at once and returned to as slowly as a slow one.
+    pub fn erred(&mut self, now: Time, database: &DatabaseId) {
+        let seen = self.entry(now, database);
+        seen.unseen = 0;
+        seen.share.cut(now, ERRED_SHARE);
+    }
+
     /// The holder of `database` refused a read: it was not new enough, or too busy for this
     /// caller. That says nothing about its health; counted as a failure, one greedy caller's
     /// refusals would send everyone's reads to the primary.
@@ -415,10 +432,13 @@
         if failing || silent {
             return Rank::Failing;
         }
-        if self.is_behind(now, need) {
-            return Rank::Behind;
+        if !self.is_behind(now, need) {
+            return Rank::Fit;
+        }
+        match now.since(self.hint_at) > HINT_LIFE {
+            true => Rank::Unheard,
+            false => Rank::Behind,
         }
-        Rank::Fit
     }
 
     fn is_behind(&self, now: Time, need: &Need) -> bool {
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -8,7 +8,7 @@
 use crate::direct::owner::Way;
 use crate::direct::pool::Lent;
 use crate::direct::relay::line::Line;
-use crate::direct::relay::{Ask, Opening, Reply, Request, Start};
+use crate::direct::relay::{Ask, Opening, Reply, Request, Start, Told};
 use crate::direct::session::Session;
 use crate::direct::statement::{Answer, Code, End, Order, State};
 use crate::direct::targets::{Target, Targets};
@@ -253,7 +253,7 @@
         };
         let pool = &self.plan.target.pool;
         pool.owner_waits(self.targets.now() + told.wait);
-        self.passed(line, under_way, asked, told.reply)
+        self.passed(line, under_way, asked, told)
     }
 
     fn request(&self) -> Start {
@@ -269,10 +269,10 @@
         }
     }
 
-    fn passed(&self, line: Line, under_way: Option<UnderWay>, asked: Time, reply: Reply) -> Passed {
+    fn passed(&self, line: Line, under_way: Option<UnderWay>, asked: Time, told: Told) -> Passed {
         let (targets, target) = (self.targets, &self.plan.target);
         let lines = &targets.lines;
-        match reply {
+        match told.reply {
             Reply::Answered(answer) => {
                 let first = matches!(self.job.part, Part::First { .. });
                 let opened = first && answer.state == State::Open;
@@ -285,7 +285,7 @@
             }
             Reply::NotRun(code) => {
                 lines.give_back(line);
-                targets.refused(target, None, false);
+                targets.refused(target, told.position, false);
                 let attempt = Attempt::NotRun(code);
                 match code {
                     Code::Full | Code::OtherDatabase => Passed::Elsewhere(attempt),
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -15,6 +15,7 @@
 use crate::direct::gate::{Gate, Urgency};
 use crate::direct::session::Values;
 use crate::direct::statement::Code;
+use crate::types::Position;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -35,6 +36,10 @@
 /// How long after a refusal for want of room connections are not kept idle.
 const SCARCE: Span = Span::from_secs(1);
 
+/// How long a position is taken for the present one: an owner hears of it with each answer, some
+/// hundred a second, and a replica that is behind gets further in jumps.
+const POSITION_LIFE: Span = Span::from_millis(40);
+
 /// The longest such pause: a database drops connections of a VM that is gone after some seconds.
 const LONGEST_FULL_PAUSE: Span = Span::from_millis(320);
 
@@ -50,6 +55,8 @@
     waiting: Cell<u32>,
     /// Until when a statement would wait at the owner that was asked last.
     owner_waits: Cell<Time>,
+    /// How far the log was when the database last said so, and when that was.
+    position: Cell<Option<(Position, Time)>>,
     sweeping: Cell<bool>,
 }
 
@@ -111,6 +118,7 @@
             returned: Notify::new(),
             waiting: Cell::new(0),
             owner_waits: Cell::default(),
+            position: Cell::default(),
             sweeping: Cell::new(false),
         })
     }
@@ -165,6 +173,17 @@
         own.max(self.owner_waits.get().since(now))
     }
 
+    /// The database said how far its log is.
+    pub fn has(&self, position: Position, now: Time) {
+        self.position.set(Some((position, now)));
+    }
+
+    /// How far the log was, if that was said so shortly ago that it can't be much further now.
+    pub fn position(&self, now: Time) -> Option<Position> {
+        let (position, at) = self.position.get()?;
+        (now < at + POSITION_LIFE).then_some(position)
+    }
+
     /// An owner says until when a statement would wait there.
     pub fn owner_waits(&self, until: Time) {
         self.owner_waits.set(until);
--- a/src/direct/relay/mod.rs
+++ b/src/direct/relay/mod.rs
@@ -82,6 +82,19 @@
     pub reply: Reply,
     /// How long a next statement would wait for the database.
     pub wait: Span,
+    /// How far the database's log was, as the owner last heard.
+    pub position: Option<Position>,
+}
+
+impl Told {
+    /// A reply that tells nothing of a database.
+    fn only(reply: Reply) -> Self {
+        Self {
+            reply,
+            wait: Span::ZERO,
+            position: None,
+        }
+    }
 }
 
 /// How a request ended.
--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -3,11 +3,14 @@
 use crate::clock::{Span, Time};
 use crate::direct::adapter::Stream;
 use crate::direct::exchange::{self, Failed, Ran, Statement};
+use crate::direct::front::Stopping;
+use crate::direct::gate::Urgency;
 use crate::direct::pool::Lent;
 use crate::direct::relay::{Ask, Frames, Reply, Request, Start, Told};
 use crate::direct::session::Shape;
 use crate::direct::statement::{Answer, Code, Message, Order, Query, State};
 use crate::direct::targets::{Target, Targets};
+use crate::types::Position;
 use bytes::BytesMut;
 use std::cell::Cell;
 use std::fmt;
@@ -35,8 +38,8 @@
     /// Statements and transactions under way.
     busy: Cell<u32>,
     ended: Notify,
-    /// Whether open transactions are rolled back.
-    ending: watch::Sender<bool>,
+    /// How far a planned stop has come.
+    stopping: watch::Sender<Stopping>,
 }
 
 impl fmt::Debug for Relay {
@@ -67,6 +70,16 @@
     busy: Busy,
 }
 
+impl Open {
+    fn new(lent: Box<Lent>, target: &Target, busy: Busy) -> Self {
+        Self {
+            lent,
+            target: target.clone(),
+            busy,
+        }
+    }
+}
+
 /// One stream of another VM.
 struct Session {
     relay: Rc<Relay>,
@@ -83,7 +96,7 @@
             targets,
             busy: Cell::default(),
             ended: Notify::new(),
-            ending: watch::Sender::new(false),
+            stopping: watch::Sender::new(Stopping::No),
         })
     }
 
@@ -103,11 +116,12 @@
     /// Waits for what is under way: transactions as long as callers' own ones, and then as long as
     /// their statements take. New work is refused from when the stop began.
     pub async fn stop(&self, grace: Span) {
+        self.stopping.send_replace(Stopping::Idle);
         let half = grace.percent(50);
         if self.is_over(half).await {
             return;
         }
-        self.ending.send_replace(true);
+        self.stopping.send_replace(Stopping::Transactions);
         self.is_over(half).await;
     }
 
@@ -136,16 +150,24 @@
 
 impl Session {
     async fn talk(&mut self) -> io::Result<()> {
-        let mut ending = self.relay.ending.subscribe();
+        let mut stopping = self.relay.stopping.subscribe();
         loop {
             let limit = self.limit();
+            // What a stop waits for: the end of the transaction, or nothing.
+            let due = match self.open {
+                Some(_) => Stopping::Transactions,
+                None => Stopping::Idle,
+            };
             let request = tokio::select! {
                 biased;
                 request = tokio::time::timeout(limit.into(), self.next()) => request,
-                _ = ending.wait_for(|ending| *ending), if self.open.is_some() => {
-                    self.roll_back();
-                    continue;
-                }
+                _ = stopping.wait_for(|stopping| *stopping >= due) => match due {
+                    Stopping::Transactions => {
+                        self.roll_back();
+                        continue;
+                    }
+                    _ => return self.leave().await,
+                },
             };
             let Ok(request) = request else {
                 return Ok(());
@@ -158,6 +180,24 @@
         }
     }
 
+    /// Tells the other end that nothing is taken on this stream any more, and waits for its end.
+    ///
+    /// **Failure answered.** A request is on its way while the stream is closed by a stop. **Symptom
+    /// without it.** It counts as lost, and a write's caller is told that its outcome is unknown.
+    /// **Why it suffices.** A request that was sent before this was read takes it for its reply; an
+    /// idle stream on which something has come is not used any more.
+    async fn leave(&mut self) -> io::Result<()> {
+        self.tell(&Told::only(Reply::Away)).await?;
+        let drained = async {
+            while self.stream.read_buf(&mut self.input).await? > 0 {
+                self.input.clear();
+            }
+            io::Result::Ok(())
+        };
+        let drained = tokio::time::timeout(UNUSED.into(), drained).await;
+        drained.unwrap_or(Ok(()))
+    }
+
     /// How long to wait for the next request.
     fn limit(&self) -> Span {
         if self.open.is_none() {
@@ -193,28 +233,39 @@
     }
 
     async fn answer(&mut self, request: Request) -> Told {
-        let (reply, wait) = match request {
+        match request {
             Request::Start(start) => self.start(start).await,
             Request::Next(ask) => self.proceed(ask).await,
             Request::End => {
                 self.roll_back();
-                (Reply::NotRun(Code::RolledBack), Span::ZERO)
+                Told::only(Reply::NotRun(Code::RolledBack))
             }
-        };
-        Told { reply, wait }
+        }
+    }
+
+    /// A reply, and how the database stands.
+    fn of(&self, reply: Reply, target: &Target, urgency: Urgency) -> Told {
+        Told {
+            reply,
+            wait: target.pool.gate.wait(urgency),
+            position: target.pool.position(self.relay.now()),
+        }
     }
 
-    async fn start(&mut self, start: Start) -> (Reply, Span) {
+    async fn start(&mut self, start: Start) -> Told {
         self.roll_back();
         if self.relay.is_stopping() {
-            return (Reply::Away, Span::ZERO);
+            return Told::only(Reply::Away);
         }
         let targets = self.relay.targets.clone();
         let Some(target) = targets.find(&start.database) else {
-            return (Reply::NotRun(Code::OtherDatabase), Span::ZERO);
+            return Told::only(Reply::NotRun(Code::OtherDatabase));
         };
+        if self.is_behind(&target, start.after) {
+            return self.of(Reply::NotRun(Code::Behind), &target, start.ask.urgency);
+        }
         let Some((query, shape)) = self.read(&start.ask) else {
-            return (Reply::NotRun(Code::Malformed), Span::ZERO);
+            return Told::only(Reply::NotRun(Code::Malformed));
         };
         let begin = start.begin.map(|opening| Order::Begin {
             read: opening.read,
@@ -227,14 +278,13 @@
         };
         let busy = self.relay.begin();
         let ran = exchange::start(&targets, &target, &statement, || Some(busy), || true).await;
-        let wait = target.pool.gate.wait(start.ask.urgency);
         let reply = match ran {
             Ran::Answered(answer, lent, busy, asked) => {
                 let urgency = statement.urgency;
                 let open = answer.state == State::Open && statement.begin.is_some();
                 targets.heard(&target, asked, &answer, urgency);
                 match open {
-                    true => self.open = Some(Open { lent, target, busy }),
+                    true => self.open = Some(Open::new(lent, &target, busy)),
                     false => exchange::give_back(&targets, lent, busy),
                 }
                 Reply::Answered(answer)
@@ -243,22 +293,21 @@
             Ran::Unreached => Reply::Unreached,
             Ran::Lost(why) => Reply::Lost(why),
         };
-        (reply, wait)
+        self.of(reply, &target, start.ask.urgency)
     }
 
-    async fn proceed(&mut self, ask: Ask) -> (Reply, Span) {
+    async fn proceed(&mut self, ask: Ask) -> Told {
         let Some(mut open) = self.open.take() else {
             // It was idle for too long, or this VM stops.
-            return (Reply::NotRun(Code::RolledBack), Span::ZERO);
+            return Told::only(Reply::NotRun(Code::RolledBack));
         };
         let Some((query, shape)) = self.read(&ask) else {
-            return (Reply::NotRun(Code::Malformed), Span::ZERO);
+            return Told::only(Reply::NotRun(Code::Malformed));
         };
         let targets = self.relay.targets.clone();
         let statement = self.statement(&ask, &query, shape.as_ref());
         let (target, connection) = (open.target.clone(), open.lent.connection());
         let ran = exchange::next(&targets, &target, connection, &statement, || true).await;
-        let wait = target.pool.gate.wait(ask.urgency);
         let reply = match ran {
             Ok((answer, asked)) => self.passed_on(&targets, open, answer, asked, ask.urgency),
             Err(failed) => {
@@ -270,7 +319,20 @@
                 }
             }
         };
-        (reply, wait)
+        self.of(reply, &target, ask.urgency)
+    }
+
+    /// Whether the database is known not to have a position.
+    ///
+    /// **Pattern answered.** A replica falls behind, and VMs that seldom hear of it go on to send it
+    /// reads. **Without it** each such read takes a slot for being refused (4,500 of 80,000 statements
+    /// on a day of high load); the owner has just heard how far it is.
+    fn is_behind(&self, target: &Target, after: Option<Position>) -> bool {
+        let known = target.pool.position(self.relay.now());
+        let (Some(after), Some(known)) = (after, known) else {
+            return false;
+        };
+        known.term == after.term && known < after
     }
 
     fn passed_on(
@@ -279,7 +341,7 @@
         open: Open,
         answer: Answer,
         asked: Time,
-        urgency: u8,
+        urgency: Urgency,
     ) -> Reply {
         targets.heard(&open.target, asked, &answer, urgency);
         match answer.state {
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -158,6 +158,10 @@
                 after: Some(after),
             };
             match attempt::run(&self.targets, session, job, &plan).await {
+                Attempt::Answered(answer, held) if self.may_run_elsewhere(job, &answer) => {
+                    self.targets.erred(&held.target.database);
+                    held.release(&self.targets);
+                }
                 Attempt::Answered(answer, held) => return OnCopies::Answered(answer, held),
                 Attempt::NotRun(_) | Attempt::Unreached => {}
                 Attempt::Lost(_) if job.is_repeatable() && self.may_repeat() => {}
@@ -167,6 +171,22 @@
         OnCopies::NotRun
     }
 
+    /// Whether a read that failed on one copy is run on the next one.
+    ///
+    /// **Pattern answered.** A database fails part of what it runs, and is well otherwise. **Without
+    /// it** its share of the reads is told an error, or comes back as new requests. A read changes
+    /// nothing, so it may run again; the budget bounds how many do where the fault is the statement's.
+    fn may_run_elsewhere(&self, job: &Job<'_>, answer: &Answer) -> bool {
+        let failed = matches!(
+            answer.end,
+            End::Error {
+                code: Code::Failed,
+                ..
+            }
+        );
+        failed && job.is_repeatable() && self.may_repeat()
+    }
+
     fn may_repeat(&self) -> bool {
         let now = self.targets.now();
         self.budget.borrow_mut().withdraw(now)
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -344,6 +344,7 @@
         let Some(position) = answer.position else {
             return;
         };
+        target.pool.has(position, now);
         let hint = hint(&target.pool, now, position, urgency);
         if let Some(router) = self.routers.borrow_mut().get_mut(&database.group) {
             router.answered(now, &database.id, took, &hint);
@@ -361,12 +362,20 @@
         let Some(position) = position else {
             return;
         };
+        target.pool.has(position, now);
         let hint = hint(&target.pool, now, position, Urgency::MAX);
         if let Some(router) = self.routers.borrow_mut().get_mut(&database.group) {
             router.refused(now, &database.id, &hint);
         }
     }
 
+    /// A database ran a read of this VM's caller and failed.
+    pub fn erred(&self, database: &Database) {
+        if let Some(router) = self.routers.borrow_mut().get_mut(&database.group) {
+            router.erred(self.now(), &database.id);
+        }
+    }
+
     /// A database could not be reached, broke off or stays silent.
     pub fn failed(&self, database: &Database) {
         let now = self.now();
--- a/tests/decisions_route.rs
+++ b/tests/decisions_route.rs
@@ -192,3 +192,44 @@
     assert!(router.share(&id("b")) > 0.9);
     assert!(refused.share(&id("c")) > 0.9);
 }
+
+/// Both replicas fell behind for a while. A caller with few reads hears of them once, never sees
+/// how fast they move, and sends all that follows to the primary, for as long as that leads. A
+/// second later a read is tried at a replica again.
+#[test]
+fn a_replica_that_was_behind_is_asked_again() {
+    let mut router = Router::default();
+    let need = Need {
+        floor: Some(position(50)),
+        max_age: None,
+    };
+    for replica in REPLICAS {
+        router.refused(at(1), &id(replica), &hint(10, 4, 0));
+    }
+    assert_eq!(router.order(at(900), &need, &candidates())[0], id(PRIMARY));
+    assert_ne!(
+        router.order(at(1_100), &need, &candidates())[0],
+        id(PRIMARY)
+    );
+}
+
+/// A replica fails some of what it runs, and answers the rest as fast as ever. Its share falls with
+/// each error below what a copy near by needs to go first, and is back after some seconds without.
+#[test]
+fn a_replica_that_errs_is_left_and_returned_to() {
+    let mut router = Router::default();
+    let need = Need::default();
+    for replica in REPLICAS {
+        router.answered(at(1), &id(replica), Span(1), &hint(10, 4, 0));
+    }
+    router.order(at(2), &need, &candidates());
+    router.erred(at(3), &id("b"));
+    assert!(router.share(&id("b")) < 0.3, "{}", router.share(&id("b")));
+    for millis in (1_000..8_000).step_by(500) {
+        for replica in REPLICAS {
+            router.answered(at(millis), &id(replica), Span(1), &hint(10, 4, 0));
+        }
+        router.order(at(millis), &need, &candidates());
+    }
+    assert!(router.share(&id("b")) > 0.9, "{}", router.share(&id("b")));
+}
