Play second orders during a promotion so that they fail without the safeguards

Cause: the stand-in refuses any order beside a promotion that has not come true; the platform says of an order for the present primary that it is done. So the scene of a second order passed with its safeguards taken out.

Change: the scene's VMs get the platform's answer (a wrapped program, the stand-in as it was). A second scene has the successor unreached until its promotion has come true. tests/scene lets a scene bring its own program; no assertion of an older scene changed.

Conclusion: each of the two safeguards has a scene that fails without it.

--- a/tests/direct_takeover.rs
+++ b/tests/direct_takeover.rs
@@ -2,10 +2,17 @@
 
 mod scene;
 
+use lentilspoke::direct::adapter::Promoted;
 use lentilspoke::standin::direct::fault::Fault;
+use lentilspoke::standin::direct::machine::Program;
 use lentilspoke::standin::direct::network::Node;
+use lentilspoke::standin::direct::program::program;
 use lentilspoke::standin::direct::setup::Setup;
-use scene::{db, play, vm};
+use lentilspoke::standin::direct::world::World;
+use scene::{db, play, play_with, vm};
+use std::cell::OnceCell;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 /// Milliseconds after a primary fell silent, around the order that another one leads, and for as
 /// long as that takes to come true.
@@ -18,6 +25,27 @@
     }
 }
 
+/// The program with the platform's own answer: an order for whoever leads is done, and changes
+/// nothing, also while another promotion has yet to come true. (The stand-in refuses any order then.)
+fn on_platform(world: Rc<OnceCell<Weak<World>>>) -> Program {
+    let program = program();
+    Rc::new(move |mut machine| {
+        let (world, promote) = (world.clone(), machine.adapter.promote.clone());
+        machine.adapter.promote = Rc::new(move |promotion| {
+            let known = world.get().and_then(Weak::upgrade);
+            let leads = known.is_some_and(|w| w.groups[0].leader() == promotion.database);
+            let promoted = promote(promotion);
+            Box::pin(async move {
+                match promoted.await {
+                    Promoted::Refused if leads => Promoted::Done,
+                    other => other,
+                }
+            })
+        });
+        program(machine)
+    })
+}
+
 /// A primary falls silent, the steward orders that another leads, and dies; while that order comes
 /// true, the old primary is reached again and takes itself for the primary still. Whoever goes on
 /// must not name the old one: the platform would say that nothing has to be done, and a moment
@@ -26,7 +54,10 @@
 #[test]
 fn old_primary_returns_while_another_is_promoted() {
     for step in STEPS {
-        play(setup(), |scene| async move {
+        let world = Rc::new(OnceCell::new());
+        let program = on_platform(world.clone());
+        play_with(program, setup(), |scene| async move {
+            world.set(Rc::downgrade(&scene.world)).unwrap();
             let dark = Fault::Dark(Node::Database(db("db0a")));
             scene.until(5_000).await;
             dark.begin(&scene.world);
@@ -41,6 +72,42 @@
     }
 }
 
+/// A primary falls silent, another database is ordered to lead, and is not reached until that has come
+/// true, while the old one is reached again and takes itself for the primary still. Were the other
+/// one named before it says that it leads, it would be lost in its turn, and the old one named: the
+/// platform would say that nothing has to be done, and a moment later the other one leads.
+#[test]
+fn old_primary_returns_while_its_successor_is_unreached() {
+    successor_is_unreached(Duration::from_millis(2_600));
+}
+
+fn successor_is_unreached(span: Duration) {
+    let setup = Setup {
+        promotion: Duration::from_millis(2_400),
+        ..setup()
+    };
+    let world = Rc::new(OnceCell::new());
+    play_with(on_platform(world.clone()), setup, |scene| async move {
+        world.set(Rc::downgrade(&scene.world)).unwrap();
+        let dark = Fault::Dark(Node::Database(db("db0a")));
+        scene.until(5_000).await;
+        dark.begin(&scene.world);
+        let mut now = 5_000;
+        while scene.book().orders.is_empty() {
+            now += 50;
+            assert!(now < 9_000, "nothing is ordered");
+            scene.until(now).await;
+        }
+        dark.end(&scene.world);
+        let successor = scene.book().orders[0].database.clone();
+        let dark = Fault::Dark(Node::Database(successor));
+        dark.begin(&scene.world);
+        tokio::time::sleep(span).await;
+        dark.end(&scene.world);
+        scene.passes().await;
+    });
+}
+
 /// Two VMs and the primary are on one side of a cut, two VMs, the replicas and the store on the
 /// other. The side without the store goes on until its leases end, and what it was told is true;
 /// after that only the other side acknowledges, by another primary within 13 s: the steward is
