--- a/src/standin/direct/caller.rs
+++ b/src/standin/direct/caller.rs
@@ -110,31 +110,28 @@
     /// Says one statement and waits for its answer, outside a transaction or in the one that
     /// [`Session::begin`] opened.
     pub async fn say(&mut self, text: &str) -> Result<Answer, Closed> {
-        let index = self.note(text);
-        let id = self.record.borrow()[index].id.clone();
+        let number = self.note(text);
+        let id = id_of(number);
         let mut output = BytesMut::new();
         wire::write_caller_query(&mut output, &id, text);
         self.write(&output).await?;
         let answer = timeout(PATIENCE, self.answer(false)).await;
-        let mut record = self.record.borrow_mut();
-        let said = &mut record[index];
-        match answer {
-            Ok(Ok(answer)) => {
-                said.told = Some((Instant::now(), answer.clone()));
-                drop(record);
-                self.learn(text, &answer);
-                Ok(answer)
-            }
-            _ => {
-                said.broke = Some(Instant::now());
-                Err(Closed)
+        let now = Instant::now();
+        let answer = answer.ok().and_then(Result::ok);
+        if let Some(said) = self.record.borrow_mut().find(number) {
+            match &answer {
+                Some(answer) => said.told = Some((now, answer.clone())),
+                None => said.broke = Some(now),
             }
         }
+        let answer = answer.ok_or(Closed)?;
+        self.learn(text, &answer);
+        Ok(answer)
     }
 
-    fn note(&self, text: &str) -> usize {
+    fn note(&self, text: &str) -> u64 {
         let mut record = self.record.borrow_mut();
-        let index = record.len();
+        let number = record.next();
         let now = Instant::now();
         let operation = self.operation;
         let shape = text.strip_prefix("exec ").and_then(|rest| {
@@ -142,10 +139,11 @@
             self.prepared.get(name).map(|(_, shape)| shape.clone())
         });
         record.push(Said {
-            id: format!("q{index}").into(),
+            number,
+            id: id_of(number),
             text: text.into(),
             session: self.number,
-            operation: operation.map_or(index as u64, |operation| operation.number),
+            operation: operation.map_or(number, |operation| operation.number),
             transaction: operation.is_some(),
             vm: self.vm.clone(),
             route: self.route.clone(),
@@ -157,7 +155,7 @@
             told: None,
             broke: None,
         });
-        index
+        number
     }
 
     fn learn(&mut self, text: &str, answer: &Answer) {
@@ -185,7 +183,7 @@
 
     /// Opens a transaction.
     pub async fn begin(&mut self, read: bool) -> Result<Answer, Closed> {
-        let number = self.record.borrow().len() as u64;
+        let number = self.record.borrow().next();
         self.operation = Some(Operation {
             number,
             since: Instant::now(),
@@ -228,6 +226,8 @@
     pub random: ChaCha8Rng,
     /// How long it pauses at most.
     pub pause: Duration,
+    /// How many of twelve operations are single writes.
+    pub writes: u64,
 }
 
 impl Caller {
@@ -247,6 +247,7 @@
             route: route.into(),
             random: ChaCha8Rng::seed_from_u64(seed),
             pause,
+            writes: 3,
         }
     }
 
@@ -284,7 +285,7 @@
     async fn operation(&mut self, session: &mut Session) -> Result<(), Closed> {
         let writes = !matches!(session.kind, Kind::Bounded(_));
         let answer = match self.below(12) {
-            0..=2 if writes => {
+            drawn if drawn < self.writes && writes => {
                 let text = self.write(session);
                 session.say(&text).await?
             }
@@ -398,6 +399,11 @@
     }
 }
 
+/// The id of a statement by its number.
+fn id_of(number: u64) -> Box<str> {
+    format!("q{number}").into()
+}
+
 /// A caller leaves after an error in answer to a value or a prepared statement.
 fn stays(answer: Answer) -> Result<(), Closed> {
     match answer.end {
--- a/src/standin/direct/check.rs
+++ b/src/standin/direct/check.rs
@@ -1,15 +1,14 @@
 //! Compares what callers were told with what really happened.
 
-use crate::direct::config::Kind;
 use crate::direct::statement::Statement;
 use crate::standin::direct::journal::{Book, Run};
+use crate::standin::direct::known::{Known, Seen};
 use crate::standin::direct::said::Said;
 use crate::standin::direct::wire::{self, OWN};
 use crate::standin::direct::world::World;
-use crate::types::{GroupId, VmId};
+use crate::types::GroupId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// How often callers were told what.
@@ -66,6 +65,7 @@
     by_id: BTreeMap<&'a str, &'a Said>,
     by_signature: BTreeMap<&'a str, &'a Run>,
     routes: &'a Routes,
+    known: &'a mut Known,
     report: Report,
 }
 
@@ -82,6 +82,18 @@
 
 /// Compares what was told with what happened.
 pub fn compare(book: &Book, routes: &Routes, started: Instant, said: &[Said]) -> Report {
+    compare_on(&mut Known::default(), book, routes, started, said)
+}
+
+/// Compares a part of what was told, whole operations, given what is known from the parts before
+/// it, with the part of the book that is about it.
+pub fn compare_on(
+    known: &mut Known,
+    book: &Book,
+    routes: &Routes,
+    started: Instant,
+    said: &[Said],
+) -> Report {
     let mut check = Check {
         started,
         said,
@@ -89,6 +101,7 @@
         by_id: said.iter().map(|said| (&*said.id, said)).collect(),
         by_signature: book.runs.iter().map(|run| (&*run.signature, run)).collect(),
         routes,
+        known,
         report: Report::default(),
     };
     check.count();
@@ -109,7 +122,7 @@
             .as_ref()
             .map(|(moment, answer)| (at(*moment), &answer.end));
         let ran = run.map(|run| {
-            let (connection, saw) = (run.connection, run.saw.len());
+            let (connection, saw) = (run.connection, run.saw.to_string());
             (&run.database, connection, run.transaction, saw, run.commit)
         });
         let text = format!(
@@ -198,7 +211,6 @@
     /// then only the last answer counts.
     fn transactions(&mut self) {
         let mut places: BTreeMap<u64, Place<'_>> = BTreeMap::new();
-        let mut owners: BTreeMap<u64, u64> = BTreeMap::new();
         for run in &self.book.runs {
             let Some(said) = self.by_id.get(&*run.id).copied() else {
                 continue;
@@ -218,7 +230,7 @@
                     false => *place = Place::of(run),
                 }
             }
-            if *owners.entry(transaction).or_insert(said.operation) != said.operation {
+            if self.known.owner(transaction, said) != said.operation {
                 self.breaks("inside another caller's transaction", said, Some(run));
             }
         }
@@ -236,11 +248,9 @@
     }
 
     fn writes(&mut self) {
-        let mut commits: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-        for (number, commit) in self.book.commits.iter().enumerate() {
-            for write in &commit.writes {
-                commits.entry(&write.id).or_default().push(number);
-            }
+        let mut commits: BTreeMap<&str, usize> = BTreeMap::new();
+        for write in self.book.commits.iter().flat_map(|c| &c.writes) {
+            *commits.entry(&write.id).or_default() += 1;
         }
         let promised: BTreeSet<u64> = self
             .said
@@ -249,11 +259,11 @@
             .map(|said| said.operation)
             .collect();
         for said in self.said {
-            let kept = commits.get(&*said.id).map_or(&[][..], Vec::as_slice);
-            if kept.len() > 1 {
+            let kept = commits.get(&*said.id).copied().unwrap_or_default();
+            if kept > 1 {
                 self.breaks("a write took effect twice", said, None);
             }
-            if !kept.is_empty() && promised.contains(&said.operation) {
+            if kept > 0 && promised.contains(&said.operation) {
                 self.breaks("told not run, and run", said, None);
             }
             self.acknowledged(said);
@@ -272,14 +282,17 @@
             }
             return;
         };
-        if self.book.commits[number as usize].replaced {
+        if self.book.commit(number).is_some_and(|c| c.replaced) {
             self.breaks("acknowledged by a replaced primary", said, Some(run));
         }
     }
 
     /// A read that was answered saw what it had to.
     fn reads(&mut self) {
-        let acknowledged = self.commits_acknowledged();
+        for said in self.said {
+            self.acknowledges(said);
+        }
+        self.known.sort(self.book);
         for said in self.said {
             let Some(run) = said.signature().and_then(|s| self.by_signature.get(s)) else {
                 continue;
@@ -287,13 +300,8 @@
             if !is_read(said) {
                 continue;
             }
-            let saw: BTreeSet<u64> = run.saw.iter().copied().collect();
-            let missed = acknowledged.iter().find(|seen| {
-                let commit = &self.book.commits[seen.commit as usize];
-                let kept = commit.lost.is_none() && commit.group == run.group;
-                kept && seen.binds(said) && !saw.contains(&seen.commit)
-            });
-            if let Some(missed) = missed {
+            let run = *run;
+            if let Some(missed) = self.known.missed(self.book, said, run) {
                 let age = (said.since - missed.at).as_millis();
                 let rule = format!("stale, commit {} was {age} ms old", missed.commit);
                 self.breaks(&rule, said, Some(run));
@@ -301,21 +309,26 @@
         }
     }
 
-    fn commits_acknowledged(&self) -> Vec<Acknowledged> {
-        let told = self.said.iter().filter_map(|said| {
-            let run = self.by_signature.get(said.signature()?)?;
-            Some(Acknowledged {
-                commit: run.commit?,
-                session: said.session,
-                at: said.acknowledged()?,
-            })
-        });
-        told.collect()
+    /// Notes the commit that a caller knows of from now on.
+    fn acknowledges(&mut self, said: &Said) {
+        let run = said.signature().and_then(|s| self.by_signature.get(s));
+        let (Some(run), Some(at)) = (run, said.acknowledged()) else {
+            return;
+        };
+        let commit = run.commit.and_then(|n| Some((n, self.book.commit(n)?)));
+        if let Some((number, commit)) = commit {
+            let seen = Seen {
+                commit: number,
+                position: commit.position,
+                at,
+            };
+            self.known.note(&run.group, said.session, seen);
+        }
     }
 
     /// Fencing tokens only rise, and each is one VM's.
     fn orders(&mut self) {
-        let mut last: Option<(u64, VmId)> = None;
+        let mut last = self.known.order.take();
         for order in &self.book.orders {
             let wrong = match &last {
                 Some((token, holder)) if *token == order.token => *holder != order.holder,
@@ -329,6 +342,7 @@
             }
             last = Some((order.token, order.holder.clone()));
         }
+        self.known.order = last;
     }
 }
 
@@ -351,31 +365,12 @@
     }
 }
 
-/// A commit that a caller knows of.
-struct Acknowledged {
-    commit: u64,
-    session: u64,
-    at: Instant,
-}
-
-impl Acknowledged {
-    /// Whether a read has to see it.
-    fn binds(&self, said: &Said) -> bool {
-        let own = self.session == said.session;
-        let age = match said.kind {
-            Kind::Primary => Duration::ZERO,
-            Kind::Session(_) if own => Duration::ZERO,
-            Kind::Bounded(span) | Kind::Session(span) => span.into(),
-        };
-        self.at + age < said.since
-    }
-}
-
 fn is_write(said: &Said) -> bool {
     said.text.starts_with("write ") || (said.text.starts_with("exec ") && words(said) == 4)
 }
 
-fn is_read(said: &Said) -> bool {
+/// Whether a statement is a single read, in a transaction or not.
+pub fn is_read(said: &Said) -> bool {
     said.text.starts_with("read ") || (said.text.starts_with("exec ") && words(said) == 3)
 }
 
--- a/src/standin/direct/database.rs
+++ b/src/standin/direct/database.rs
@@ -1,8 +1,9 @@
 //! One database of a group: its log, its role and its troubles.
 
 use crate::direct::config;
+use crate::standin::direct::log::Log;
 use crate::standin::direct::network::Node;
-use crate::types::{DatabaseId, Domain, GroupId, Offset, Position, Term};
+use crate::types::{DatabaseId, Domain, GroupId, Position};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,15 +35,6 @@
     pub lag: Duration,
 }
 
-/// An entry of the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Entry {
-    /// The term that wrote it.
-    pub term: u64,
-    /// Its commit in the journal.
-    pub commit: u64,
-}
-
 /// What changes.
 #[derive(Debug)]
 pub struct State {
@@ -57,14 +49,13 @@
     /// Its term.
     pub term: u64,
     /// What it received.
-    pub log: Vec<Entry>,
+    pub log: Log,
     /// How many entries of it readers see.
     pub applied: usize,
     /// Sessions that are open.
     pub connections: u32,
     /// Statements that wait for a slot.
     pub waiting: u32,
-    saw: Option<Rc<[u64]>>,
 }
 
 /// Its troubles.
@@ -80,6 +71,12 @@
     pub losing: Cell<u32>,
     /// How many statements fail after they ran.
     pub failing: Cell<u32>,
+    /// How many of a hundred statements fail after they ran.
+    pub grey: Cell<u32>,
+    /// How many statements came while some fail.
+    pub counted: Cell<u32>,
+    /// Whether it goes down and up by turns.
+    pub flapping: Cell<bool>,
 }
 
 /// A database.
@@ -99,7 +96,7 @@
 
 impl Database {
     /// A database that runs.
-    pub fn new(make: Make, primary: bool, term: u64, log: Vec<Entry>) -> Rc<Self> {
+    pub fn new(make: Make, primary: bool, term: u64, log: Log) -> Rc<Self> {
         let slots = Semaphore::new(make.slots as usize);
         let applied = log.len();
         let state = State {
@@ -112,7 +109,6 @@
             applied,
             connections: 0,
             waiting: 0,
-            saw: None,
         };
         Rc::new(Self {
             make,
@@ -158,7 +154,6 @@
         if up {
             state.life += 1;
             state.applied = state.log.len();
-            state.saw = None;
         } else {
             state.connections = 0;
         }
@@ -180,13 +175,13 @@
     /// How far readers see.
     pub fn position(&self) -> Position {
         let state = self.state.borrow();
-        state.position(state.applied)
+        state.log.position(state.applied)
     }
 
     /// How far it received.
     pub fn received(&self) -> Position {
         let state = self.state.borrow();
-        state.position(state.log.len())
+        state.log.position(state.log.len())
     }
 
     /// Whether readers see a position.
@@ -195,31 +190,18 @@
         let offset = usize::try_from(position.offset.0).unwrap_or(usize::MAX);
         match offset.checked_sub(1) {
             None => true,
-            Some(index) if offset <= state.applied => state.log[index].term == position.term.0,
-            Some(_) => false,
-        }
-    }
-
-    /// The commits that readers see.
-    pub fn saw(&self) -> Rc<[u64]> {
-        let mut state = self.state.borrow_mut();
-        if let Some(saw) = &state.saw {
-            return saw.clone();
+            Some(_) if offset > state.applied => false,
+            Some(_) => state.log.term_at(offset) == Some(position.term.0),
         }
-        let saw = state.log[..state.applied].iter().map(|entry| entry.commit);
-        let saw: Rc<[u64]> = saw.collect();
-        state.saw = Some(saw.clone());
-        saw
     }
 
     /// A primary adds an entry, which its readers see at once.
-    pub fn append(&self, commit: u64) -> Position {
+    pub fn append(&self) -> Position {
         let mut state = self.state.borrow_mut();
         let term = state.term;
-        state.log.push(Entry { term, commit });
+        state.log.append(term);
         state.applied = state.log.len();
-        state.saw = None;
-        state.position(state.applied)
+        state.log.position(state.applied)
     }
 
     /// Leads a new term with what it received.
@@ -228,7 +210,6 @@
         state.primary = true;
         state.term = term;
         state.applied = state.log.len();
-        state.saw = None;
         drop(state);
         self.changed.notify_waiters();
     }
@@ -245,24 +226,22 @@
 
     /// Receives the first `count` entries of the primary of `term`; what it has beyond them from
     /// an earlier term is rolled back. Tells whether its role changed.
-    pub fn receive(&self, log: &[Entry], term: u64, count: usize) -> bool {
+    pub fn receive(&self, log: &Log, term: u64, count: usize) -> bool {
         let mut state = self.state.borrow_mut();
         if state.term > term {
             return false;
         }
         let demoted = state.primary && state.term < term;
         if state.term < term {
-            let same = state.log.iter().zip(&log[..count]);
-            let same = same.take_while(|(a, b)| a == b).count();
+            let log = log.first(count);
+            let same = state.log.shared(&log);
             state.term = term;
             state.primary = false;
-            state.log = log[..count].to_vec();
+            state.log = log;
             state.applied = state.applied.min(same);
         } else if state.log.len() < count {
-            let known = state.log.len();
-            state.log.extend_from_slice(&log[known..count]);
+            state.log = log.first(count);
         }
-        state.saw = None;
         drop(state);
         self.changed.notify_waiters();
         demoted
@@ -273,14 +252,6 @@
         let mut state = self.state.borrow_mut();
         if state.term == term && state.applied < count && count <= state.log.len() {
             state.applied = count;
-            state.saw = None;
         }
     }
 }
-
-impl State {
-    fn position(&self, count: usize) -> Position {
-        let last = count.checked_sub(1).map(|index| self.log[index].term);
-        Position::new(Term(last.unwrap_or(1)), Offset(count as u64))
-    }
-}
--- a/src/standin/direct/group.rs
+++ b/src/standin/direct/group.rs
@@ -10,7 +10,6 @@
 use crate::types::{DatabaseId, GroupId};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -113,20 +112,17 @@
         }
         let replaced = self.leader() != database.make.id;
         let now = Instant::now();
-        let number = {
-            let mut journal = self.journal.borrow_mut();
-            let number = journal.commits.len() as u64;
-            journal.commits.push(Commit {
-                group: self.id.clone(),
-                database: database.make.id.clone(),
-                position: database.append(number),
-                writes,
-                at: now,
-                replaced,
-                lost: replaced.then_some(now),
-            });
-            number
+        let before = database.received();
+        let commit = Commit {
+            group: self.id.clone(),
+            database: database.make.id.clone(),
+            position: database.append(),
+            writes,
+            at: now,
+            replaced,
+            lost: replaced.then_some(now),
         };
+        let number = self.journal.borrow_mut().committed(commit, before);
         let received = self.received.notified();
         self.ship_all(database);
         if self.durable {
@@ -165,14 +161,14 @@
             sleep(HANGING_ON).await;
             self.until_flows(from, to).await;
         }
-        let log = {
+        let demoted = {
             let state = from.state.borrow();
             if state.term != term || (from.life() != life) {
                 return;
             }
-            state.log[..count].to_vec()
+            to.receive(&state.log, term, count)
         };
-        if to.receive(&log, term, count) {
+        if demoted {
             self.report(to);
         }
         self.received.notify_waiters();
@@ -236,15 +232,15 @@
         let term = terms.max().unwrap_or(0) + 1;
         database.lead(term);
         *self.leader.borrow_mut() = database.make.id.clone();
-        let kept: BTreeSet<u64> = database.saw().iter().copied().collect();
         let now = Instant::now();
         let mut journal = self.journal.borrow_mut();
-        for (number, commit) in journal.commits.iter_mut().enumerate() {
-            let lost = commit.group == self.id && !kept.contains(&(number as u64));
-            if lost {
+        let mut commits = std::mem::take(&mut journal.commits);
+        for commit in commits.iter_mut().filter(|c| c.group == self.id) {
+            if !database.has(commit.position) {
                 commit.lost.get_or_insert(now);
             }
         }
+        journal.commits = commits;
         journal.reigns.push(Reign {
             group: self.id.clone(),
             database: database.make.id.clone(),
--- a/src/standin/direct/host.rs
+++ b/src/standin/direct/host.rs
@@ -27,6 +27,7 @@
     name: Rc<str>,
     frozen: Cell<bool>,
     killed: Cell<bool>,
+    starved: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -44,6 +45,7 @@
             name: name.into(),
             frozen: Cell::default(),
             killed: Cell::default(),
+            starved: Cell::default(),
             waker: RefCell::default(),
         });
         let tasks = LocalSet::new();
@@ -61,6 +63,17 @@
         self.wake();
     }
 
+    /// Lets the process run and stop by turns until it is told not to.
+    pub fn starve(&self, starved: bool) {
+        self.starved.set(starved);
+        self.freeze(false);
+    }
+
+    /// Whether it runs and stops by turns.
+    pub fn is_starved(&self) -> bool {
+        self.starved.get() && !self.killed.get()
+    }
+
     /// Ends the process at once, in the midst of what it does.
     pub fn kill(&self) {
         self.killed.set(true);
--- a/src/standin/direct/journal.rs
+++ b/src/standin/direct/journal.rs
@@ -1,6 +1,6 @@
 //! What really happened at the databases, against which callers' answers are checked.
 
-use crate::types::{DatabaseId, GroupId, Position};
+use crate::types::{DatabaseId, GroupId, Position, Term};
 use bytes::Bytes;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -26,8 +26,10 @@
     pub values: BTreeMap<Box<str>, Box<str>>,
     /// The shape of the prepared statement that was run.
     pub shape: Option<Box<str>>,
-    /// The commits that it saw.
-    pub saw: Rc<[u64]>,
+    /// How far the log was that it saw.
+    pub saw: Position,
+    /// Whether the database took itself for the primary.
+    pub primary: bool,
     /// When it was run.
     pub at: Instant,
     /// The signature.
@@ -101,6 +103,10 @@
     pub runs: Vec<Run>,
     /// Commits that wrote, by their numbers.
     pub commits: Vec<Commit>,
+    /// How many commits before those were forgotten.
+    pub forgotten: u64,
+    /// What each term of a group began on.
+    pub begun: BTreeMap<(GroupId, Term), Position>,
     /// Orders, in order.
     pub orders: Vec<Ordered>,
     /// Changes of primary, in order.
@@ -113,6 +119,40 @@
 pub type Journal = Rc<RefCell<Book>>;
 
 impl Book {
+    /// A commit by its number, unless it was forgotten.
+    pub fn commit(&self, number: u64) -> Option<&Commit> {
+        let index = number.checked_sub(self.forgotten)?;
+        self.commits.get(usize::try_from(index).ok()?)
+    }
+
+    /// Notes a commit, and what its term began on if it is the first of it.
+    pub fn committed(&mut self, commit: Commit, before: Position) -> u64 {
+        let term = (commit.group.clone(), commit.position.term);
+        self.begun.entry(term).or_insert(before);
+        self.commits.push(commit);
+        self.forgotten + self.commits.len() as u64 - 1
+    }
+
+    /// Whether the log that ends at one position has the entry at another.
+    pub fn contains(&self, group: &GroupId, mut log: Position, entry: Position) -> bool {
+        while log.term > entry.term {
+            match self.begun.get(&(group.clone(), log.term)) {
+                Some(before) => log = *before,
+                None => return false,
+            }
+        }
+        log.term == entry.term && log.offset >= entry.offset
+    }
+
+    /// Forgets commits, orders and changes of primary from before a moment.
+    pub fn forget(&mut self, before: Instant) {
+        let gone = self.commits.partition_point(|commit| commit.at < before);
+        self.commits.drain(..gone);
+        self.forgotten += gone as u64;
+        self.orders.retain(|order| order.at >= before);
+        self.reigns.retain(|reign| reign.at >= before);
+    }
+
     /// The next number.
     pub fn number(&mut self) -> u64 {
         self.given += 1;
--- /dev/null
+++ b/src/standin/direct/known.rs
@@ -0,0 +1,122 @@
+//! What the checker keeps from one part of what was told for the parts that follow.
+
+use crate::direct::config::Kind;
+use crate::standin::direct::journal::{Book, Run};
+use crate::standin::direct::said::Said;
+use crate::types::{GroupId, Position, VmId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a session lasts at most after its last write.
+const SESSION: Duration = Duration::from_secs(600);
+
+/// A commit that a caller knows of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// Its number.
+    pub commit: u64,
+    /// Where it is.
+    pub position: Position,
+    /// Since when it is known.
+    pub at: Instant,
+}
+
+/// What is kept.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// The last order's token and holder.
+    pub order: Option<(u64, VmId)>,
+    /// The operation of each transaction, and when its first statement was sent.
+    owners: BTreeMap<u64, (u64, Instant)>,
+    groups: BTreeMap<GroupId, Line>,
+    sessions: BTreeMap<(u64, GroupId), Line>,
+}
+
+/// Commits that were not lost, by when they were known, each with the furthest up to then. They
+/// are on one log, so whoever has the furthest has all.
+#[derive(Debug, Default)]
+struct Line {
+    seen: Vec<Seen>,
+    furthest: Vec<Seen>,
+}
+
+impl Line {
+    fn sort(&mut self, book: &Book) {
+        self.seen
+            .retain(|seen| book.commit(seen.commit).is_none_or(|c| c.lost.is_none()));
+        self.seen.sort_by_key(|seen| seen.at);
+        self.furthest.clear();
+        for seen in &self.seen {
+            let last = self.furthest.last().copied().unwrap_or(*seen);
+            let further = seen.position > last.position;
+            self.furthest.push(if further { *seen } else { last });
+        }
+    }
+
+    /// The furthest that was known before a moment.
+    fn before(&self, moment: Instant) -> Option<Seen> {
+        let count = self.seen.partition_point(|seen| seen.at < moment);
+        self.furthest.get(count.checked_sub(1)?).copied()
+    }
+
+    /// Keeps only the furthest of those that were known before a moment.
+    fn forget(&mut self, before: Instant) {
+        if let Some(furthest) = self.before(before) {
+            self.seen.retain(|seen| seen.at >= before);
+            self.seen.insert(0, furthest);
+        }
+    }
+}
+
+impl Known {
+    /// Notes a commit that a session was told of.
+    pub fn note(&mut self, group: &GroupId, session: u64, seen: Seen) {
+        let line = self.groups.entry(group.clone()).or_default();
+        line.seen.push(seen);
+        let own = self.sessions.entry((session, group.clone()));
+        own.or_default().seen.push(seen);
+    }
+
+    /// Leaves out what was lost, and puts the rest in order.
+    pub fn sort(&mut self, book: &Book) {
+        let lines = self.groups.values_mut().chain(self.sessions.values_mut());
+        lines.for_each(|line| line.sort(book));
+    }
+
+    /// A commit that a read had to see and did not.
+    pub fn missed(&self, book: &Book, said: &Said, run: &Run) -> Option<Seen> {
+        let (age, own) = match said.kind {
+            Kind::Primary => (Duration::ZERO, false),
+            Kind::Bounded(span) => (span.into(), false),
+            Kind::Session(span) => (span.into(), true),
+        };
+        let has = |seen: &Seen| book.contains(&run.group, run.saw, seen.position);
+        let old = said.since.checked_sub(age);
+        let line = self.groups.get(&run.group);
+        let all = line.and_then(|line| line.before(old?));
+        let session = (said.session, run.group.clone());
+        let line = own.then(|| self.sessions.get(&session)).flatten();
+        let own = line.and_then(|line| line.before(said.since));
+        all.into_iter().chain(own).find(|seen| !has(seen))
+    }
+
+    /// The operation that a transaction belongs to: the first that is met in it.
+    pub fn owner(&mut self, transaction: u64, said: &Said) -> u64 {
+        let new = (said.operation, said.sent);
+        self.owners.entry(transaction).or_insert(new).0
+    }
+
+    /// Forgets what is of no more use for operations that began after a moment.
+    pub fn forget(&mut self, before: Instant) {
+        self.owners.retain(|_, (_, sent)| *sent >= before);
+        self.groups
+            .values_mut()
+            .for_each(|line| line.forget(before));
+        self.sessions.retain(|_, line| {
+            line.seen
+                .last()
+                .is_some_and(|seen| seen.at + SESSION >= before)
+        });
+    }
+}
--- a/src/standin/direct/link.rs
+++ b/src/standin/direct/link.rs
@@ -85,9 +85,18 @@
         }
     }
 
-    /// Whether bytes are held back.
+    /// Whether bytes are held back, for a while or for good.
     pub fn is_held(&self) -> bool {
-        self.ways.iter().any(|way| way.borrow().held)
+        self.ways
+            .iter()
+            .any(|way| way.borrow().held || way.borrow().silent)
+    }
+
+    /// Changes how long bytes are under way that are sent from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        for way in &self.ways {
+            way.borrow_mut().delay = delay;
+        }
     }
 
     /// Holds all bytes back for good.
--- a/src/standin/direct/network.rs
+++ b/src/standin/direct/network.rs
@@ -62,7 +62,11 @@
     places: RefCell<BTreeMap<Node, (usize, usize)>>,
     cuts: RefCell<BTreeSet<(Node, Node)>>,
     dark: RefCell<BTreeSet<Node>>,
+    /// How much longer bytes are under way from and to a machine.
+    slow: RefCell<BTreeMap<Node, Duration>>,
     links: RefCell<Vec<(Node, Node, Link)>>,
+    /// At how many connections those that are over are looked for.
+    sweep: Cell<usize>,
     changed: Notify,
     domain_delay: Duration,
     region_delay: Duration,
@@ -88,7 +92,9 @@
             places: RefCell::default(),
             cuts: RefCell::default(),
             dark: RefCell::default(),
+            slow: RefCell::default(),
             links: RefCell::default(),
+            sweep: Cell::new(0),
             changed: Notify::new(),
             domain_delay,
             region_delay,
@@ -117,13 +123,35 @@
     /// How long bytes are under way; nowhere is near everything.
     pub fn delay(&self, a: &Node, b: &Node) -> Duration {
         let places = self.places.borrow();
-        match (places.get(a), places.get(b)) {
+        let near = match (places.get(a), places.get(b)) {
             (Some(a), Some(b)) if a.1 != b.1 => self.region_delay,
             (Some(a), Some(b)) if a.0 == b.0 => self.domain_delay / 5,
             _ => self.domain_delay,
+        };
+        let slow = self.slow.borrow();
+        let more = |node: &Node| slow.get(node).copied().unwrap_or_default();
+        near + more(a) + more(b)
+    }
+
+    /// Makes bytes from and to a machine take so much longer, or no longer.
+    pub fn slow(&self, node: &Node, more: Duration) {
+        match more.is_zero() {
+            true => self.slow.borrow_mut().remove(node),
+            false => self.slow.borrow_mut().insert(node.clone(), more),
+        };
+        for (a, b, link) in self.links.borrow().iter() {
+            if a == node || b == node {
+                link.set_delay(self.delay(a, b));
+            }
         }
     }
 
+    /// Forgets a machine that is gone for good.
+    pub fn forget(&self, node: &Node) {
+        self.places.borrow_mut().remove(node);
+        self.darken(node, false);
+    }
+
     /// Cuts two machines from each other.
     pub fn cut(&self, a: &Node, b: &Node) {
         let mut cuts = self.cuts.borrow_mut();
@@ -161,6 +189,9 @@
     /// Whether two machines reach each other.
     pub fn reaches(&self, a: &Node, b: &Node) -> bool {
         let dark = self.dark.borrow();
+        if dark.is_empty() && self.cuts.borrow().is_empty() {
+            return true;
+        }
         let cut = (a.clone(), b.clone());
         !dark.contains(a) && !dark.contains(b) && !self.cuts.borrow().contains(&cut)
     }
@@ -193,7 +224,10 @@
         let (near, far, link) = link::pair(self.delay(a, b));
         link.hold(!self.reaches(a, b));
         let mut links = self.links.borrow_mut();
-        links.retain(|(_, _, link)| !link.is_over());
+        if links.len() >= self.sweep.get() {
+            links.retain(|(_, _, link)| !link.is_over());
+            self.sweep.set(2 * links.len() + 16);
+        }
         links.push((a.clone(), b.clone(), link));
         (near, far)
     }
@@ -205,7 +239,12 @@
 
     /// Silences the connections that `which` chooses; new ones work.
     pub fn silence(&self, which: impl Fn(&Node, &Node) -> bool) {
-        self.each(which, Link::silence);
+        self.each(&which, Link::silence);
+        for (a, b, link) in self.links.borrow().iter() {
+            if matches!(b, Node::Database(_)) && (which(a, b) || which(b, a)) {
+                self.give_up(link.clone());
+            }
+        }
     }
 
     fn each(&self, which: impl Fn(&Node, &Node) -> bool, what: fn(&Link)) {
--- a/src/standin/direct/said.rs
+++ b/src/standin/direct/said.rs
@@ -5,12 +5,15 @@
 use crate::types::VmId;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::ops::Deref;
 use std::rc::Rc;
 use tokio::time::Instant;
 
 /// One statement of a caller.
 #[derive(Debug, Clone)]
 pub struct Said {
+    /// Its number of all.
+    pub number: u64,
     /// Its id.
     pub id: Box<str>,
     /// Its text.
@@ -41,8 +44,52 @@
     pub broke: Option<Instant>,
 }
 
+/// What was said, in order, but for what was taken out.
+#[derive(Debug, Default)]
+pub struct Talk {
+    said: Vec<Said>,
+    next: u64,
+}
+
 /// All that was said.
-pub type Record = Rc<RefCell<Vec<Said>>>;
+pub type Record = Rc<RefCell<Talk>>;
+
+impl Deref for Talk {
+    type Target = [Said];
+
+    fn deref(&self) -> &[Said] {
+        &self.said
+    }
+}
+
+impl Talk {
+    /// The number of the next statement.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Adds a statement, which has the next number.
+    pub fn push(&mut self, said: Said) {
+        self.next = said.number + 1;
+        self.said.push(said);
+    }
+
+    /// A statement by its number.
+    pub fn find(&mut self, number: u64) -> Option<&mut Said> {
+        let index = self.said.partition_point(|said| said.number < number);
+        let said = self.said.get_mut(index)?;
+        (said.number == number).then_some(said)
+    }
+
+    /// Takes out all operations that began before a moment.
+    pub fn take(&mut self, before: Instant) -> Vec<Said> {
+        let first = self.said.partition_point(|said| said.sent < before);
+        let first = self.said.get(first).map_or(self.next, |said| said.number);
+        self.said
+            .extract_if(.., |said| said.operation < first)
+            .collect()
+    }
+}
 
 impl Said {
     /// The signature, if it was told to be done.
--- a/src/standin/direct/session.rs
+++ b/src/standin/direct/session.rs
@@ -7,7 +7,7 @@
 use crate::standin::direct::journal::{Run, Write};
 use crate::standin::direct::link::Stream;
 use crate::standin::direct::wire::{self, OWN, Request};
-use crate::types::{Position, Term};
+use crate::types::{Offset, Position, Term};
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -305,24 +305,32 @@
     }
 
     fn fails(&self) -> bool {
-        let failing = &self.database.trouble.failing;
-        let fails = failing.get() > 0;
-        failing.set(failing.get().saturating_sub(1));
-        fails
+        let trouble = &self.database.trouble;
+        let fails = trouble.failing.get() > 0;
+        trouble.failing.set(trouble.failing.get().saturating_sub(1));
+        fails || self.is_grey()
+    }
+
+    /// Whether this statement is of the share that fails, spread evenly.
+    fn is_grey(&self) -> bool {
+        let trouble = &self.database.trouble;
+        let count = trouble.counted.get().wrapping_add(1) % 100;
+        trouble.counted.set(count);
+        (count * 37) % 100 < trouble.grey.get()
     }
 
     async fn read(&mut self, work: &Work<'_>, shape: Option<Box<str>>) -> Outcome {
         self.may_run(false)?;
         self.far_enough(work)?;
         let mut run = self.ran(work, shape);
-        run.saw = self.database.saw();
+        run.saw = self.database.position();
         self.work().await?;
         if self.fails() {
             return Err(Code::Failed);
         }
         let item = work.text.rsplit(' ').next().unwrap_or_default();
         run.rows = vec![
-            format!("{item} in {} commits", run.saw.len()).into(),
+            format!("{item} in {} commits", run.saw.offset).into(),
             format!("for {}", work.id).into(),
         ];
         Ok(self.done(run))
@@ -380,7 +388,8 @@
             transaction: self.transaction.as_ref().map(|t| t.number),
             values: self.values.clone(),
             shape,
-            saw: Rc::from([]),
+            saw: Position::new(Term(1), Offset(0)),
+            primary: self.database.state.borrow().primary,
             at: Instant::now(),
             signature: "".into(),
             rows: Vec::new(),
--- a/src/standin/direct/setup.rs
+++ b/src/standin/direct/setup.rs
@@ -5,6 +5,7 @@
 use crate::standin::deployment::{Deployment, GROUPS};
 use crate::standin::direct::database::{Database, Make};
 use crate::standin::direct::group::Group;
+use crate::standin::direct::log::Log;
 use crate::standin::direct::network::Network;
 use crate::types::{Domain, Invalid, Version};
 use std::collections::BTreeMap;
@@ -15,8 +16,8 @@
 /// Whose places and sizes a world has.
 const DEPLOYMENT: Deployment = Deployment::Association;
 
-/// How many failure domains there are.
-pub const PLACES: usize = GROUPS;
+/// How many databases a group has.
+const COPIES: usize = GROUPS;
 
 /// The port on which VMs talk to each other.
 pub const MESH_PORT: u16 = 7_000;
@@ -24,9 +25,35 @@
 /// The port of databases.
 const DATABASE_PORT: u16 = 5_000;
 
+/// A failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Its name.
+    pub domain: Box<str>,
+    /// Its region.
+    pub region: usize,
+}
+
+/// How a kind of route serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Manner {
+    /// What the names of its routes begin with.
+    pub name: Box<str>,
+    /// How fresh its reads are.
+    pub kind: Kind,
+    /// How long a statement may take.
+    pub timeout: Span,
+    /// Within what it should be answered.
+    pub objective: Span,
+}
+
 /// What a world is made of.
 #[derive(Debug, Clone)]
 pub struct Setup {
+    /// The failure domains; the databases of a group are in the first three.
+    pub places: Vec<Place>,
+    /// The kinds of route, each to each group, first the one that goes first.
+    pub manners: Vec<Manner>,
     /// How many VMs.
     pub vms: usize,
     /// How many groups, of one database a failure domain.
@@ -37,6 +64,10 @@
     pub connections: u32,
     /// How long a promotion takes.
     pub promotion: Duration,
+    /// How long a statement takes at a database.
+    pub work: Duration,
+    /// How long a replica takes to apply what it received.
+    pub lag: Duration,
     /// One way between failure domains.
     pub domain_delay: Duration,
     /// One way between regions.
@@ -46,63 +77,79 @@
 impl Default for Setup {
     /// The traders' association, with fewer VMs and one group.
     fn default() -> Self {
+        let places = DEPLOYMENT.places();
+        let places = places.iter().map(|place| Place {
+            domain: place.domain.into(),
+            region: usize::from(place.region),
+        });
+        let manner = |name: &str, kind| Manner {
+            name: name.into(),
+            kind,
+            timeout: Span::from_secs(5),
+            objective: Span::from_millis(400),
+        };
         Self {
+            places: places.collect(),
+            manners: vec![
+                manner("primary", Kind::Primary),
+                manner("bounded", Kind::Bounded(Span::from_millis(1_500))),
+                manner("session", Kind::Session(Span::from_millis(2_500))),
+            ],
             vms: 3,
             groups: 1,
             slots: DEPLOYMENT.slots(),
             connections: DEPLOYMENT.connections(),
             promotion: Duration::from_millis(1_000),
+            work: Duration::from_millis(6),
+            lag: Duration::from_millis(8),
             domain_delay: DEPLOYMENT.latency(0, 1).into(),
             region_delay: DEPLOYMENT.latency(0, 2).into(),
         }
     }
 }
 
-/// A failure domain's name.
-pub fn domain(place: usize) -> Result<Domain, Invalid> {
-    DEPLOYMENT.places()[place].domain.parse()
-}
+impl Setup {
+    /// The domain of a place.
+    pub fn domain(&self, place: usize) -> Result<Domain, Invalid> {
+        self.places[place].domain.parse()
+    }
 
-/// A failure domain's region.
-pub fn region(place: usize) -> usize {
-    usize::from(DEPLOYMENT.places()[place].region)
-}
+    /// The region of a place.
+    pub fn region(&self, place: usize) -> usize {
+        self.places[place].region
+    }
 
-/// The region of each failure domain.
-pub fn regions() -> Result<BTreeMap<Domain, Box<str>>, Invalid> {
-    let regions = (0..PLACES).map(|place| {
-        let region = format!("region{}", region(place));
-        Ok((domain(place)?, region.into()))
-    });
-    regions.collect()
+    /// The region of each failure domain.
+    pub fn regions(&self) -> Result<BTreeMap<Domain, Box<str>>, Invalid> {
+        let regions = (0..self.places.len()).map(|place| {
+            let region = format!("region{}", self.region(place));
+            Ok((self.domain(place)?, region.into()))
+        });
+        regions.collect()
+    }
 }
 
 /// Where a host of a failure domain listens.
 pub fn address(domain: usize, host: usize, port: u16) -> SocketAddr {
     let octet = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
-    let ip = Ipv4Addr::new(10, octet(domain + 1), 0, octet(host));
+    let ip = Ipv4Addr::new(10, octet(domain + 1), octet(host / 250), octet(host % 250));
     SocketAddr::from((ip, port))
 }
 
 /// A route of each kind to each group: `primary0`, `bounded0`, `session0` and so on.
 pub fn first_config(setup: &Setup, groups: &[Rc<Group>]) -> Config {
-    let kinds = [
-        ("primary", Kind::Primary),
-        ("bounded", Kind::Bounded(Span::from_millis(1_500))),
-        ("session", Kind::Session(Span::from_millis(2_500))),
-    ];
     let mut routes = BTreeMap::new();
     let mut limited = BTreeMap::new();
     for (number, group) in groups.iter().enumerate() {
-        for (priority, (name, kind)) in kinds.iter().enumerate() {
+        for (priority, manner) in setup.manners.iter().enumerate() {
             let route = Route {
                 group: group.id.clone(),
-                kind: *kind,
-                timeout: Span::from_secs(5),
-                objective: Span::from_millis(400),
+                kind: manner.kind,
+                timeout: manner.timeout,
+                objective: manner.objective,
                 priority: priority as u8,
             };
-            routes.insert(format!("{name}{number}").into(), route);
+            routes.insert(format!("{}{number}", manner.name).into(), route);
         }
         let limits = config::Group {
             connections: setup.connections,
@@ -125,22 +172,22 @@
     group: usize,
 ) -> Result<Vec<Rc<Database>>, Invalid> {
     let mut members = Vec::new();
-    for turn in 0..PLACES {
-        let domain = (group + turn) % PLACES;
+    for turn in 0..COPIES {
+        let domain = (group + turn) % COPIES;
         let make = Make {
             id: format!("db{group}{}", ["a", "b", "c"][turn]).parse()?,
             group: format!("ledger{group}").parse()?,
             address: address(domain, 100 + group, DATABASE_PORT),
-            domain: self::domain(domain)?,
+            domain: setup.domain(domain)?,
             slots: setup.slots,
             queue: 4 * setup.slots,
             connections: setup.connections,
             cold: Duration::from_millis(12),
-            work: Duration::from_millis(6),
-            lag: Duration::from_millis(8),
+            work: setup.work,
+            lag: setup.lag,
         };
-        let database = Database::new(make, turn == 0, 1, Vec::new());
-        network.place(database.node(), domain, region(domain));
+        let database = Database::new(make, turn == 0, 1, Log::default());
+        network.place(database.node(), domain, setup.region(domain));
         members.push(database);
     }
     Ok(members)
--- a/src/standin/direct/store.rs
+++ b/src/standin/direct/store.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 /// How long a call takes of itself.
 const WORK: Duration = Duration::from_millis(4);
@@ -46,6 +47,8 @@
 /// A row that was written, for whoever looks at what happened.
 #[derive(Debug, Clone)]
 pub struct Written {
+    /// When.
+    pub at: Instant,
     /// By which VM; none for the platform's own.
     pub by: Option<VmId>,
     /// The rows, with what they hold now.
@@ -131,6 +134,33 @@
         self.log.borrow().clone()
     }
 
+    /// What was written since a moment.
+    pub fn since(&self, moment: Instant) -> Vec<Written> {
+        let log = self.log.borrow();
+        let first = log.partition_point(|written| written.at < moment);
+        log[first..].to_vec()
+    }
+
+    /// The VM that last wrote.
+    pub fn last_writer(&self) -> Option<VmId> {
+        let log = self.log.borrow();
+        log.iter().rev().find_map(|written| written.by.clone())
+    }
+
+    /// Forgets what was written before a moment, in the history as well.
+    pub fn forget_before(&self, before: Instant) {
+        let mut log = self.log.borrow_mut();
+        let gone = log.partition_point(|written| written.at < before);
+        let last = log[..gone].iter().flat_map(|written| &written.rows);
+        let Some(version) = last.map(|row| row.version).max() else {
+            return;
+        };
+        log.drain(..gone);
+        self.forgotten.set(self.forgotten.get().max(version));
+        let mut history = self.history.borrow_mut();
+        history.retain(|row| row.version > version);
+    }
+
     /// A row's value.
     pub fn get(&self, id: &RowId) -> Option<Bytes> {
         self.rows.borrow().get(id).map(|(value, _)| value.clone())
@@ -247,7 +277,7 @@
         after: Version,
         wait: Span,
     ) -> Option<Result<Told, Fault>> {
-        let deadline = tokio::time::Instant::now() + wait.into();
+        let deadline = Instant::now() + wait.into();
         loop {
             let changed = self.changed.notified();
             if self.health_for(vm) != Health::Well {
@@ -256,16 +286,16 @@
             if after < self.forgotten.get() {
                 return Some(Ok(Told::Forgotten));
             }
-            let rows = self.since(table, after);
+            let rows = self.rows_since(table, after);
             let version = self.version.get();
-            if !rows.is_empty() || tokio::time::Instant::now() >= deadline {
+            if !rows.is_empty() || Instant::now() >= deadline {
                 return Some(Ok(Told::Rows { rows, version }));
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
         }
     }
 
-    fn since(&self, table: &str, after: Version) -> Vec<Row> {
+    fn rows_since(&self, table: &str, after: Version) -> Vec<Row> {
         let history = self.history.borrow();
         let rows = history.iter();
         let rows = rows.filter(|row| row.version > after && &*row.id.table == table);
@@ -309,7 +339,8 @@
         let rows: Vec<Row> = changed.collect();
         self.history.borrow_mut().extend(rows.iter().cloned());
         let by = by.cloned();
-        self.log.borrow_mut().push(Written { by, rows });
+        let at = Instant::now();
+        self.log.borrow_mut().push(Written { at, by, rows });
         self.changed.notify_waiters();
         Told::Written(version)
     }
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -14,13 +14,13 @@
 use crate::standin::direct::network::{Network, Node, Sender};
 use crate::standin::direct::orders::Orders;
 use crate::standin::direct::session;
-use crate::standin::direct::setup::{self, PLACES, Setup};
+use crate::standin::direct::setup::{self, Setup};
 use crate::standin::direct::store::Store;
 use crate::standin::direct::wire;
 use crate::types::{DatabaseId, Invalid, Life, VmId};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -31,6 +31,15 @@
 /// What every clock shows at the start.
 const BOOTED: Time = Time(1_000_000_000);
 
+/// How long a VM stops and runs by turns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turns {
+    /// How long it stops.
+    pub stops: Span,
+    /// How long it runs then.
+    pub runs: Span,
+}
+
 /// A VM that was started.
 #[derive(Debug)]
 struct Running {
@@ -59,6 +68,12 @@
     pub configs: RefCell<Vec<(Instant, Config)>>,
     program: Program,
     vms: RefCell<BTreeMap<VmId, Running>>,
+    /// Which VM is at an address.
+    addresses: RefCell<BTreeMap<SocketAddr, VmId>>,
+    /// The numbers of the first VMs that were replaced.
+    retired: RefCell<BTreeSet<usize>>,
+    /// The number of the next new VM.
+    next: Cell<usize>,
     /// How far each VM's clock is ahead.
     ahead: RefCell<BTreeMap<VmId, Rc<Cell<Span>>>>,
     started: Instant,
@@ -115,6 +130,9 @@
             configs: RefCell::default(),
             program,
             vms: RefCell::default(),
+            addresses: RefCell::default(),
+            retired: RefCell::default(),
+            next: Cell::new(setup.vms),
             ahead: RefCell::default(),
             started: Instant::now(),
             lives: Cell::new(0),
@@ -131,7 +149,8 @@
     pub fn configure(&self, config: Config) {
         let value = serde_json::to_vec(&config).unwrap_or_default();
         self.store.put(config_row(), Some(Bytes::from(value)));
-        self.configs.borrow_mut().push((Instant::now(), config));
+        let mut configs = self.configs.borrow_mut();
+        configs.push((Instant::now(), config));
     }
 
     /// Puts a configuration in force that has a new route and not the last new one.
@@ -159,9 +178,7 @@
 
     /// The failure domain of a VM by its name.
     pub fn domain_of_vm(&self, vm: &VmId) -> Option<usize> {
-        let mut numbers = 0..self.setup.vms;
-        let number = numbers.find(|number| Self::vm(*number).as_ref() == Ok(vm));
-        number.map(Self::domain_of)
+        Self::number_of(vm).map(|number| self.domain_of(number))
     }
 
     /// The name of a VM by its number.
@@ -169,13 +186,19 @@
         format!("vm{}", number + 1).parse()
     }
 
+    /// The number of a VM by its name.
+    pub fn number_of(vm: &VmId) -> Option<usize> {
+        let number: usize = vm.as_str().strip_prefix("vm")?.parse().ok()?;
+        number.checked_sub(1)
+    }
+
     /// The failure domain of a VM.
-    pub fn domain_of(number: usize) -> usize {
-        number % PLACES
+    pub fn domain_of(&self, number: usize) -> usize {
+        number % self.setup.places.len()
     }
 
-    fn mesh_address(number: usize) -> SocketAddr {
-        setup::address(Self::domain_of(number), number + 1, setup::MESH_PORT)
+    fn mesh_address(&self, number: usize) -> SocketAddr {
+        setup::address(self.domain_of(number), number + 1, setup::MESH_PORT)
     }
 
     /// Starts a VM; one that runs is left as it is.
@@ -184,9 +207,9 @@
         if self.is_running(&vm) {
             return Ok(());
         }
-        let domain = Self::domain_of(number);
-        self.network
-            .place(Node::Vm(vm.clone()), domain, setup::region(domain));
+        let domain = self.domain_of(number);
+        let region = self.setup.region(domain);
+        self.network.place(Node::Vm(vm.clone()), domain, region);
         self.lives.set(self.lives.get() + 1);
         let (streams, streams_in) = mpsc::unbounded_channel();
         let (questions, questions_in) = mpsc::unbounded_channel();
@@ -197,10 +220,10 @@
             call: Wrapped(self.call_of(&vm)),
             vm: vm.clone(),
             life: Life(self.lives.get()),
-            domain: setup::domain(domain)?,
-            regions: setup::regions()?,
-            address: Self::mesh_address(number),
-            seeds: (0..self.setup.vms.min(3)).map(Self::mesh_address).collect(),
+            domain: self.setup.domain(domain)?,
+            regions: self.setup.regions()?,
+            address: self.mesh_address(number),
+            seeds: self.seeds(),
             streams: streams_in,
             questions: questions_in,
             stop: stopped,
@@ -215,10 +238,46 @@
             stop: Some(stop),
             ready,
         };
+        let address = self.mesh_address(number);
+        self.addresses.borrow_mut().insert(address, vm.clone());
         self.vms.borrow_mut().insert(vm, running);
         Ok(())
     }
 
+    /// Some VMs' addresses, the first ones of those that were not replaced.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let (known, retired) = (self.addresses.borrow(), self.retired.borrow());
+        let lasts = |number: &usize| match *number < self.setup.vms {
+            true => !retired.contains(number),
+            false => known.contains_key(&self.mesh_address(*number)),
+        };
+        let numbers = (0..self.next.get()).filter(lasts).take(3);
+        numbers.map(|number| self.mesh_address(number)).collect()
+    }
+
+    /// Removes a VM for good and starts a new one, under another name and address, in its failure
+    /// domain.
+    pub fn replace_vm(self: &Rc<Self>, vm: &VmId) -> Result<(), Invalid> {
+        let Some(number) = Self::number_of(vm) else {
+            return Ok(());
+        };
+        self.kill_vm(vm);
+        self.vms.borrow_mut().remove(vm);
+        if number < self.setup.vms {
+            self.retired.borrow_mut().insert(number);
+        }
+        self.ahead.borrow_mut().remove(vm);
+        self.addresses
+            .borrow_mut()
+            .remove(&self.mesh_address(number));
+        self.network.forget(&Node::Vm(vm.clone()));
+        let places = self.setup.places.len();
+        let next = self.next.get();
+        let next = next + (places + number % places - next % places) % places;
+        self.next.set(next + 1);
+        self.start_vm(next)
+    }
+
     /// Kills a VM.
     pub fn kill_vm(&self, vm: &VmId) {
         if let Some(running) = self.vms.borrow_mut().get_mut(vm) {
@@ -234,6 +293,23 @@
         }
     }
 
+    /// Lets a VM run and stop by turns, or always run.
+    pub fn starve_vm(&self, vm: &VmId, turns: Option<Turns>) {
+        let vms = self.vms.borrow();
+        let Some(running) = vms.get(vm) else { return };
+        let host = running.host.clone();
+        host.starve(turns.is_some());
+        let Some(turns) = turns else { return };
+        self.network.spawn(async move {
+            while host.is_starved() {
+                host.freeze(true);
+                sleep(turns.stops.into()).await;
+                host.freeze(false);
+                sleep(turns.runs.into()).await;
+            }
+        });
+    }
+
     /// Asks a VM to stop, and kills it after the grace.
     pub fn stop_vm(self: &Rc<Self>, vm: &VmId, grace: Span) {
         let mut vms = self.vms.borrow_mut();
@@ -271,6 +347,11 @@
         vms.get(vm).is_some_and(|running| running.ready.get()) && self.is_running(vm)
     }
 
+    /// All VMs but those that were replaced.
+    pub fn all_vms(&self) -> Vec<VmId> {
+        self.vms.borrow().keys().cloned().collect()
+    }
+
     /// All VMs that run.
     pub fn running(&self) -> Vec<VmId> {
         let vms = self.vms.borrow();
@@ -281,8 +362,8 @@
     /// Connects a caller of a failure domain to a VM; nothing comes of it if it does not run.
     pub async fn call_on(self: &Rc<Self>, domain: usize, vm: &VmId) -> Option<Stream> {
         let from = Node::Callers(domain);
-        self.network
-            .place(from.clone(), domain, setup::region(domain));
+        let region = self.setup.region(domain);
+        self.network.place(from.clone(), domain, region);
         let to = Node::Vm(vm.clone());
         sleep(self.network.delay(&from, &to)).await;
         let vms = self.vms.borrow();
@@ -391,8 +472,7 @@
         sender: Sender,
         answer: oneshot::Sender<Answer>,
     ) {
-        let known = (0..self.setup.vms).find(|n| Self::mesh_address(*n) == address);
-        let Some(Ok(other)) = known.map(Self::vm) else {
+        let Some(other) = self.addresses.borrow().get(&address).cloned() else {
             return;
         };
         let (from, to) = (Node::Vm(vm), Node::Vm(other.clone()));
--- a/tests/direct_check.rs
+++ b/tests/direct_check.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 use lentilspoke::direct::config::Kind;
 use lentilspoke::direct::statement::{Answer, Code, End, State};
-use lentilspoke::standin::direct::check::{Routes, compare};
+use lentilspoke::standin::direct::check::{Routes, compare, compare_on};
 use lentilspoke::standin::direct::journal::{Book, Commit, Ordered, Run, Write};
+use lentilspoke::standin::direct::known::Known;
 use lentilspoke::standin::direct::said::Said;
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -35,7 +35,7 @@
             ..Book::default()
         };
         book.runs[0].commit = Some(0);
-        book.runs[1].saw = Rc::from([0]);
+        book.runs[1].saw = "1/1".parse().unwrap();
         book.commits.push(commit("q1", at(12)));
         Self {
             said,
@@ -60,6 +60,7 @@
 
 fn said(id: &str, text: &str, sent: Instant) -> Said {
     Said {
+        number: id[1..].parse().unwrap(),
         id: id.into(),
         text: text.into(),
         session: 1,
@@ -96,7 +97,8 @@
         transaction: None,
         values: BTreeMap::new(),
         shape: None,
-        saw: Rc::from([]),
+        saw: "1/0".parse().unwrap(),
+        primary: true,
         at,
         signature: format!("s{id}").into(),
         rows: done(id).rows,
@@ -143,14 +145,14 @@
 fn nothing_is_found_where_nothing_is_wrong() {
     assert_eq!(Scene::found(|_| ()), "");
     let lost = |scene: &mut Scene| {
-        scene.book.runs[1].saw = Rc::from([]);
+        scene.book.runs[1].saw = "1/0".parse().unwrap();
         scene.book.commits[0].lost = Some(scene.began);
     };
     assert_eq!(Scene::found(lost), "", "a promotion rolled the commit back");
     let unknown = |scene: &mut Scene| refuse(&mut scene.said[0], Code::Unknown);
     assert_eq!(Scene::found(unknown), "");
     let young = |scene: &mut Scene| {
-        scene.book.runs[1].saw = Rc::from([]);
+        scene.book.runs[1].saw = "1/0".parse().unwrap();
         scene.said[1].kind = Kind::Bounded(lentilspoke::clock::Span::from_millis(50));
     };
     assert_eq!(Scene::found(young), "");
@@ -255,10 +257,10 @@
 
 #[test]
 fn stale_reads_are_found() {
-    let stale = |s: &mut Scene| s.book.runs[1].saw = Rc::from([]);
+    let stale = |s: &mut Scene| s.book.runs[1].saw = "1/0".parse().unwrap();
     assert_eq!(Scene::found(stale), "stale, commit 0 was 10 ms old");
     let own = |s: &mut Scene| {
-        s.book.runs[1].saw = Rc::from([]);
+        s.book.runs[1].saw = "1/0".parse().unwrap();
         s.said[1].kind = Kind::Session(lentilspoke::clock::Span::from_secs(9));
     };
     assert_eq!(Scene::found(own), "stale, commit 0 was 10 ms old");
@@ -277,3 +279,57 @@
         assert_eq!(Scene::found(wrong), "orders");
     }
 }
+
+/// What was told is judged in two parts, the first of which is forgotten: what follows from it for
+/// the second is still found.
+#[test]
+fn parts_are_judged_like_the_whole() {
+    let stale = |s: &mut Scene| s.book.runs[1].saw = "1/0".parse().unwrap();
+    let behind =
+        |s: &mut Scene| s.book.orders = vec![order("vm1", 2, s.began), order("vm2", 1, s.began)];
+    let shared = |s: &mut Scene| {
+        for (said, run) in s.said.iter_mut().zip(&mut s.book.runs) {
+            said.transaction = true;
+            run.transaction = Some(7);
+        }
+    };
+    let found = |change: &dyn Fn(&mut Scene)| {
+        let mut scene = Scene::new();
+        change(&mut scene);
+        let mut known = Known::default();
+        let (runs, orders) = (scene.book.runs.clone(), scene.book.orders.clone());
+        let mut texts = Vec::new();
+        for (part, said) in scene.said.iter().enumerate() {
+            scene.book.runs = vec![runs[part].clone()];
+            scene.book.orders = orders.get(part).cloned().into_iter().collect();
+            let said = std::slice::from_ref(said);
+            let report = compare_on(&mut known, &scene.book, &scene.routes, scene.began, said);
+            texts.extend(report.broken);
+            // Nothing of the first part is older than the second one needs.
+            known.forget(scene.began);
+            scene.book.forget(scene.began + Duration::from_secs(1));
+        }
+        let rules = texts.iter().filter_map(|text| text.split(':').next());
+        rules.collect::<Vec<_>>().join("; ")
+    };
+    assert_eq!(found(&|_| ()), "");
+    assert_eq!(found(&stale), "stale, commit 0 was 10 ms old");
+    assert_eq!(found(&behind), "orders");
+    assert_eq!(found(&shared), "inside another caller's transaction");
+}
+
+/// A read on a log that another term went on from sees what is before the fork, and no more.
+#[test]
+fn logs_fork_where_a_term_began() {
+    let mut book = Book::default();
+    let group = "g".parse().unwrap();
+    let mut first = commit("q1", Instant::now());
+    book.committed(first.clone(), "1/0".parse().unwrap());
+    first.position = "2/2".parse().unwrap();
+    book.committed(first, "1/1".parse().unwrap());
+    let has = |log: &str, entry: &str| {
+        book.contains(&group, log.parse().unwrap(), entry.parse().unwrap())
+    };
+    assert!(has("2/2", "1/1") && has("2/2", "2/2") && has("1/2", "1/2"));
+    assert!(!has("2/2", "1/2") && !has("1/2", "2/2") && !has("2/2", "2/3"));
+}
--- a/tests/direct_standin.rs
+++ b/tests/direct_standin.rs
@@ -5,11 +5,14 @@
 use lentilspoke::direct::adapter::{Promoted, Promotion};
 use lentilspoke::direct::statement::{Answer, Code, End, Order, State};
 use lentilspoke::direct::table::{Ask, Change, Fault, RowId, Told};
+use lentilspoke::standin::direct::fault;
 use lentilspoke::standin::direct::host::play;
+use lentilspoke::standin::direct::log::Log;
 use lentilspoke::standin::direct::machine::Machine;
+use lentilspoke::standin::direct::network::Node;
 use lentilspoke::standin::direct::setup::Setup;
 use lentilspoke::standin::direct::store::{Health, Losing};
-use lentilspoke::standin::direct::world::World;
+use lentilspoke::standin::direct::world::{Turns, World};
 use lentilspoke::types::{DatabaseId, Position};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -257,3 +260,201 @@
     })
     .unwrap();
 }
+
+/// Plays a fault on an idle world for as long as `during` looks at it.
+fn under<F: Future<Output = ()>>(
+    fault: fault::Fault,
+    during: impl FnOnce(Rc<World>, Rc<Machine>) -> F,
+) -> Rc<World> {
+    play(async {
+        let (world, machine) = idle_world().await;
+        fault.begin(&world);
+        during(world.clone(), Rc::new(machine)).await;
+        fault.end(&world);
+        world
+    })
+    .unwrap()
+}
+
+fn id(text: &str) -> DatabaseId {
+    text.parse().unwrap()
+}
+
+#[test]
+fn grey_database_fails_its_share_of_statements() {
+    under(
+        fault::Fault::Grey(id("db0a"), 40),
+        |world, machine| async move {
+            let (mut session, _) = Session::open(&world, &machine, "db0a").await;
+            let mut failed = 0;
+            for _ in 0..100 {
+                failed += u32::from(code(&session.ask("read i1").await) == Some(Code::Failed));
+            }
+            assert_eq!(failed, 40);
+            let answer = session.order(Order::Standing).await;
+            assert_eq!(code(&answer), None, "it is well otherwise");
+        },
+    );
+}
+
+#[test]
+fn flapping_database_goes_down_and_up_and_ends_up() {
+    let world = under(
+        fault::Fault::Flap(id("db0a"), SECOND),
+        |world, _| async move {
+            let mut ups = Vec::new();
+            for _ in 0..4 {
+                sleep(Duration::from_millis(500)).await;
+                ups.push(world.groups[0].members()[0].life().is_some());
+                sleep(Duration::from_millis(500)).await;
+            }
+            assert_eq!(ups, [false, true, false, true]);
+        },
+    );
+    assert!(world.groups[0].members()[0].life().is_some());
+}
+
+#[test]
+fn severed_primary_reaches_its_replicas_again() {
+    let replicas = ["db0b", "db0c"].map(|text| Node::Database(id(text)));
+    let primary = Node::Database(id("db0a"));
+    let fault = fault::Fault::Sever(primary.clone(), replicas.to_vec());
+    let cut = (primary.clone(), replicas.clone());
+    let world = under(fault, |world, machine| async move {
+        let (primary, replicas) = cut;
+        assert!(
+            replicas
+                .iter()
+                .all(|node| !world.network.reaches(&primary, node))
+        );
+        let (session, _) = Session::open(&world, &machine, "db0a").await;
+        drop(session);
+    });
+    assert!(
+        replicas
+            .iter()
+            .all(|node| world.network.reaches(&primary, node))
+    );
+}
+
+#[test]
+fn slow_link_delays_and_recovers() {
+    let node = Node::Vm("vm1".parse().unwrap());
+    let fault = fault::Fault::SlowLink(node.clone(), Span::from_millis(300));
+    let before = Rc::new(RefCell::new(None));
+    let noted = before.clone();
+    let world = under(fault, |world, machine| async move {
+        let begun = tokio::time::Instant::now();
+        let (mut session, _) = Session::open(&world, &machine, "db0a").await;
+        session.ask("read i1").await;
+        assert!(
+            begun.elapsed() >= Duration::from_millis(1_800),
+            "three ways there and back"
+        );
+        *noted.borrow_mut() = Some(world.network.delay(&node, &Node::Store));
+    });
+    let node = Node::Vm("vm1".parse().unwrap());
+    let now = world.network.delay(&node, &Node::Store);
+    assert_eq!(before.borrow().unwrap(), now + Duration::from_millis(300));
+}
+
+/// A VM is removed for good. Another name and address come in its failure domain, and whoever asks
+/// at the old address is told nothing.
+#[test]
+fn replaced_vm_comes_at_another_address() {
+    play(async {
+        let (machines, mut machine) = mpsc::unbounded_channel();
+        let program = move |machine| {
+            let _ = machines.send(machine);
+            Box::pin(std::future::pending()) as _
+        };
+        let world = World::start(Setup::default(), Rc::new(program)).unwrap();
+        let first = machine.recv().await.unwrap();
+        let other = machine.recv().await.unwrap();
+        fault::Fault::Replace(first.vm.clone()).begin(&world);
+        machine.recv().await.unwrap();
+        let new = machine.recv().await.unwrap();
+        assert_eq!((new.vm.as_str(), &new.domain), ("vm4", &first.domain));
+        assert_ne!(new.address, first.address);
+        assert_eq!(world.running().len(), 3);
+        assert!(!new.seeds.contains(&first.address));
+        let question = lentilspoke::direct::mesh::Question::HandOver {
+            token: 1,
+            version: 1,
+        };
+        assert!(
+            (other.call.0)(first.address, question, SECOND)
+                .await
+                .is_none()
+        );
+    })
+    .unwrap();
+}
+
+/// A VM that gets no processor time by turns does as much less.
+#[test]
+fn starved_vm_runs_by_turns() {
+    play(async {
+        let ticks = Rc::new(RefCell::new(0));
+        let counted = ticks.clone();
+        let program = move |_: Machine| {
+            let ticks = counted.clone();
+            Box::pin(async move {
+                for _ in 0..1_000 {
+                    sleep(Duration::from_millis(100)).await;
+                    *ticks.borrow_mut() += 1;
+                }
+            }) as _
+        };
+        let setup = Setup {
+            vms: 1,
+            ..Setup::default()
+        };
+        let world = World::start(setup, Rc::new(program)).unwrap();
+        let turns = Turns {
+            stops: SECOND,
+            runs: Span::from_millis(350),
+        };
+        let fault = fault::Fault::Starve(World::vm(0).unwrap(), turns);
+        fault.begin(&world);
+        sleep(Duration::from_millis(2_700)).await;
+        let starved = *ticks.borrow();
+        assert!((6..=10).contains(&starved), "{starved}");
+        fault.end(&world);
+        sleep(Duration::from_secs(2)).await;
+        assert!(*ticks.borrow() >= starved + 19);
+    })
+    .unwrap();
+}
+
+/// Logs are kept as terms and their ends, and behave like lists of their entries' terms.
+#[test]
+fn logs_are_like_lists() {
+    fn same(ours: Vec<u8>, theirs: Vec<u8>, count: usize) -> bool {
+        let rising = |steps: &[u8]| {
+            let mut term = 1;
+            let terms = steps.iter().map(|step| {
+                term += u64::from(step % 3 == 0);
+                term
+            });
+            terms.collect::<Vec<u64>>()
+        };
+        let log = |terms: &[u64]| {
+            let mut log = Log::default();
+            terms.iter().for_each(|term| log.append(*term));
+            log
+        };
+        let (ours, theirs) = (rising(&ours), rising(&theirs));
+        let (a, b) = (log(&ours), log(&theirs));
+        let shared = ours.iter().zip(&theirs).take_while(|(a, b)| a == b).count();
+        let count = count % (ours.len() + 1);
+        let terms = (1..=ours.len()).map(|offset| a.term_at(offset).unwrap());
+        a.shared(&b) == shared
+            && a.first(count) == log(&ours[..count])
+            && a.len() == ours.len()
+            && terms.eq(ours.iter().copied())
+    }
+    let mut quick = quickcheck::QuickCheck::new().rng(quickcheck::Gen::from_size_and_seed(40, 7));
+    quick = quick.tests(2_000);
+    quick.quickcheck(same as fn(Vec<u8>, Vec<u8>, usize) -> bool);
+}
