Add a soak: one long-lived world with troubles of all kinds

Change: `lentilspoke soak` plays a world in the shape of a grown deployment, with troubles drawn from the seed that come and go all along, judges operations in windows and forgets them, and tells what callers were told by route, gaps without an acknowledged write by kind of trouble, and the share of reads by replicas.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 pub mod serve;
 pub mod show;
 pub mod slopes;
+pub mod soak;
 
 /// How a command ends if it does not end well.
 #[derive(Debug, thiserror::Error)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod schedule;
 pub mod settings;
 pub mod slopes;
+pub mod soak;
 pub mod sql;
 pub mod standin;
 pub mod token;
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,6 +24,7 @@
     experiment  play patterns of load against the decisions
     model       search the core protocol's states
     schedules   play random faults and check what callers are told
+    soak        play all kinds of trouble in one long-lived world
 
 `lentilspoke COMMAND --help` tells more about each.
 ";
@@ -59,6 +60,7 @@
         "schedules" => cmd::schedules::run(rest),
         "serve" => cmd::serve::run(rest, platform::SETTINGS, platform::adapter),
         "slopes" => cmd::slopes::run(rest),
+        "soak" => cmd::soak::run(rest),
         "experiment" => experiment(rest),
         "-h" | "--help" | "help" => Err(Error::Help(USAGE)),
         "-V" | "--version" => {
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,92 @@
+//! Soaks in small: what they report, and that they find what is broken.
+
+mod command;
+
+use lentilspoke::clock::Span;
+use lentilspoke::soak::profile::Profile;
+use lentilspoke::soak::report::Report;
+use lentilspoke::soak::{Plan, play};
+
+/// A small world of the association's shape.
+fn plan(kinds: &[&str], change: impl FnOnce(&mut Profile)) -> Plan {
+    let mut profile = Profile::named("association").unwrap().unwrap();
+    (profile.vms, profile.groups) = (7, 2);
+    (profile.callers, profile.rate, profile.writers) = (40, 60, 1);
+    change(&mut profile);
+    Plan {
+        name: "small".into(),
+        profile,
+        kinds: kinds.iter().map(|kind| (*kind).into()).collect(),
+        calm: Span::from_secs(12),
+        length: Span::from_secs(90),
+        seed: 3,
+    }
+}
+
+fn found(report: &Report) -> Vec<&str> {
+    let texts = report.broken.iter().map(|broken| &*broken.text);
+    texts.collect()
+}
+
+/// Callers are served while primaries crash, a VM is replaced and the store is down. The same seed
+/// gives the same report, whatever else runs on the machine.
+#[test]
+fn same_seed_gives_the_same_report() {
+    let kinds = ["primary-crash", "vm-replace", "store-down", "config-storm"];
+    let report = play(plan(&kinds, |_| ())).unwrap();
+    assert_eq!(found(&report), [""; 0]);
+    insta::assert_snapshot!(report);
+}
+
+/// Databases take a third of a second for a statement, so that most callers are turned away all
+/// along: the soak says so, with what was played before.
+#[test]
+fn what_is_not_served_is_found() {
+    let plan = plan(&["vms-all"], |profile| {
+        profile.work = Span::from_millis(333);
+        profile.recovery = Span::from_secs(5);
+    });
+    let report = play(plan).unwrap();
+    let found = found(&report);
+    let unserved = found
+        .iter()
+        .filter(|text| text.ends_with("served in a calm"));
+    assert!(unserved.count() > 0, "{report}");
+    assert!(
+        report
+            .events
+            .iter()
+            .any(|event| event.contains("begin KillAll"))
+    );
+    assert_eq!(report.count, found.len() as u64);
+}
+
+#[test]
+fn wrong_profiles_are_refused_with_their_place() {
+    let text = include_str!("../src/soak/profiles/association.jsonc");
+    let error = |from: &str, to: &str| {
+        let error = Profile::read(&text.replace(from, to)).unwrap_err();
+        error.to_string()
+    };
+    insta::assert_snapshot!(
+        [
+            error("\"vms\": 63", "\"vms\": 0"),
+            error("\"primary\": {", "\"other\": {"),
+            error("\"work\": \"18ms\"", "\"work\": 18"),
+            error("\"slots\": 3,", ""),
+        ]
+        .join("\n")
+    );
+}
+
+#[test]
+fn wrong_words_are_refused() {
+    insta::assert_snapshot!(
+        [
+            command::lentilspoke(&["soak", "--kinds", "sunshine"]),
+            command::lentilspoke(&["soak", "--vms", "0"]),
+            command::lentilspoke(&["soak", "association", "permits"]),
+        ]
+        .join("\n")
+    );
+}
