Tell when and where the longest gap of each kind of trouble was

Cause: a gap of 5.9 s in a calm could not be found again by the report. Change: group and moment beside each kind's gaps. A map's method that is younger than the stated compiler is replaced. Tests: soak, direct_check, direct_standin, direct_random, direct_failures, direct_vms and direct_serve pass; clippy is clean.

--- a/src/soak/gap.rs
+++ b/src/soak/gap.rs
@@ -37,11 +37,14 @@
     alone: Histogram<u64>,
     together: Histogram<u64>,
     parts: [Histogram<u64>; 4],
+    /// The longest gap, its group, and since when.
+    worst: (Duration, GroupId, Instant),
 }
 
 /// The gaps.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Gaps {
+    started: Instant,
     groups: BTreeMap<GroupId, Course>,
     rows: BTreeMap<Box<str>, Row>,
     calms: BTreeSet<Instant>,
@@ -49,11 +52,13 @@
 
 impl Gaps {
     /// Nothing noted yet.
-    pub fn new(groups: Vec<GroupId>) -> Self {
+    pub fn new(groups: Vec<GroupId>, started: Instant) -> Self {
         let groups = groups.into_iter().map(|group| (group, Course::default()));
         Self {
+            started,
             groups: groups.collect(),
-            ..Self::default()
+            rows: BTreeMap::new(),
+            calms: BTreeSet::new(),
         }
     }
 
@@ -144,7 +149,11 @@
             alone: histogram(),
             together: histogram(),
             parts: [histogram(), histogram(), histogram(), histogram()],
+            worst: (Duration::ZERO, group.clone(), from),
         });
+        if to - from > row.worst.0 {
+            row.worst = (to - from, group.clone(), from);
+        }
         let gap = (to - from).as_millis() as u64;
         match alone {
             true => row.alone.saturating_record(gap),
@@ -184,6 +193,8 @@
                 together: row.together.len(),
                 together_ms: median(&row.together),
                 together_worst_ms: row.together.max(),
+                worst_group: row.worst.1.as_str().into(),
+                worst_since_ms: (row.worst.2 - self.started).as_millis() as u64,
                 split: Split {
                     promotions: detected.len(),
                     detected_ms: median(detected),
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -61,7 +61,7 @@
             started,
             known: Known::default(),
             tally: Tally::new(plan),
-            gaps: Gaps::new(all_groups(world)),
+            gaps: Gaps::new(all_groups(world), started),
             timeouts: timeouts.collect(),
             broken: Vec::new(),
             count: 0,
--- a/src/soak/report.rs
+++ b/src/soak/report.rs
@@ -46,7 +46,7 @@
 }
 
 /// Gaps without an acknowledged write, in each group that a kind of trouble hit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Gap {
     /// Gaps while no other trouble hit the group.
     pub alone: u64,
@@ -60,6 +60,10 @@
     pub together_ms: u64,
     /// Their longest.
     pub together_worst_ms: u64,
+    /// In which group the longest of all was.
+    pub worst_group: Box<str>,
+    /// Since when, in milliseconds since the world began.
+    pub worst_since_ms: u64,
     /// What they were made of.
     pub split: Split,
 }
@@ -200,7 +204,7 @@
         writeln!(
             f,
             "\nms without an acknowledged write in a group that was hit, by kind of trouble:\n\
-             {:<22} {:>6} {:>6} {:>14} {:>8} {:>14} {:>5} {:>7} {:>8} {:>8} {:>9}",
+             {:<22} {:>6} {:>6} {:>14} {:>8} {:>14} {:>5} {:>7} {:>8} {:>8} {:>9}  worst in, since ms",
             "kind",
             "played",
             "alone",
@@ -217,7 +221,7 @@
             let split = gap.split;
             writeln!(
                 f,
-                "{kind:<22} {:>6} {:>6} {:>14} {:>8} {:>14} {:>5} {:>7} {:>8} {:>8} {:>9}",
+                "{kind:<22} {:>6} {:>6} {:>14} {:>8} {:>14} {:>5} {:>7} {:>8} {:>8} {:>9}  {}, {}",
                 self.played.get(kind).copied().unwrap_or_default(),
                 gap.alone,
                 format!("{}, {}", gap.alone_ms, gap.alone_worst_ms),
@@ -228,6 +232,8 @@
                 split.given_up_ms,
                 split.promoted_ms,
                 split.published_ms,
+                gap.worst_group,
+                gap.worst_since_ms,
             )?;
         }
         Ok(())
--- a/src/soak/tally.rs
+++ b/src/soak/tally.rs
@@ -104,11 +104,17 @@
             let calm = calms.find(|calm| calm.begin == *begin);
             last || calm.is_none_or(|calm| calm.end.is_some_and(|end| end < settled))
         };
-        let judged: Vec<_> = self.calms.extract_if(.., |begin, _| over(begin)).collect();
-        let few = judged
+        let judged: Vec<_> = self
+            .calms
+            .keys()
+            .filter(|begin| over(begin))
+            .copied()
+            .collect();
+        let judged = judged
             .into_iter()
-            .filter(|(_, served)| served.all >= ENOUGH && served.done * 10 < served.all * 9);
-        few.map(|(_, Served { all, done })| format!("{done} of {all} served in a calm").into())
+            .filter_map(|begin| self.calms.remove(&begin));
+        let few = judged.filter(|calm| calm.all >= ENOUGH && calm.done * 10 < calm.all * 9);
+        few.map(|Served { all, done }| format!("{done} of {all} served in a calm").into())
             .collect()
     }
 
