Count panics of a world's tasks, and ship no log from a database to itself

Cause: a soak of 30 minutes printed panics and ended as if all were well: tokio ends a task that panics without a word. The panic was the stand-ins' own: a leader that came back shipped its log to itself, which borrowed its state twice since the log is not copied any more. Change: panics of the thread are counted, and a soak that has one is broken; a database is not shipped to itself, which never had an effect. The tests of new faults fail on a panic.

--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -7,6 +7,7 @@
 use crate::soak::story::{Story, all_groups};
 use crate::soak::tally::Tally;
 use crate::standin::direct::check::{Routes, compare_on};
+use crate::standin::direct::host;
 use crate::standin::direct::journal::{Book, Run};
 use crate::standin::direct::known::Known;
 use crate::standin::direct::said::{Record, Said};
@@ -50,6 +51,7 @@
     count: u64,
     events: Vec<Box<str>>,
     last: Instant,
+    panics: u64,
 }
 
 impl Judge {
@@ -67,6 +69,7 @@
             count: 0,
             events: Vec::new(),
             last: started,
+            panics: host::panics(),
         }
     }
 
@@ -98,6 +101,12 @@
         for (at, text) in std::mem::take(&mut story.found) {
             self.breaks(at, text, story);
         }
+        let panics = host::panics();
+        if panics > self.panics {
+            let text = format!("{} tasks panicked", panics - self.panics);
+            self.breaks(now, text.into(), story);
+            self.panics = panics;
+        }
         for text in self.tally.unserved(story, settled, last) {
             self.breaks(settled, text, story);
         }
--- a/src/standin/direct/group.rs
+++ b/src/standin/direct/group.rs
@@ -141,6 +141,10 @@
     }
 
     fn ship(self: &Rc<Self>, from: &Rc<Database>, to: &Rc<Database>) {
+        // A leader that comes back has all that it could tell itself.
+        if Rc::ptr_eq(from, to) {
+            return;
+        }
         let (group, from, to) = (self.clone(), from.clone(), to.clone());
         self.network.spawn(async move {
             group.shipping(&from, &to).await;
--- a/src/standin/direct/host.rs
+++ b/src/standin/direct/host.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Once;
 use std::task::{Context, Poll, Waker};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -11,10 +12,26 @@
 thread_local! {
     /// The process that runs now.
     static CURRENT: RefCell<Rc<str>> = RefCell::new(Rc::from("-"));
+    /// How often this thread panicked.
+    static PANICS: Cell<u64> = const { Cell::new(0) };
     /// When the world began.
     static BEGAN: Cell<Option<Instant>> = const { Cell::new(None) };
 }
 
+/// Counts panics of this thread from the first call on: a task that panics ends without a word, and
+/// the world would go on as if a VM had only fallen silent.
+pub fn panics() -> u64 {
+    static HOOK: Once = Once::new();
+    HOOK.call_once(|| {
+        let shown = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            PANICS.set(PANICS.get() + 1);
+            shown(info);
+        }));
+    });
+    PANICS.get()
+}
+
 /// What logs begin with: the milliseconds since the world began, and the process that runs.
 pub fn log_prefix() -> String {
     let began = BEGAN.get().map_or(0, |began| began.elapsed().as_millis());
--- a/tests/direct_standin.rs
+++ b/tests/direct_standin.rs
@@ -6,7 +6,7 @@
 use lentilspoke::direct::statement::{Answer, Code, End, Order, State};
 use lentilspoke::direct::table::{Ask, Change, Fault, RowId, Told};
 use lentilspoke::standin::direct::fault;
-use lentilspoke::standin::direct::host::play;
+use lentilspoke::standin::direct::host::{self, play};
 use lentilspoke::standin::direct::log::Log;
 use lentilspoke::standin::direct::machine::Machine;
 use lentilspoke::standin::direct::network::Node;
@@ -261,19 +261,23 @@
     .unwrap();
 }
 
-/// Plays a fault on an idle world for as long as `during` looks at it.
+/// Plays a fault on an idle world for as long as `during` looks at it. No task may panic meanwhile,
+/// which would end it without a word.
 fn under<F: Future<Output = ()>>(
     fault: fault::Fault,
     during: impl FnOnce(Rc<World>, Rc<Machine>) -> F,
 ) -> Rc<World> {
-    play(async {
+    let panics = host::panics();
+    let world = play(async {
         let (world, machine) = idle_world().await;
         fault.begin(&world);
         during(world.clone(), Rc::new(machine)).await;
         fault.end(&world);
+        sleep(SECOND.into()).await;
         world
-    })
-    .unwrap()
+    });
+    assert_eq!(host::panics(), panics);
+    world.unwrap()
 }
 
 fn id(text: &str) -> DatabaseId {
@@ -458,3 +462,14 @@
     quick = quick.tests(2_000);
     quick.quickcheck(same as fn(Vec<u8>, Vec<u8>, usize) -> bool);
 }
+
+#[test]
+fn panicking_task_is_counted() {
+    let before = host::panics();
+    play(async {
+        let task = tokio::task::spawn_local(async { panic!("on purpose") });
+        assert!(task.await.is_err());
+    })
+    .unwrap();
+    assert_eq!(host::panics(), before + 1);
+}
