--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -96,6 +96,7 @@
         // Orders were judged, and noted as events.
         book.orders.clear();
         book.reigns.clear();
+        book.openings.clear();
         book.forget(now.checked_sub(COMMITS).unwrap_or(self.started));
         drop(book);
         for (at, text) in std::mem::take(&mut story.found) {
--- a/src/standin/direct/journal.rs
+++ b/src/standin/direct/journal.rs
@@ -1,6 +1,6 @@
 //! What really happened at the databases, against which callers' answers are checked.
 
-use crate::types::{DatabaseId, GroupId, Position, Term};
+use crate::types::{DatabaseId, GroupId, Position, Term, VmId};
 use bytes::Bytes;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -111,6 +111,8 @@
     pub orders: Vec<Ordered>,
     /// Changes of primary, in order.
     pub reigns: Vec<Reign>,
+    /// How often each VM connected to each database.
+    pub openings: BTreeMap<(DatabaseId, VmId), u64>,
     /// Ids of connections and transactions given out.
     pub given: u64,
 }
--- a/src/standin/direct/link.rs
+++ b/src/standin/direct/link.rs
@@ -85,11 +85,9 @@
         }
     }
 
-    /// Whether bytes are held back, for a while or for good.
+    /// Whether bytes are held back.
     pub fn is_held(&self) -> bool {
-        self.ways
-            .iter()
-            .any(|way| way.borrow().held || way.borrow().silent)
+        self.ways.iter().any(|way| way.borrow().held)
     }
 
     /// Changes how long bytes are under way that are sent from now on.
@@ -115,6 +113,11 @@
         }
     }
 
+    /// Whether it is silent for good.
+    pub fn is_silent(&self) -> bool {
+        self.ways.iter().any(|way| way.borrow().silent)
+    }
+
     /// The far end gives the connection up; the near one does not hear of it yet.
     pub fn give_up(&self) {
         let mut way = self.ways[1].borrow_mut();
--- a/src/standin/direct/network.rs
+++ b/src/standin/direct/network.rs
@@ -238,10 +238,15 @@
     }
 
     /// Silences the connections that `which` chooses; new ones work.
+    ///
+    /// A database drops those that it has, as it does when it can't reach the other end.
     pub fn silence(&self, which: impl Fn(&Node, &Node) -> bool) {
-        self.each(&which, Link::silence);
         for (a, b, link) in self.links.borrow().iter() {
-            if matches!(b, Node::Database(_)) && (which(a, b) || which(b, a)) {
+            if !(which(a, b) || which(b, a)) {
+                continue;
+            }
+            link.silence();
+            if matches!(b, Node::Database(_)) {
                 self.give_up(link.clone());
             }
         }
@@ -270,7 +275,7 @@
     fn give_up(&self, link: Link) {
         self.spawn(async move {
             tokio::time::sleep(UNREACHED).await;
-            if link.is_held() {
+            if link.is_held() || link.is_silent() {
                 link.give_up();
             }
         });
