--- a/src/standin/direct/mod.rs
+++ b/src/standin/direct/mod.rs
@@ -20,6 +20,7 @@
 pub mod network;
 pub mod orders;
 pub mod program;
+mod reach;
 pub mod said;
 pub mod session;
 pub mod setup;
--- /dev/null
+++ b/src/standin/direct/reach.rs
@@ -0,0 +1,154 @@
+//! How VMs of a world reach databases and each other.
+
+use crate::direct::adapter::{self, Connect};
+use crate::direct::mesh::{Answer, Call, Question};
+use crate::standin::direct::link::Stream;
+use crate::standin::direct::network::{Node, Sender};
+use crate::standin::direct::session;
+use crate::standin::direct::setup;
+use crate::standin::direct::world::World;
+use crate::types::VmId;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+impl World {
+    pub(super) fn connect_of(self: &Rc<Self>, vm: &VmId) -> Connect {
+        let (world, vm) = (self.clone(), vm.clone());
+        Rc::new(move |address, span| {
+            let (world, vm) = (world.clone(), vm.clone());
+            Box::pin(async move {
+                let (answer, answered) = oneshot::channel();
+                let (sender, hold) = Sender::new();
+                let network = world.network.clone();
+                network.spawn(async move { world.accept(vm, address, sender, answer).await });
+                let result = timeout(span.into(), answered).await;
+                drop(hold);
+                let stream = result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+                let stream =
+                    stream.map_err(|_| io::Error::from(io::ErrorKind::ConnectionRefused))?;
+                Ok(Box::new(stream) as Box<dyn adapter::Stream>)
+            })
+        })
+    }
+
+    async fn accept(
+        self: Rc<Self>,
+        vm: VmId,
+        address: SocketAddr,
+        sender: Sender,
+        answer: oneshot::Sender<Stream>,
+    ) {
+        let members = self.groups.iter().flat_map(|g| {
+            let members = g.members();
+            members.into_iter().map(|member| (g.clone(), member))
+        });
+        let mut listening = members.filter(|(_, member)| member.make.address == address);
+        let Some((group, database)) = listening.next() else {
+            self.accept_relay(vm, address, sender, answer).await;
+            return;
+        };
+        let opening = (database.make.id.clone(), vm.clone());
+        let (from, to) = (Node::Vm(vm), database.node());
+        if !self.network.travel(&from, &to, &sender).await || database.life().is_none() {
+            return;
+        }
+        let (near, far) = self.network.connect(&from, &to);
+        *self
+            .journal
+            .borrow_mut()
+            .openings
+            .entry(opening)
+            .or_default() += 1;
+        self.network.spawn(session::serve(group, database, far));
+        if self.network.travel(&to, &from, &sender).await {
+            let _ = answer.send(near);
+        }
+    }
+
+    /// Accepts a VM's stream at another VM, which relays its statements.
+    async fn accept_relay(
+        self: Rc<Self>,
+        vm: VmId,
+        address: SocketAddr,
+        sender: Sender,
+        answer: oneshot::Sender<Stream>,
+    ) {
+        if address.port() != setup::RELAY_PORT {
+            return;
+        }
+        let mesh = SocketAddr::new(address.ip(), setup::MESH_PORT);
+        let Some(other) = self.addresses.borrow().get(&mesh).cloned() else {
+            return;
+        };
+        let (from, to) = (Node::Vm(vm), Node::Vm(other.clone()));
+        if !self.network.travel(&from, &to, &sender).await || !self.is_running(&other) {
+            return;
+        }
+        let (near, far) = self.network.connect(&from, &to);
+        let sent = {
+            let vms = self.vms.borrow();
+            let sent = vms.get(&other).map(|running| running.relays.send(far));
+            sent.is_some_and(|sent| sent.is_ok())
+        };
+        if sent && self.network.travel(&to, &from, &sender).await {
+            let _ = answer.send(near);
+        }
+    }
+
+    pub(super) fn call_of(self: &Rc<Self>, vm: &VmId) -> Call {
+        let (world, vm) = (self.clone(), vm.clone());
+        Rc::new(move |address, question, span| {
+            let (world, vm) = (world.clone(), vm.clone());
+            Box::pin(async move {
+                let (answer, answered) = oneshot::channel();
+                let (sender, hold) = Sender::new();
+                let network = world.network.clone();
+                network.spawn(async move {
+                    world.ask(vm, address, question, sender, answer).await;
+                });
+                let result = timeout(span.into(), answered).await;
+                drop(hold);
+                result.ok()?.ok()
+            })
+        })
+    }
+
+    async fn ask(
+        self: Rc<Self>,
+        vm: VmId,
+        address: SocketAddr,
+        question: Question,
+        sender: Sender,
+        answer: oneshot::Sender<Answer>,
+    ) {
+        let Some(other) = self.addresses.borrow().get(&address).cloned() else {
+            return;
+        };
+        let (from, to) = (Node::Vm(vm), Node::Vm(other.clone()));
+        if !self.network.travel(&from, &to, &sender).await {
+            return;
+        }
+        let (reply, replied) = oneshot::channel();
+        let taken = {
+            let vms = self.vms.borrow();
+            let sent = vms
+                .get(&other)
+                .map(|running| running.questions.send((question, reply)));
+            sent.is_some_and(|sent| sent.is_ok())
+        };
+        // Nothing comes of a question whose VM ended meanwhile.
+        let told = match taken {
+            false => Answer::Absent,
+            true => match replied.await {
+                Ok(told) => told,
+                Err(_) => return,
+            },
+        };
+        if self.network.travel(&to, &from, &sender).await {
+            let _ = answer.send(told);
+        }
+    }
+}
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -1,9 +1,9 @@
 //! VMs, databases, the store and callers together.
 
 use crate::clock::{Span, Time};
-use crate::direct::adapter::{self, Adapter, Clock, Connect, Documents};
+use crate::direct::adapter::{Adapter, Clock, Documents};
 use crate::direct::config::{Config, Kind};
-use crate::direct::mesh::{Answer, Call, Question};
+use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::RowId;
 use crate::standin::direct::database::Database;
 use crate::standin::direct::group::{Group, REGISTER};
@@ -11,9 +11,8 @@
 use crate::standin::direct::journal::Journal;
 use crate::standin::direct::link::Stream;
 use crate::standin::direct::machine::{Machine, Program, Wrapped};
-use crate::standin::direct::network::{Network, Node, Sender};
+use crate::standin::direct::network::{Network, Node};
 use crate::standin::direct::orders::Orders;
-use crate::standin::direct::session;
 use crate::standin::direct::setup::{self, Setup};
 use crate::standin::direct::store::Store;
 use crate::standin::direct::wire;
@@ -22,11 +21,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// What every clock shows at the start.
 const BOOTED: Time = Time(1_000_000_000);
@@ -42,11 +40,11 @@
 
 /// A VM that was started.
 #[derive(Debug)]
-struct Running {
-    host: Rc<Host>,
-    streams: mpsc::UnboundedSender<Stream>,
-    relays: mpsc::UnboundedSender<Stream>,
-    questions: mpsc::UnboundedSender<(Question, oneshot::Sender<Answer>)>,
+pub(super) struct Running {
+    pub(super) host: Rc<Host>,
+    pub(super) streams: mpsc::UnboundedSender<Stream>,
+    pub(super) relays: mpsc::UnboundedSender<Stream>,
+    pub(super) questions: mpsc::UnboundedSender<(Question, oneshot::Sender<Answer>)>,
     stop: Option<oneshot::Sender<Span>>,
     ready: Rc<Cell<bool>>,
 }
@@ -68,9 +66,9 @@
     /// Each configuration that was in force, with since when.
     pub configs: RefCell<Vec<(Instant, Config)>>,
     program: Program,
-    vms: RefCell<BTreeMap<VmId, Running>>,
+    pub(super) vms: RefCell<BTreeMap<VmId, Running>>,
     /// Which VM is at an address.
-    addresses: RefCell<BTreeMap<SocketAddr, VmId>>,
+    pub(super) addresses: RefCell<BTreeMap<SocketAddr, VmId>>,
     /// The numbers of the first VMs that were replaced.
     retired: RefCell<BTreeSet<usize>>,
     /// The number of the next new VM.
@@ -409,141 +407,4 @@
             clock,
         }
     }
-
-    fn connect_of(self: &Rc<Self>, vm: &VmId) -> Connect {
-        let (world, vm) = (self.clone(), vm.clone());
-        Rc::new(move |address, span| {
-            let (world, vm) = (world.clone(), vm.clone());
-            Box::pin(async move {
-                let (answer, answered) = oneshot::channel();
-                let (sender, hold) = Sender::new();
-                let network = world.network.clone();
-                network.spawn(async move { world.accept(vm, address, sender, answer).await });
-                let result = timeout(span.into(), answered).await;
-                drop(hold);
-                let stream = result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
-                let stream =
-                    stream.map_err(|_| io::Error::from(io::ErrorKind::ConnectionRefused))?;
-                Ok(Box::new(stream) as Box<dyn adapter::Stream>)
-            })
-        })
-    }
-
-    async fn accept(
-        self: Rc<Self>,
-        vm: VmId,
-        address: SocketAddr,
-        sender: Sender,
-        answer: oneshot::Sender<Stream>,
-    ) {
-        let members = self.groups.iter().flat_map(|g| {
-            let members = g.members();
-            members.into_iter().map(|member| (g.clone(), member))
-        });
-        let mut listening = members.filter(|(_, member)| member.make.address == address);
-        let Some((group, database)) = listening.next() else {
-            self.accept_relay(vm, address, sender, answer).await;
-            return;
-        };
-        let opening = (database.make.id.clone(), vm.clone());
-        let (from, to) = (Node::Vm(vm), database.node());
-        if !self.network.travel(&from, &to, &sender).await || database.life().is_none() {
-            return;
-        }
-        let (near, far) = self.network.connect(&from, &to);
-        *self
-            .journal
-            .borrow_mut()
-            .openings
-            .entry(opening)
-            .or_default() += 1;
-        self.network.spawn(session::serve(group, database, far));
-        if self.network.travel(&to, &from, &sender).await {
-            let _ = answer.send(near);
-        }
-    }
-
-    /// Accepts a VM's stream at another VM, which relays its statements.
-    async fn accept_relay(
-        self: Rc<Self>,
-        vm: VmId,
-        address: SocketAddr,
-        sender: Sender,
-        answer: oneshot::Sender<Stream>,
-    ) {
-        if address.port() != setup::RELAY_PORT {
-            return;
-        }
-        let mesh = SocketAddr::new(address.ip(), setup::MESH_PORT);
-        let Some(other) = self.addresses.borrow().get(&mesh).cloned() else {
-            return;
-        };
-        let (from, to) = (Node::Vm(vm), Node::Vm(other.clone()));
-        if !self.network.travel(&from, &to, &sender).await || !self.is_running(&other) {
-            return;
-        }
-        let (near, far) = self.network.connect(&from, &to);
-        let sent = {
-            let vms = self.vms.borrow();
-            let sent = vms.get(&other).map(|running| running.relays.send(far));
-            sent.is_some_and(|sent| sent.is_ok())
-        };
-        if sent && self.network.travel(&to, &from, &sender).await {
-            let _ = answer.send(near);
-        }
-    }
-
-    fn call_of(self: &Rc<Self>, vm: &VmId) -> Call {
-        let (world, vm) = (self.clone(), vm.clone());
-        Rc::new(move |address, question, span| {
-            let (world, vm) = (world.clone(), vm.clone());
-            Box::pin(async move {
-                let (answer, answered) = oneshot::channel();
-                let (sender, hold) = Sender::new();
-                let network = world.network.clone();
-                network.spawn(async move {
-                    world.ask(vm, address, question, sender, answer).await;
-                });
-                let result = timeout(span.into(), answered).await;
-                drop(hold);
-                result.ok()?.ok()
-            })
-        })
-    }
-
-    async fn ask(
-        self: Rc<Self>,
-        vm: VmId,
-        address: SocketAddr,
-        question: Question,
-        sender: Sender,
-        answer: oneshot::Sender<Answer>,
-    ) {
-        let Some(other) = self.addresses.borrow().get(&address).cloned() else {
-            return;
-        };
-        let (from, to) = (Node::Vm(vm), Node::Vm(other.clone()));
-        if !self.network.travel(&from, &to, &sender).await {
-            return;
-        }
-        let (reply, replied) = oneshot::channel();
-        let taken = {
-            let vms = self.vms.borrow();
-            let sent = vms
-                .get(&other)
-                .map(|running| running.questions.send((question, reply)));
-            sent.is_some_and(|sent| sent.is_ok())
-        };
-        // Nothing comes of a question whose VM ended meanwhile.
-        let told = match taken {
-            false => Answer::Absent,
-            true => match replied.await {
-                Ok(told) => told,
-                Err(_) => return,
-            },
-        };
-        if self.network.travel(&to, &from, &sender).await {
-            let _ = answer.send(told);
-        }
-    }
 }
