Forget what a session knew after three minutes

Cause: a session lasts for some operations and their pauses, and was remembered for ten minutes, some 70,000 of them at a time. Change: three minutes.

--- a/src/standin/direct/known.rs
+++ b/src/standin/direct/known.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a session lasts at most after its last write.
-const SESSION: Duration = Duration::from_secs(600);
+/// How long a session lasts at most after its last write: some operations with their pauses.
+const SESSION: Duration = Duration::from_secs(180);
 
 /// A commit that a caller knows of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
