Judge a calm only by what ended in it

The calm was over 83 ms after callers had to be served; 14 statements were under way when connections between VMs went silent. Likewise gaps of 10 s were counted as a calm's that crossed its end: those of callers who wait on a connection that went silent with the next trouble. The judge was wrong, not the product. Change: a statement counts if its calm lasts for 3 s more; a calm's gap has to end in it. Test: tests/soak.rs only_what_ends_in_a_calm_is_judged_by_it; it was not run without the change.

--- a/src/soak/gap.rs
+++ b/src/soak/gap.rs
@@ -142,7 +142,7 @@
         settled: Instant,
     ) {
         let course = self.groups.entry(group.clone()).or_default();
-        let Some((from, to)) = course.gap(begin, end, settled) else {
+        let Some((from, to)) = course.gap(begin, end, kind == CALM, settled) else {
             return;
         };
         let row = self.rows.entry(kind.into()).or_insert_with(|| Row {
@@ -210,11 +210,21 @@
 }
 
 impl Course {
-    /// The longest gap between two writes that overlaps a while.
-    fn gap(&self, begin: Instant, end: Instant, settled: Instant) -> Option<(Instant, Instant)> {
+    /// The longest gap between two writes that overlaps a while, or that ends within it: a gap that goes
+    /// on beyond a calm is that of the trouble which ended it.
+    fn gap(
+        &self,
+        begin: Instant,
+        end: Instant,
+        within: bool,
+        settled: Instant,
+    ) -> Option<(Instant, Instant)> {
         let mut last = self.writes.range(..begin).next_back().copied()?;
         let mut longest = (last, last);
         for next in self.writes.range(begin..).copied().chain([settled]) {
+            if within && next > end {
+                break;
+            }
             if next - last > longest.1 - longest.0 {
                 longest = (last, next);
             }
--- a/src/soak/tally.rs
+++ b/src/soak/tally.rs
@@ -15,6 +15,9 @@
 /// How long after troubles reads count as those of a calm.
 pub const SETTLES: Duration = Duration::from_secs(5);
 
+/// A statement may be under way for this long, and does not count if its calm ends meanwhile.
+const UNDER_WAY: Duration = Duration::from_secs(3);
+
 /// Of how many callers nine of ten have to be served in a calm, for it to be judged.
 const ENOUGH: u64 = 20;
 
@@ -89,6 +92,7 @@
             }
             if story.is_calm(said.sent, self.recovery)
                 && let Some(calm) = story.calm_at(said.sent)
+                && calm.end.is_none_or(|end| said.sent + UNDER_WAY < end)
             {
                 let served = self.calms.entry(calm.begin).or_default();
                 served.all += 1;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,9 +3,16 @@
 mod command;
 
 use lentilspoke::clock::Span;
+use lentilspoke::direct::config::Kind;
 use lentilspoke::soak::profile::Profile;
 use lentilspoke::soak::report::Report;
+use lentilspoke::soak::story::{Calm, Story};
+use lentilspoke::soak::tally::Tally;
 use lentilspoke::soak::{Plan, play};
+use lentilspoke::standin::direct::said::Said;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// A small world of the association's shape.
 fn plan(kinds: &[&str], change: impl FnOnce(&mut Profile)) -> Plan {
@@ -61,6 +68,50 @@
     assert_eq!(report.count, found.len() as u64);
 }
 
+/// A caller's statement that was sent at a moment and never answered.
+fn unanswered(number: u64, sent: Instant) -> Said {
+    Said {
+        number,
+        id: format!("q{number}").into(),
+        text: "read i1".into(),
+        session: 1,
+        operation: number,
+        transaction: false,
+        vm: "vm1".parse().unwrap(),
+        route: "primary0".into(),
+        kind: Kind::Primary,
+        values: BTreeMap::new(),
+        shape: None,
+        since: sent,
+        sent,
+        told: None,
+        broke: Some(sent),
+    }
+}
+
+/// What is under way when the next trouble begins may be its victim: it says nothing of the calm.
+/// What was sent long before does.
+#[test]
+fn only_what_ends_in_a_calm_is_judged_by_it() {
+    let plan = plan(&[], |_| ());
+    let begin = Instant::now();
+    let end = begin + Duration::from_secs(20);
+    let mut story = Story::default();
+    story.calms.push(Calm {
+        begin,
+        end: Some(end),
+    });
+    let unserved = |before: u64| {
+        let mut tally = Tally::new(&plan);
+        let sent = end - Duration::from_millis(before);
+        let said: Vec<_> = (0..40).map(|number| unanswered(number, sent)).collect();
+        tally.count(&said, &[], &story);
+        tally.unserved(&story, end + Duration::from_secs(60), false)
+    };
+    assert_eq!(unserved(80), Vec::<Box<str>>::new());
+    assert_eq!(unserved(4_000), ["0 of 40 served in a calm".into()]);
+}
+
 #[test]
 fn wrong_profiles_are_refused_with_their_place() {
     let text = include_str!("../src/soak/profiles/association.jsonc");
