Write key-values in one place, escaped

Cause: logs and util each wrote the key-values of a line, and only logs escaped values, so that a caller's id with a line break forged a line on stderr. Change: logs::body writes the message and its key-values for both. Shown by tests/logs.rs, which compares the two.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -110,17 +110,20 @@
 pub fn line(now: Time, record: &log::Record<'_>) -> String {
     let target = record.target();
     let target = target.strip_prefix("lentilspoke::").unwrap_or(target);
-    let mut line = format!("{} {} {target} ", millis(now), record.level());
+    let level = record.level();
+    format!("{} {level} {target} {}\n", millis(now), body(record))
+}
+
+/// The message of `record` and its key-values, on one line whatever is in them.
+pub fn body(record: &log::Record<'_>) -> String {
     let message = record.args().to_string();
-    line.extend(
-        message
-            .chars()
-            .map(|c| if c.is_control() { ' ' } else { c }),
-    );
+    let shown = message
+        .chars()
+        .map(|c| if c.is_control() { ' ' } else { c });
+    let mut body: String = shown.collect();
     // A key-value that can't be shown must not cost the line.
-    let _ = record.key_values().visit(&mut Pairs(&mut line));
-    line.push('\n');
-    line
+    let _ = record.key_values().visit(&mut Pairs(&mut body));
+    body
 }
 
 struct Pairs<'a>(&'a mut String);
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,5 +1,6 @@
 //! Small things that several subcommands share.
 
+use crate::logs;
 use std::io::Write;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -16,35 +17,13 @@
         .filter_module("lentilspoke", level)
         .parse_default_env();
     builder.format(move |out, record| {
-        write!(
-            out,
-            "{}{} {} {}",
-            prefix(),
-            record.level(),
-            record.target(),
-            record.args()
-        )?;
-        let mut visitor = Pairs(out);
-        // A key-value that can't be shown must not cost the line.
-        let _ = record.key_values().visit(&mut visitor);
-        writeln!(out)
+        let (level, target) = (record.level(), record.target());
+        writeln!(out, "{}{level} {target} {}", prefix(), logs::body(record))
     });
     // A second call, by a test in the same process, changes nothing.
     let _ = builder.try_init();
 }
 
-struct Pairs<'a>(&'a mut env_logger::fmt::Formatter);
-
-impl<'kvs> log::kv::VisitSource<'kvs> for Pairs<'_> {
-    fn visit_pair(
-        &mut self,
-        key: log::kv::Key<'kvs>,
-        value: log::kv::Value<'kvs>,
-    ) -> Result<(), log::kv::Error> {
-        write!(self.0, " {key}={value}").map_err(log::kv::Error::from)
-    }
-}
-
 /// Completes on SIGTERM or SIGINT, which ask for a planned stop. Either is caught from now on.
 pub fn asked_to_stop() -> std::io::Result<impl Future<Output = ()> + 'static> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -2,8 +2,8 @@
 
 use lentilspoke::clock::{Span, Time};
 use lentilspoke::logs::budget::{Budget, Verdict};
-use lentilspoke::logs::line;
 use lentilspoke::logs::queue::Queue;
+use lentilspoke::logs::{body, line};
 use std::io::Read;
 use std::time::Duration;
 
@@ -89,4 +89,5 @@
         .args(format_args!("refused"))
         .build();
     insta::assert_snapshot!(line(Time(1_234_567), &record));
+    assert!(line(Time(0), &record).ends_with(&(body(&record) + "\n")));
 }
