Begin a request's story with its likely cause, and fold what many VMs say

Cause: a story from 74 VMs had each VM's word on each change of belief, and left the conclusion to the reader. Change: explain::cause names the likely cause by rules of its own, or says that no line near tells it; lines of other VMs that say the same are one line with how often, on how many VMs and until when; configurations of other VMs are shown, to compare versions. For a request without a line, explain --vm VM --at SECONDS tells what that VM wrote around that moment.

Shown by tests/explain_cause.rs; 74 VMs that give up an epoch and learn the next are seven lines. The message for an id without a line names the second form.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,8 +1,8 @@
 //! `lentilspoke explain`: one request's story out of the logs of many VMs.
 
 use crate::cmd::{Error, parse};
-use crate::explain::line::Reader;
-use crate::explain::story;
+use crate::explain::line::{Reader, seconds};
+use crate::explain::{moment, story};
 use std::path::Path;
 
 const USAGE: &str = "\
@@ -11,6 +11,10 @@
 register of databases, the steward, and the store.
 
 Usage: lentilspoke explain ID FILE...
+       lentilspoke explain --vm VM --at SECONDS FILE...
+
+The second form is for a request without a line, as one whose VM was killed: what VM
+believed and whom it refused around that moment.
 
 ID is the request's id, as its caller knows it and as `request=` names it. Each FILE
 holds the output of one VM, named as the VM is, or lines that start with a time in
@@ -20,21 +24,38 @@
     -h, --help    print this text
 ";
 
+/// What to tell of.
+enum About {
+    Request(Box<str>),
+    Moment { vm: Box<str>, at_ms: i64 },
+}
+
 struct Args {
-    id: Box<str>,
+    about: About,
     files: Vec<Box<str>>,
 }
 
 impl Args {
     fn parse(words: &[String]) -> Result<Self, Error> {
-        let matches = parse(&mut getopts::Options::new(), USAGE, words)?;
-        match matches.free.as_slice() {
-            [] => Err(Error::usage("ID is missing")),
-            [_] => Err(Error::usage("FILE is missing: name the logs of all VMs")),
-            [id, files @ ..] => Ok(Self {
-                id: id.as_str().into(),
-                files: files.iter().map(|file| file.as_str().into()).collect(),
-            }),
+        let mut options = getopts::Options::new();
+        options.optopt("", "vm", "", "").optopt("", "at", "", "");
+        let matches = parse(&mut options, USAGE, words)?;
+        let mut words = matches
+            .free
+            .iter()
+            .map(|word| Box::<str>::from(word.as_str()));
+        let about = match (matches.opt_str("vm"), matches.opt_str("at")) {
+            (None, None) => About::Request(words.next().ok_or(Error::usage("ID is missing"))?),
+            (Some(vm), Some(at)) => About::Moment {
+                vm: vm.into(),
+                at_ms: seconds(&at).ok_or(Error::usage("SECONDS is not a number"))?,
+            },
+            _ => return Err(Error::usage("--vm and --at go together")),
+        };
+        let files: Vec<Box<str>> = words.collect();
+        match files.is_empty() {
+            true => Err(Error::usage("FILE is missing: name the logs of all VMs")),
+            false => Ok(Self { about, files }),
         }
     }
 }
@@ -49,12 +70,20 @@
         reader.read(&name.to_string_lossy(), &text);
     }
     let lines = reader.lines();
-    let Some(story) = story(&lines, &args.id) else {
+    let id = match &args.about {
+        About::Request(id) => id,
+        About::Moment { vm, at_ms } => {
+            let moment = moment(&lines, vm, *at_ms);
+            return write!(out, "{moment}").map_err(Error::failed);
+        }
+    };
+    let Some(story) = story(&lines, id) else {
         return Err(Error::failed(format!(
             "none of {} lines names request {}: it was served, another VM took it, or its line \
-             was dropped (look for `lines dropped`)",
+             was dropped (look for `lines dropped`); with its VM and time, `explain --vm VM --at \
+             SECONDS FILE...` tells what happened there",
             lines.len(),
-            args.id
+            id
         )));
     };
     write!(out, "{story}").map_err(Error::failed)
--- /dev/null
+++ b/src/explain/cause.rs
@@ -0,0 +1,230 @@
+//! The likely cause of what a request was told, in plain words.
+//!
+//! The rules look at the request's last line that tells an outcome, and then for the change of
+//! belief near it that explains it. They name what the lines show and no more: where nothing near
+//! explains an outcome, they say so.
+
+use super::line::Line;
+use super::{BEFORE_MS, CONFIGURED};
+
+/// A request's own lines and the beliefs around them, both in order of time.
+#[derive(Debug, Clone, Copy)]
+pub struct Case<'a> {
+    /// Its own lines.
+    pub own: &'a [&'a Line],
+    /// All lines of VMs that say what they believe, some of which matter.
+    pub beliefs: &'a [&'a Line],
+}
+
+/// Tells the likely cause.
+pub fn likely(case: &Case<'_>) -> String {
+    let told = case.own.iter().rev().find(|l| l.value("outcome").is_some());
+    let Some(line) = told.or(case.own.last()) else {
+        return "no line tells what became of it".into();
+    };
+    match line.value("outcome") {
+        Some("Busy") => busy(case, line),
+        Some("Unknown") => unknown(case, line),
+        Some("Late") => format!(
+            "its outcome is unknown because {} did not answer before the route's timeout",
+            database(line)
+        ),
+        Some("RolledBack") => rolled_back(case, line),
+        Some("NoDatabase") => no_route(case, line),
+        Some("Failed") => format!("{} ran it and told an error", database(line)),
+        Some("Done") => late(line),
+        Some(_) => format!(
+            "it was refused because of what its caller asked: {}",
+            line.message
+        ),
+        None => session(line),
+    }
+}
+
+fn database(line: &Line) -> &str {
+    let known = |key| line.value(key).filter(|value| *value != "-");
+    known("database")
+        .or(known("primary"))
+        .unwrap_or("its database")
+}
+
+fn number(line: &Line, key: &str) -> i64 {
+    line.value(key).and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn seconds(at_ms: i64) -> String {
+    format!("{:.3}", at_ms as f64 / 1_000.0)
+}
+
+fn busy(case: &Case<'_>, line: &Line) -> String {
+    let name = database(line);
+    match line.value("last") {
+        Some("queue") => {
+            return format!(
+                "it was refused because this VM had as much under way at {name} as it may, for {} ms",
+                number(line, "queue_ms")
+            );
+        }
+        Some("full") => {
+            return format!("it was refused because {name} was full: it had no connection left");
+        }
+        Some("busy") => {
+            return format!("it was refused because {name} was full: it had too much to do");
+        }
+        _ => {}
+    }
+    if line.message.starts_with("the primary is busy") {
+        return format!("it was refused because {name} was full");
+    }
+    let without = "it was refused because no primary could be used";
+    match without_primary(case, line) {
+        Some(reason) => format!("{without}: {reason}"),
+        None => format!("{without}; no line near it tells why"),
+    }
+}
+
+fn without_primary(case: &Case<'_>, line: &Line) -> Option<String> {
+    if let Some(reason) = replacement(case, line) {
+        return Some(reason);
+    }
+    let alone = newest(case, line, |l| {
+        l.vm == line.vm && l.message.starts_with("the store ")
+    });
+    if let Some(alone) = alone.filter(|l| &*l.message == "the store does not answer") {
+        return Some(format!(
+            "this VM had no answer of the store since {}, and its lease ended",
+            seconds(alone.at_ms)
+        ));
+    }
+    let started = newest(case, line, |l| l.vm == line.vm && &*l.message == "started")?;
+    Some(format!(
+        "this VM had started only at {}",
+        seconds(started.at_ms)
+    ))
+}
+
+/// The replacement of the group's primary that was under way while the request ran, or began
+/// so soon after it that the loss was not known yet.
+fn replacement(case: &Case<'_>, line: &Line) -> Option<String> {
+    let group = line.value("group")?;
+    let of_group = |l: &Line| l.value("group") == Some(group);
+    let begin = case.beliefs.iter().rev().find(|l| {
+        let near = l.at_ms > line.began_ms() - BEFORE_MS && l.at_ms <= line.at_ms + SOON_MS;
+        near && of_group(l) && &*l.message == "the primary is to be replaced"
+    })?;
+    let mut later = case.beliefs.iter().filter(|l| l.at_ms >= begin.at_ms);
+    let end = later.find(|l| of_group(l) && &*l.message == "the primary is replaced");
+    // A VM learns of a new primary some time after it is written.
+    if end.is_some_and(|end| end.at_ms + SOON_MS < line.began_ms()) {
+        return None;
+    }
+    let until = match end {
+        Some(end) => format!("until {}", seconds(end.at_ms)),
+        None => "and no line tells that it ended".into(),
+    };
+    Some(format!(
+        "{} was replaced ({}) from {} {until}",
+        begin.value("primary").unwrap_or("the primary"),
+        begin.value("cause").unwrap_or("no cause told"),
+        seconds(begin.at_ms),
+    ))
+}
+
+/// How long after a request a replacement is still told of as its cause, and how long the news of
+/// its end may take.
+const SOON_MS: i64 = 2_000;
+
+fn newest<'a>(case: &Case<'a>, line: &Line, of: impl Fn(&Line) -> bool) -> Option<&'a Line> {
+    let near = |l: &&&Line| l.at_ms <= line.at_ms && l.at_ms > line.at_ms - BEFORE_MS;
+    let found = case.beliefs.iter().rev().filter(near).find(|l| of(l));
+    found.copied()
+}
+
+fn unknown(case: &Case<'_>, line: &Line) -> String {
+    let name = database(line);
+    if line.message.starts_with("the answer was lost") {
+        return format!("its outcome is unknown because the answer of {name} was lost");
+    }
+    let ended = format!(
+        "its outcome is unknown because this VM's lease on {name} ended before the answer was read"
+    );
+    match replacement(case, line) {
+        Some(reason) => format!("{ended}: {reason}"),
+        None => ended,
+    }
+}
+
+fn rolled_back(case: &Case<'_>, line: &Line) -> String {
+    let broken = case.own.iter().find_map(|l| {
+        let (_, reason) = l.message.split_once("a transaction is rolled back: ")?;
+        Some(reason)
+    });
+    let broken_off = line.message.contains("idle for too long");
+    let reason = match (broken, broken_off) {
+        (Some(reason), _) => reason.to_owned(),
+        (None, true) => stop_or_rest(case, line),
+        (None, false) => line.message.to_string(),
+    };
+    let rolled = format!("its transaction was rolled back: {reason}");
+    match replacement(case, line).filter(|_| line.message.contains("primary")) {
+        Some(reason) => format!("{rolled}; {reason}"),
+        None => rolled,
+    }
+}
+
+fn stop_or_rest(case: &Case<'_>, line: &Line) -> String {
+    match newest(case, line, |l| {
+        l.vm == line.vm && l.message.starts_with("stopping")
+    }) {
+        Some(stop) => format!("its VM was told to stop at {}", seconds(stop.at_ms)),
+        None => "it was idle for too long".into(),
+    }
+}
+
+fn no_route(case: &Case<'_>, line: &Line) -> String {
+    let version = line.value("version").unwrap_or("-");
+    let told = match version {
+        "-" => "it was refused because its VM knew no configuration yet".into(),
+        version => format!(
+            "it was refused because configuration version {version}, in force here, has no such route"
+        ),
+    };
+    let other = case.beliefs.iter().find(|l| {
+        let newer = number(l, "version") > version.parse().unwrap_or(0);
+        newer && &*l.message == CONFIGURED && l.at_ms <= line.at_ms + SOON_MS
+    });
+    match other {
+        Some(other) => format!(
+            "{told}; version {} was in force on {} at {}",
+            number(other, "version"),
+            other.vm,
+            seconds(other.at_ms)
+        ),
+        None => told,
+    }
+}
+
+fn late(line: &Line) -> String {
+    if !line.message.starts_with("served late") {
+        return "it was served in time".into();
+    }
+    let (queued, waited) = (number(line, "queue_ms"), number(line, "no_primary_ms"));
+    let rest = number(line, "took_ms") - queued - waited;
+    let name = database(line);
+    if waited > queued.max(rest) {
+        return format!("it was served late: it waited {waited} ms for a primary");
+    }
+    if queued > rest {
+        return format!("it was served late: it waited {queued} ms for a slot of {name}");
+    }
+    format!("it was served late: {rest} ms went by at {name} and on the way")
+}
+
+fn session(line: &Line) -> String {
+    match &*line.message {
+        "a planned stop closes an idle session" => {
+            "it was answered; a planned stop of its VM closed its session afterwards".into()
+        }
+        message => format!("its session ended: {message}"),
+    }
+}
--- a/src/explain/line.rs
+++ b/src/explain/line.rs
@@ -32,11 +32,6 @@
         found.map(|(_, value)| &**value)
     }
 
-    /// Whether the same VM says the same.
-    pub fn says_like(&self, other: &Line) -> bool {
-        self.vm == other.vm && self.message == other.message && self.pairs == other.pairs
-    }
-
     /// When what it tells of began.
     pub fn began_ms(&self) -> i64 {
         let took = self.value("took_ms").and_then(|took| took.parse().ok());
@@ -147,7 +142,8 @@
     }
 }
 
-fn seconds(text: &str) -> Option<i64> {
+/// Milliseconds, from a time in seconds.
+pub fn seconds(text: &str) -> Option<i64> {
     let seconds: f64 = text.parse().ok()?;
     Some((seconds * 1_000.0).round() as i64)
 }
--- /dev/null
+++ b/tests/explain_cause.rs
@@ -0,0 +1,152 @@
+//! The sentence with which a story begins: each rule on lines as VMs write them.
+
+use lentilspoke::explain::line::Reader;
+use lentilspoke::explain::{moment, story};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+/// The cause that is told of the request in these lines.
+fn cause(text: &str) -> String {
+    let mut reader = Reader::default();
+    reader.read("unused", text);
+    let lines = reader.lines();
+    let story = story(&lines, ID).unwrap().to_string();
+    let cause = story.lines().nth(1).unwrap();
+    cause.strip_prefix("likely cause: ").unwrap().to_owned()
+}
+
+/// A line of the request, as `direct::line` writes it.
+fn ended(message: &str, pairs: &str) -> String {
+    format!(
+        "20.500 front-a-1 9000 INFO direct::line {message} request={ID} route=vabu12 group=gocu21a \
+         database=i-1 primary=i-1 epoch=1 took_ms=120 {pairs}\n"
+    )
+}
+
+const REPLACED: &str = "\
+19.100 front-b-1 8000 WARN direct::control::change the primary is to be replaced group=gocu21a primary=i-1 epoch=1 cause=Lost silent=3
+20.900 front-b-1 9800 WARN direct::control::change the primary is replaced group=gocu21a primary=i-2 cause=Lost took_ms=1800
+";
+
+/// A copy that is full, busy, or to which this VM has enough under way.
+#[test]
+fn refused_because_full() {
+    let busy = "the primary is busy; retry_ms=30";
+    let causes = ["full", "busy", "queue"].map(|last| {
+        cause(&ended(
+            busy,
+            &format!("outcome=Busy tries=4 last={last} queue_ms=75"),
+        ))
+    });
+    insta::assert_snapshot!(causes.join("\n"));
+}
+
+/// No primary: one that is being replaced, a VM out of touch, one that has just started, and
+/// nothing that tells. A replacement that was over long before, or of another group, is no cause.
+#[test]
+fn refused_without_a_primary() {
+    let line = ended(
+        "no primary is known; retry_ms=500",
+        "outcome=Busy tries=0 last=-",
+    );
+    let alone = "18.0 front-a-1 7 WARN direct::control::store the store does not answer reason=\"timed out\"\n";
+    let again = "18.9 front-a-1 8 INFO direct::control::store the store answers again\n";
+    let started = "19.9 front-a-1 0 INFO logs started unix_ms=1\n";
+    let over = REPLACED
+        .replace("20.900", "9.300")
+        .replace("19.100", "9.000");
+    let other = REPLACED.replace("gocu21a", "zibo18c");
+    let causes = [
+        REPLACED.to_owned() + &line,
+        alone.to_owned() + &line,
+        started.to_owned() + &line,
+        alone.to_owned() + again + &line,
+        over + &line,
+        other + &line,
+    ];
+    insta::assert_snapshot!(causes.map(|text| cause(&text)).join("\n"));
+}
+
+/// An outcome is unknown: the answer was lost, the lease ended while it ran, or nothing came.
+#[test]
+fn outcome_unknown() {
+    let lapsed = ended(
+        "the primary was replaced meanwhile",
+        "outcome=Unknown last=lease",
+    );
+    let causes = [
+        ended("the answer was lost", "outcome=Unknown last=lost"),
+        lapsed.clone(),
+        REPLACED.to_owned() + &lapsed,
+        ended("the route's timeout is over", "outcome=Late last=lost"),
+    ];
+    insta::assert_snapshot!(causes.map(|text| cause(&text)).join("\n"));
+}
+
+/// A route that is unknown in the configuration here: there is no newer one, or another VM has it.
+#[test]
+fn route_unknown() {
+    let line = ended(
+        "no route has that name any more",
+        "outcome=NoDatabase version=7",
+    );
+    let newer = "19.8 front-b-1 8 INFO direct::control::watch a configuration is in force version=8 before=Some(7)\n";
+    let older = newer.replace("version=8", "version=6");
+    let causes = [newer.to_owned() + &line, older + &line];
+    insta::assert_snapshot!(causes.map(|text| cause(&text)).join("\n"));
+}
+
+/// A transaction that a stop or its own rest ended, and one whose primary was replaced; a session
+/// that a stop closed; what was served late.
+#[test]
+fn the_rest() {
+    let rolled = "the transaction was idle for too long, or its VM stops";
+    let rolled = ended(rolled, "outcome=RolledBack last=-");
+    let broken = "20.1 front-a-1 8 INFO direct::caller a transaction is rolled back: this VM is stopping request=5c0e7a21d94b36f8 group=gocu21a\n";
+    let stop = "20.0 front-a-1 8 INFO net::direct stopping: not ready, duties are handed over\n";
+    let replaced = ended("the primary was replaced", "outcome=RolledBack last=lease");
+    let closed = format!(
+        "21.0 front-a-1 8 INFO direct::session a planned stop closes an idle session request={ID} route=a\n"
+    );
+    let causes = [
+        rolled.clone(),
+        broken.to_owned() + &rolled,
+        stop.to_owned() + &rolled,
+        REPLACED.to_owned() + &replaced,
+        closed,
+        ended("served late", "outcome=Done queue_ms=90 no_primary_ms=0"),
+        ended("served late", "outcome=Done queue_ms=0 no_primary_ms=100"),
+        ended("served late", "outcome=Done queue_ms=5 no_primary_ms=0"),
+        ended("the database refused it", "outcome=Failed last=answered"),
+    ];
+    insta::assert_snapshot!(causes.map(|text| cause(&text)).join("\n"));
+}
+
+/// Of 74 VMs each tells that it has given an epoch up, and learns the new primary: that is one line
+/// each, and one more for the request's own VM.
+#[test]
+fn a_story_from_many_vms_stays_short() {
+    let mut text = REPLACED.to_owned() + &ended("the answer was lost", "outcome=Unknown last=lost");
+    for vm in 1..75 {
+        text += &format!(
+            "19.2{vm:02} front-a-{vm} 1 INFO direct::control an epoch is given up group=gocu21a epoch=1 patience_ms=0\n\
+             20.9{vm:02} front-a-{vm} 1 INFO direct::control::news who leads a group is known anew group=gocu21a primary=i-2 epoch=2 changing=false age_ms={vm}\n"
+        );
+    }
+    let mut reader = Reader::default();
+    reader.read("unused", &text);
+    let lines = reader.lines();
+    insta::assert_snapshot!(story(&lines, ID).unwrap());
+}
+
+/// A VM lost power while it ran a request, which has no line: what it wrote around that moment.
+#[test]
+fn a_moment_on_a_vm() {
+    let text = ended("the answer was lost", "outcome=Unknown last=lost")
+        + "24.000 front-a-1 0 INFO logs started unix_ms=9\n\
+           20.600 front-b-1 9 INFO direct::line no primary is known request=1 group=other\n";
+    let mut reader = Reader::default();
+    reader.read("unused", &text);
+    let lines = reader.lines();
+    insta::assert_snapshot!(moment(&lines, "front-a-1", 22_000));
+}
