Show the scraper what a VM believes, and how each database answers it

Cause: an engineer on call saw neither how old a VM's leases and register were, nor whom it followed, nor which database was slow or refused. Change: lentilspoke_database_seconds and lentilspoke_database_refused_total by database, forgotten with the database; epoch, age of the reading and what is left of the lease by group; the steward's token and when it was heard, VMs known, the register's age. Labels are groups, databases and codes only.

Shown by tests/meter.rs.

--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -79,6 +79,21 @@
     }
 }
 
+/// What one VM knows of the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Knowledge {
+    /// Whether it is the steward.
+    pub steward: bool,
+    /// The token of the steward that it follows, or is.
+    pub token: u64,
+    /// How long ago the steward that it follows was asked last of what it answered.
+    pub heard: Option<Span>,
+    /// How many VMs it knows to be registered.
+    pub members: usize,
+    /// How old the newest reading of the register is that was told here.
+    pub register_age: Option<Span>,
+}
+
 /// The control path of one VM.
 #[derive(Debug)]
 pub struct Control {
@@ -200,6 +215,21 @@
         }
     }
 
+    /// What this VM knows of the others, for the scraper.
+    pub fn knowledge(&self) -> Knowledge {
+        let state = self.state.borrow();
+        let now = self.now();
+        let post = state.post.as_ref();
+        let held = state.held.as_ref().map(|held| held.token);
+        Knowledge {
+            steward: held.is_some(),
+            token: held.max(post.map(|post| post.token)).unwrap_or_default(),
+            heard: post.map(|post| now.since(post.hearing.since)),
+            members: state.fellows.len(),
+            register_age: state.register.asked().map(|asked| now.since(asked)),
+        }
+    }
+
     /// How often the store was asked.
     pub fn counts(&self) -> Counts {
         self.store.counts()
--- a/src/direct/meter.rs
+++ b/src/direct/meter.rs
@@ -1,15 +1,20 @@
 //! What one VM counts while it serves, for a Prometheus scraper.
 
+mod levels;
+
+pub use levels::{LeadLevel, Levels};
+
 use crate::clock::Span;
 use crate::direct::config::Kind;
 use crate::direct::statement::Code;
 use crate::direct::table::{Ask, Fault, Told};
+use crate::direct::trace::Sampler;
 use crate::types::{DatabaseId, GroupId};
+use levels::Gauges;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use std::fmt::Write;
@@ -18,28 +23,10 @@
 const BOUNDS: [f64; 12] = [
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4,
 ];
-const MICROS_PER_SECOND: f64 = 1e6;
 
-/// Values that go up and down, read when the scraper asks.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Levels {
-    /// Whether callers may come.
-    pub ready: bool,
-    /// Callers connected.
-    pub callers: u64,
-    /// The configuration in force.
-    pub config: u64,
-    /// Groups on whose primary a lease is held.
-    pub leases: u64,
-    /// Whether this VM is the steward.
-    pub steward: bool,
-    /// Resident memory in bytes.
-    pub resident: u64,
-    /// Processor time since the process started, in microseconds.
-    pub processor: u64,
-    /// Log lines that found no room, since the process started.
-    pub logs_dropped: u64,
-}
+/// The same for each database, of which there may be 1,200: enough to tell slow from silent.
+const COARSE: [f64; 5] = [0.01, 0.03, 0.1, 0.4, 1.6];
+const MICROS_PER_SECOND: f64 = 1e6;
 
 /// A label's value; what is counted with each request has a fixed one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -81,6 +68,7 @@
 labels!(OfGroup: group);
 labels!(OfDatabase: database);
 labels!(OfCode: group, code);
+labels!(OfRefusal: database, code);
 labels!(OfCall: call, outcome);
 labels!(OfKind: kind);
 labels!(OfRole: by);
@@ -91,60 +79,49 @@
 #[derive(Debug)]
 pub struct Meter {
     registry: Registry,
+    /// Picks served requests that have a log line.
+    pub sampler: Sampler,
     refused: Family<OfCode, Counter>,
     served: Histograms,
     reads: Family<OfRole, Counter>,
     store_calls: Family<OfCall, Counter>,
     opened: Family<OfDatabase, Counter>,
     not_opened: Family<OfDatabase, Counter>,
+    answered: Family<OfDatabase, Histogram, fn() -> Histogram>,
+    database_refused: Family<OfRefusal, Counter>,
     queue_wait: Histogram,
     lapsed: Family<OfGroup, Counter>,
     promoted: Family<OfGroup, Counter>,
     promotion_time: Family<OfGroup, Counter>,
-    levels: Vec<(Gauge, Level)>,
+    gauges: Gauges,
 }
 
-/// What a gauge shows.
-type Level = fn(&Levels) -> u64;
-
-const LEVELS: [(&str, &str, Level); 8] = [
-    ("ready", "Whether callers may come", |l| l.ready.into()),
-    ("callers", "Callers connected", |l| l.callers),
-    (
-        "config_version",
-        "Version of the configuration in force",
-        |l| l.config,
-    ),
-    ("leases", "Groups on whose primary a lease is held", |l| {
-        l.leases
-    }),
-    ("steward", "Whether this VM is the steward", |l| {
-        l.steward.into()
-    }),
-    ("resident_bytes", "Resident memory of this process", |l| {
-        l.resident
-    }),
-    (
-        "processor_microseconds",
-        "Processor time of this process since its start",
-        |l| l.processor,
-    ),
-    (
-        "logs_dropped",
-        "Log lines that found no room since the start",
-        |l| l.logs_dropped,
-    ),
-];
-
 fn histogram() -> Histogram {
     Histogram::new(BOUNDS)
 }
 
+fn coarse_histogram() -> Histogram {
+    Histogram::new(COARSE)
+}
+
 fn seconds(span: Span) -> f64 {
     span.0 as f64 / MICROS_PER_SECOND
 }
 
-/// The name that logs and metrics give a code.
+/// The codes with which a database says that it ran nothing.
+const REFUSALS: [Code; 9] = [
+    Code::Busy,
+    Code::RolledBack,
+    Code::Behind,
+    Code::NotPrimary,
+    Code::OtherDatabase,
+    Code::Full,
+    Code::NoStatement,
+    Code::NoDatabase,
+    Code::Malformed,
+];
+
+/// The name that metrics and `last` in log lines give a code.
 pub fn code_name(code: Code) -> &'static str {
     match code {
         Code::Busy => "busy",
@@ -192,21 +169,24 @@
     pub fn new() -> Self {
         let mut meter = Self {
             registry: Registry::with_prefix("lentilspoke"),
+            sampler: Sampler::default(),
             refused: Family::default(),
             served: Family::new_with_constructor(histogram),
             reads: Family::default(),
             store_calls: Family::default(),
             opened: Family::default(),
             not_opened: Family::default(),
+            answered: Family::new_with_constructor(coarse_histogram),
+            database_refused: Family::default(),
             queue_wait: histogram(),
             lapsed: Family::default(),
             promoted: Family::default(),
             promotion_time: Family::default(),
-            levels: Vec::new(),
+            gauges: Gauges::default(),
         };
         meter.register_requests();
         meter.register_control();
-        meter.register_levels();
+        meter.gauges.register(&mut meter.registry);
         meter
     }
 
@@ -242,6 +222,16 @@
             "Connections to a database that could not be opened",
             self.not_opened.clone(),
         );
+        registry.register(
+            "database_seconds",
+            "How long a database took to answer this VM",
+            self.answered.clone(),
+        );
+        registry.register(
+            "database_refused",
+            "Statements that a database refused to run for this VM, by code",
+            self.database_refused.clone(),
+        );
     }
 
     fn register_control(&mut self) {
@@ -268,14 +258,6 @@
         );
     }
 
-    fn register_levels(&mut self) {
-        for (name, help, level) in LEVELS {
-            let gauge = Gauge::default();
-            self.registry.register(name, help, gauge.clone());
-            self.levels.push((gauge, level));
-        }
-    }
-
     /// A request was answered with something else than success.
     pub fn refused(&self, group: &GroupId, code: Code) {
         let labels = OfCode {
@@ -323,6 +305,23 @@
         self.not_opened.get_or_create(&labels).inc();
     }
 
+    /// A database answered a statement this long after it was sent.
+    pub fn answered(&self, database: &DatabaseId, took: Span) {
+        let labels = OfDatabase {
+            database: database.into(),
+        };
+        self.answered.get_or_create(&labels).observe(seconds(took));
+    }
+
+    /// A database refused to run a statement of this VM.
+    pub fn database_refused(&self, database: &DatabaseId, code: Code) {
+        let labels = OfRefusal {
+            database: database.into(),
+            code: Text::Fixed(code_name(code)),
+        };
+        self.database_refused.get_or_create(&labels).inc();
+    }
+
     /// Forgets a database that is not registered any more, as ids are never used again.
     pub fn forget(&self, database: &DatabaseId) {
         let labels = OfDatabase {
@@ -330,6 +329,13 @@
         };
         self.opened.remove(&labels);
         self.not_opened.remove(&labels);
+        self.answered.remove(&labels);
+        for code in REFUSALS {
+            self.database_refused.remove(&OfRefusal {
+                database: database.into(),
+                code: Text::Fixed(code_name(code)),
+            });
+        }
     }
 
     /// A call of the store ended.
@@ -357,9 +363,7 @@
 
     /// The text that a scraper reads.
     pub fn text(&self, levels: &Levels) -> Box<str> {
-        for (gauge, level) in &self.levels {
-            gauge.set(i64::try_from(level(levels)).unwrap_or(i64::MAX));
-        }
+        self.gauges.set(levels);
         let mut text = String::new();
         // Writing to a String does not fail.
         let _ = encode(&mut text, &self.registry);
--- /dev/null
+++ b/src/direct/meter/levels.rs
@@ -0,0 +1,161 @@
+//! What is read when the scraper asks.
+
+use super::OfGroup;
+use crate::clock::Span;
+use crate::types::GroupId;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Values that go up and down, read when the scraper asks.
+#[derive(Debug, Clone, Default)]
+pub struct Levels {
+    /// Whether callers may come.
+    pub ready: bool,
+    /// Callers connected.
+    pub callers: u64,
+    /// The configuration in force.
+    pub config: u64,
+    /// Groups on whose primary a lease is held.
+    pub leases: u64,
+    /// Whether this VM is the steward.
+    pub steward: bool,
+    /// The fencing token of the steward that this VM follows, or is.
+    pub token: u64,
+    /// How long ago that steward was asked last of what it answered.
+    pub heard: Span,
+    /// VMs that are known to be registered.
+    pub members: u64,
+    /// How old the newest reading of the register is.
+    pub register_age: Span,
+    /// Who leads, for each group.
+    pub leads: Vec<LeadLevel>,
+    /// Resident memory in bytes.
+    pub resident: u64,
+    /// Processor time since the process started, in microseconds.
+    pub processor: u64,
+    /// Log lines that found no room, since the process started.
+    pub logs_dropped: u64,
+}
+
+/// What this VM believes of who leads one group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeadLevel {
+    /// The group.
+    pub group: GroupId,
+    /// The epoch.
+    pub epoch: u64,
+    /// How old the reading is on which a lease would count.
+    pub age: Span,
+    /// Until when the lease lasts from now; zero without one.
+    pub lease: Span,
+}
+
+/// What a gauge shows.
+type Level = fn(&Levels) -> u64;
+
+const LEVELS: [(&str, &str, Level); 12] = [
+    ("ready", "Whether callers may come", |l| l.ready.into()),
+    ("callers", "Callers connected", |l| l.callers),
+    (
+        "config_version",
+        "Version of the configuration in force",
+        |l| l.config,
+    ),
+    ("leases", "Groups on whose primary a lease is held", |l| {
+        l.leases
+    }),
+    ("steward", "Whether this VM is the steward", |l| {
+        l.steward.into()
+    }),
+    (
+        "steward_token",
+        "Token of the steward that is followed",
+        |l| l.token,
+    ),
+    (
+        "steward_heard_milliseconds",
+        "How long ago the steward was asked last of what it answered",
+        |l| millis(l.heard),
+    ),
+    ("members", "VMs that are known to be registered", |l| {
+        l.members
+    }),
+    (
+        "register_age_milliseconds",
+        "Age of the newest reading of the register of databases",
+        |l| millis(l.register_age),
+    ),
+    ("resident_bytes", "Resident memory of this process", |l| {
+        l.resident
+    }),
+    (
+        "processor_microseconds",
+        "Processor time of this process since its start",
+        |l| l.processor,
+    ),
+    (
+        "logs_dropped",
+        "Log lines that found no room since the start",
+        |l| l.logs_dropped,
+    ),
+];
+
+/// The gauges of one process.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    levels: Vec<(Gauge, Level)>,
+    epochs: Family<OfGroup, Gauge>,
+    lead_ages: Family<OfGroup, Gauge>,
+    lease_left: Family<OfGroup, Gauge>,
+}
+
+impl Gauges {
+    /// Registers them all.
+    pub fn register(&mut self, registry: &mut Registry) {
+        for (name, help, level) in LEVELS {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            self.levels.push((gauge, level));
+        }
+        registry.register(
+            "lead_epoch",
+            "Epoch of a group's primary, as this VM knows it",
+            self.epochs.clone(),
+        );
+        registry.register(
+            "lead_age_milliseconds",
+            "Age of the reading on which a lease on a group's primary counts",
+            self.lead_ages.clone(),
+        );
+        registry.register(
+            "lease_left_milliseconds",
+            "How long the lease on a group's primary still lasts; 0 without one",
+            self.lease_left.clone(),
+        );
+    }
+
+    /// Sets them all.
+    pub fn set(&self, levels: &Levels) {
+        for (gauge, level) in &self.levels {
+            gauge.set(i64::try_from(level(levels)).unwrap_or(i64::MAX));
+        }
+        for lead in &levels.leads {
+            set_of(&self.epochs, &lead.group, lead.epoch);
+            set_of(&self.lead_ages, &lead.group, millis(lead.age));
+            set_of(&self.lease_left, &lead.group, millis(lead.lease));
+        }
+    }
+}
+
+fn millis(span: Span) -> u64 {
+    span.0 / 1_000
+}
+
+fn set_of(gauges: &Family<OfGroup, Gauge>, group: &GroupId, value: u64) {
+    let labels = OfGroup {
+        group: group.into(),
+    };
+    let value = i64::try_from(value).unwrap_or(i64::MAX);
+    gauges.get_or_create(&labels).set(value);
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -29,5 +29,6 @@
 pub mod statement;
 pub mod table;
 pub mod targets;
+pub mod trace;
 pub mod transaction;
 pub mod view;
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -276,6 +276,7 @@
         self.shared.quietly().reports.answered(&database.id, now);
         let took = now.since(asked);
         target.pool.gate.answered(took);
+        self.shared.meter.answered(&database.id, took);
         let Some(position) = answer.position else {
             return;
         };
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -75,6 +75,7 @@
         abrupt: system::connect(true),
         clock: system::clock(),
     });
+    log::info!(callers:% = place.settings.callers, admin:% = place.settings.admin; "listening");
     let vm = Vm::start(&place, adapter);
     let Listeners {
         callers,
--- a/src/net/direct/admin.rs
+++ b/src/net/direct/admin.rs
@@ -1,9 +1,11 @@
 //! What the balancer and operators ask of a VM.
 
 use super::Vm;
+use crate::clock::{Span, Time};
 use crate::direct::config::Database;
 use crate::direct::lead::Lead;
-use crate::direct::meter::Levels;
+use crate::direct::meter::{LeadLevel, Levels};
+use crate::direct::view::View;
 use crate::logs;
 use crate::net::http::{Call, Reply};
 use crate::process;
@@ -48,6 +50,17 @@
     leads: Vec<(GroupId, Lead)>,
 }
 
+fn lead(view: &View, group: &GroupId, now: Time) -> Option<LeadLevel> {
+    let (lead, asked) = view.book.known(group)?;
+    let lease = view.book.lease(group, now);
+    Some(LeadLevel {
+        group: group.clone(),
+        epoch: lead.epoch,
+        age: now.since(asked),
+        lease: lease.map_or(Span::ZERO, |lease| lease.until.since(now)),
+    })
+}
+
 impl Vm {
     fn is_ready(&self) -> bool {
         self.control.is_ready() && !self.shared.look().stopping
@@ -76,13 +89,23 @@
     fn metrics(&self) -> String {
         let now = self.front.now();
         let view = self.shared.look();
-        let leased = |group: &&GroupId| view.book.lease(group, now).is_some();
+        let known = self.control.knowledge();
+        let leads: Vec<LeadLevel> = view
+            .book
+            .groups()
+            .filter_map(|g| lead(&view, g, now))
+            .collect();
         let levels = Levels {
             ready: self.control.is_ready() && !view.stopping,
             callers: self.callers.get().into(),
             config: view.config.as_ref().map_or(0, |config| config.version.0),
-            leases: view.book.groups().filter(leased).count() as u64,
-            steward: self.control.is_steward(),
+            leases: leads.iter().filter(|lead| lead.lease > Span::ZERO).count() as u64,
+            steward: known.steward,
+            token: known.token,
+            heard: known.heard.unwrap_or_default(),
+            members: known.members as u64,
+            register_age: known.register_age.unwrap_or_default(),
+            leads,
             resident: process::resident().unwrap_or_default(),
             processor: process::processor().map_or(0, |used| used.as_micros() as u64),
             logs_dropped: logs::dropped(),
--- a/tests/meter.rs
+++ b/tests/meter.rs
@@ -2,7 +2,7 @@
 
 use lentilspoke::clock::Span;
 use lentilspoke::direct::config::Kind;
-use lentilspoke::direct::meter::{Levels, Meter};
+use lentilspoke::direct::meter::{LeadLevel, Levels, Meter};
 use lentilspoke::direct::statement::Code;
 use lentilspoke::direct::table::{Ask, Fault};
 
@@ -18,6 +18,10 @@
     meter.queue_wait(Span::from_millis(3));
     meter.connection_opened(&kept);
     meter.connection_failed(&gone);
+    meter.answered(&kept, Span::from_millis(20));
+    meter.answered(&gone, Span::from_millis(20));
+    meter.database_refused(&kept, Code::Full);
+    meter.database_refused(&gone, Code::Busy);
     meter.forget(&gone);
     meter.store_call(
         &Ask::Read("lead".into()),
@@ -28,6 +32,16 @@
     let levels = Levels {
         callers: 7,
         steward: true,
+        token: 3,
+        heard: Span::from_millis(400),
+        members: 8,
+        register_age: Span::from_millis(900),
+        leads: vec![LeadLevel {
+            group,
+            epoch: 2,
+            age: Span::from_millis(700),
+            lease: Span::from_millis(1_800),
+        }],
         ..Levels::default()
     };
     insta::assert_snapshot!(meter.text(&levels));
