Give every request that is not served one line with all that it met

Cause: two lines told of refusals, with id, group, outcome and time. NODB at a session's start, a refusal by the database within a transaction, what the session itself refused, a transaction broken off, a caller that left in the middle and what a stop closes had none, or named no request. Change: the caller's session writes one line for each answer that is not a success, with route, database, primary, epoch, age of the reading, what is left of the lease, position and its age, tries, how the last ended, waits for a slot and for a primary, and the configuration's version (direct::trace, direct::line). Refusals and latencies are counted where the line is decided, which adds statements of open transactions to both.

Shown by tests/direct_lines.rs: a line for each of these ends, and 2,000 refused requests answered at once while nobody reads the lines.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -4,6 +4,7 @@
 use crate::direct::connection::{Closed, Connection, Lost};
 use crate::direct::job::{Job, Part};
 use crate::direct::lead::{Epoch, Lease};
+use crate::direct::meter::code_name;
 use crate::direct::outcome::{self, Why};
 use crate::direct::pool::Lent;
 use crate::direct::session::Session;
@@ -95,21 +96,26 @@
     let pool = &target.pool;
     let came = targets.now();
     let patience = job.queue_until().since(came);
-    let Ok(permit) = pool.gate.enter(job.urgency(), patience).await else {
+    let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
+    job.trace.tries(&target.database.id, epoch);
+    let entered = pool.gate.enter(job.urgency(), patience).await;
+    job.trace.queued(targets.now().since(came));
+    let Ok(permit) = entered else {
+        job.trace.ended("queue");
         return Attempt::NotRun(Code::Busy);
     };
     targets.shared.meter.queue_wait(targets.now().since(came));
     let taken = pool.take(&targets.adapter, &target.database, session);
     let mut lent = match taken.await {
         Ok(lent) => lent,
-        Err(closed) => return not_opened(targets, target, &closed),
+        Err(closed) => return not_opened(targets, job, target, &closed),
     };
     if lent.is_new() {
         targets.shared.meter.connection_opened(&target.database.id);
     }
     let group = &job.route.group;
-    let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
     if epoch.is_some_and(|epoch| !targets.may_start(group, epoch)) {
+        job.trace.ended("lease");
         lent.give_back(&targets.adapter);
         return Attempt::NotRun(Code::NotPrimary);
     }
@@ -117,16 +123,19 @@
     match prepare(targets, session, job, plan, lent.connection()).await {
         Ok(None) => {}
         Ok(Some(code)) => {
+            note_refusal(targets, job, target, code);
             targets.refused(target, None, code == Code::Busy);
             give_back(targets, lent, under_way);
             return Attempt::NotRun(code);
         }
         Err(_) => {
+            job.trace.ended("unreached");
             targets.failed(&target.database);
             return Attempt::Unreached;
         }
     }
     if !holds(targets, job, plan) {
+        job.trace.ended("lease");
         give_back(targets, lent, under_way);
         return Attempt::NotRun(Code::NotPrimary);
     }
@@ -159,17 +168,20 @@
     if let End::Error { code, .. } = answer.end
         && outcome::may_do_elsewhere(code)
     {
+        note_refusal(targets, job, target, code);
         targets.refused(target, answer.position, code == Code::Busy);
         held.release(targets);
         return Attempt::NotRun(code);
     }
     targets.answered(target, asked, &answer, job.urgency());
     if !holds(targets, job, plan) {
+        job.trace.ended("lease");
         return Attempt::Lost(Why::Lapsed);
     }
     if let (Some(epoch), Some(position)) = (held.epoch, answer.position) {
         targets.learn(&job.route.group, epoch, asked, position);
     }
+    job.trace.ended("answered");
     Attempt::Answered(answer, Box::new(held))
 }
 
@@ -215,6 +227,7 @@
 pub fn why(targets: &Targets, job: &Job<'_>, target: &Target, asked: Time, lost: &Lost) -> Why {
     let database = &target.database;
     targets.failed(database);
+    job.trace.ended("lost");
     log::info!(
         request:% = job.query.id, group:% = database.group, database:% = database.id,
         took_ms = targets.now().since(asked).0 / 1_000;
@@ -229,6 +242,13 @@
     }
 }
 
+/// Notes that a database refused to run a statement, for its line and for the scraper.
+pub fn note_refusal(targets: &Targets, job: &Job<'_>, target: &Target, code: Code) {
+    job.trace.ended(code_name(code));
+    let meter = &targets.shared.meter;
+    meter.database_refused(&target.database.id, code);
+}
+
 /// Whether the plan still holds: on a primary, its lease.
 fn holds(targets: &Targets, job: &Job<'_>, plan: &Plan) -> bool {
     let Some(lease) = &plan.lease else {
@@ -237,7 +257,7 @@
     targets.holds(&job.route.group, lease.epoch)
 }
 
-fn not_opened(targets: &Targets, target: &Target, closed: &Closed) -> Attempt {
+fn not_opened(targets: &Targets, job: &Job<'_>, target: &Target, closed: &Closed) -> Attempt {
     let database = &target.database;
     targets.shared.meter.connection_failed(&database.id);
     match closed {
@@ -246,10 +266,12 @@
     }
     match closed {
         Closed::Refused(code) => {
+            note_refusal(targets, job, target, *code);
             targets.refused(target, None, false);
             Attempt::NotRun(*code)
         }
         Closed::Lost(_) => {
+            job.trace.ended("unreached");
             targets.failed(database);
             Attempt::Unreached
         }
--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -5,8 +5,10 @@
 use crate::direct::config::{Config, Route};
 use crate::direct::front::{Front, Stopping};
 use crate::direct::job::{Job, Part};
+use crate::direct::line::{self, Ended};
 use crate::direct::session::{Begun, Phase, Session, Shape, Step, error};
 use crate::direct::statement::{Answer, Code, End, Message, Query};
+use crate::direct::trace::{Fate, Operation, Trace};
 use crate::direct::transaction::Transaction;
 use bytes::BytesMut;
 use futures_util::FutureExt;
@@ -44,6 +46,8 @@
 enum Gone {
     /// The caller left, or sent what is no message.
     Left,
+    /// The caller did not take an answer.
+    Unread,
     /// A planned stop closes it.
     Stopped,
 }
@@ -67,6 +71,7 @@
     stopping: watch::Receiver<Stopping>,
     /// When it was last sent anything.
     told: Time,
+    operation: Operation,
 }
 
 impl fmt::Debug for Caller {
@@ -92,18 +97,32 @@
             routed: None,
             stopping,
             told: Time::default(),
+            operation: Operation::default(),
         }
     }
 
     /// Serves the session to its end.
     pub async fn serve(mut self) {
         let gone = self.talk().await;
+        self.tell_end(&gone);
         self.roll_back();
         if let Ok(()) | Err(Gone::Stopped) = gone {
             let _ = tokio::time::timeout(FAREWELL.into(), self.stream.shutdown()).await;
         }
     }
 
+    /// Writes a line if the session ends otherwise than its caller meant it to.
+    fn tell_end(&self, gone: &Result<(), Gone>) {
+        let open = matches!(self.session.phase, Phase::Begun(_) | Phase::Open { .. });
+        let why = match gone {
+            Err(Gone::Unread) => "an answer was not taken by its caller",
+            Err(Gone::Stopped) => "a planned stop closes an idle session",
+            Ok(()) | Err(Gone::Left) if open => "a caller left in the middle of a transaction",
+            Ok(()) | Err(Gone::Left) => return,
+        };
+        line::session_ends(&self.front, why, &self.database, &self.operation);
+    }
+
     async fn talk(&mut self) -> Result<(), Gone> {
         self.greet().await?;
         loop {
@@ -142,10 +161,11 @@
         let mut output = BytesMut::new();
         (self.front.adapter.wire.write_answer)(&mut output, &answer, false);
         self.send(&output).await?;
-        match known {
-            true => Ok(()),
-            false => Err(Gone::Left),
+        if !known {
+            line::no_route(&self.front, &self.database);
+            return Err(Gone::Left);
         }
+        Ok(())
     }
 
     async fn wait_for_config(&self) {
@@ -246,18 +266,66 @@
         let Some(transaction) = self.transaction.take() else {
             return;
         };
-        log::info!(group:% = transaction.route().group; "a transaction is rolled back: {reason}");
+        log::info!(
+            request:% = self.operation.request,
+            group:% = transaction.route().group, database:% = transaction.database(),
+            since_ms = self.front.now().since(self.operation.came).0 / 1_000;
+            "a transaction is rolled back: {reason}"
+        );
         self.front.runner.roll_back(transaction);
         self.session.phase = Phase::Broken;
     }
 
     async fn answer(&mut self, query: &Query) -> Answer {
         let now = self.front.now();
+        let begins = self.session.phase == Phase::Idle;
+        self.operation.begin(&query.id, now, begins);
         let Some(route) = self.route() else {
             let end = error(Code::NoDatabase, "no route has that name any more");
-            return self.session.answer(end);
+            let answer = self.session.answer(end);
+            self.tell(None, Trace::default(), &answer);
+            return answer;
         };
-        match self.session.step(now, &query.statement, &route) {
+        let trace = Trace::default();
+        let answer = self.step(query, &route, now, &trace).await;
+        self.tell(Some(&route), trace, &answer);
+        answer
+    }
+
+    /// Counts a request that was answered, and writes its line if it gets one.
+    fn tell(&mut self, route: Option<&Route>, trace: Trace, answer: &Answer) {
+        let steps = trace.into_steps();
+        let now = self.front.now();
+        let meter = &self.front.shared.meter;
+        let fate = match (&answer.end, route) {
+            (End::Done(_), Some(route)) => {
+                if steps.tries > 0 {
+                    meter.served(route.kind, now.since(self.operation.came));
+                }
+                Fate::Served {
+                    objective: route.objective,
+                }
+            }
+            (End::Error { code, .. }, Some(route)) => {
+                meter.refused(&route.group, *code);
+                Fate::NotServed
+            }
+            (_, None) => Fate::NotServed,
+        };
+        if let Some(reason) = self.operation.end(now, fate, &meter.sampler) {
+            let ended = Ended {
+                host: &self.database,
+                route,
+                operation: &self.operation,
+                steps: &steps,
+                answer,
+            };
+            line::ended(&self.front, reason, &ended);
+        }
+    }
+
+    async fn step(&mut self, query: &Query, route: &Rc<Route>, now: Time, trace: &Trace) -> Answer {
+        match self.session.step(now, &query.statement, route) {
             Step::Answer(answer) => answer,
             Step::Break(answer) => {
                 self.roll_back();
@@ -268,8 +336,10 @@
                 self.session.phase = Phase::Idle;
                 self.session.answer(End::Done(None))
             }
-            Step::Run { writes, shape } => self.run(query, &route, now, writes, shape, false).await,
-            Step::Commit => self.run(query, &route, now, false, None, true).await,
+            Step::Run { writes, shape } => {
+                self.run(query, route, trace, writes, shape, false).await
+            }
+            Step::Commit => self.run(query, route, trace, false, None, true).await,
         }
     }
 
@@ -307,11 +377,12 @@
         &mut self,
         query: &Query,
         route: &Rc<Route>,
-        now: Time,
+        trace: &Trace,
         writes: bool,
         shape: Option<Rc<Shape>>,
         commit: bool,
     ) -> Answer {
+        let now = self.operation.came;
         let open = self.transaction.take();
         let (part, since) = match &self.session.phase {
             Phase::Begun(Begun { read, at, .. }) => (Part::First { read: *read }, *at),
@@ -327,6 +398,7 @@
             part,
             since,
             came: now,
+            trace,
         };
         let runner = &self.front.runner;
         let (answer, transaction) = match open {
@@ -351,8 +423,8 @@
         let written = tokio::time::timeout(SLOW_CALLER.into(), written).await;
         self.told = self.front.now();
         match written {
-            Ok(result) => Ok(result?),
-            Err(_) => Err(Gone::Left),
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(Gone::Unread),
         }
     }
 }
--- a/src/direct/fresh.rs
+++ b/src/direct/fresh.rs
@@ -74,6 +74,12 @@
         Some(pair.position)
     }
 
+    /// The newest position of a group that is known, and when its primary was asked.
+    pub fn newest(&self, group: &GroupId) -> Option<(Position, Time)> {
+        let pair = self.0.get(group)?.pairs.back()?;
+        Some((pair.position, pair.asked))
+    }
+
     /// The newest pair of each group, for another VM: one that can't reach a primary reads from
     /// replicas by what others were answered there.
     pub fn told(&self, now: Time) -> Vec<Progress> {
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -5,6 +5,7 @@
 use crate::direct::gate::{self, Urgency};
 use crate::direct::session::Shape;
 use crate::direct::statement::Query;
+use crate::direct::trace::Trace;
 use std::rc::Rc;
 
 /// The part of a route's timeout that a statement waits for a primary at most. A planned change
@@ -53,6 +54,8 @@
     pub since: Time,
     /// When it came.
     pub came: Time,
+    /// What it meets on its way.
+    pub trace: &'a Trace,
 }
 
 impl Job<'_> {
--- /dev/null
+++ b/src/direct/line.rs
@@ -0,0 +1,137 @@
+//! The log lines of requests and sessions: what they touched, and what this VM believed then.
+
+use crate::clock::Span;
+use crate::direct::config::Route;
+use crate::direct::front::Front;
+use crate::direct::lead::Epoch;
+use crate::direct::statement::{Answer, End};
+use crate::direct::trace::{Operation, Reason, Shown, Steps, clip};
+
+/// Served requests have an allowance of their own, so that they never take that of the others.
+const SERVED: &str = "lentilspoke::direct::served";
+
+/// A request that was answered.
+#[derive(Debug, Clone, Copy)]
+pub struct Ended<'a> {
+    /// The name that its caller gave for the database.
+    pub host: &'a str,
+    /// The route, if there is one.
+    pub route: Option<&'a Route>,
+    /// The operation that it is of.
+    pub operation: &'a Operation,
+    /// What it met.
+    pub steps: &'a Steps,
+    /// What its caller is told.
+    pub answer: &'a Answer,
+}
+
+/// What this VM believes of a group.
+#[derive(Debug, Default)]
+struct Belief {
+    version: Option<u64>,
+    primary: Option<String>,
+    epoch: Option<Epoch>,
+    lead_age: Option<u64>,
+    lease: Option<u64>,
+    position: Option<String>,
+    position_age: Option<u64>,
+}
+
+fn millis(span: Span) -> u64 {
+    span.0 / 1_000
+}
+
+fn belief(front: &Front, route: Option<&Route>) -> Belief {
+    let now = front.now();
+    let view = front.shared.look();
+    let version = view.config.as_ref().map(|config| config.version.0);
+    let Some(group) = route.map(|route| &route.group) else {
+        return Belief {
+            version,
+            ..Belief::default()
+        };
+    };
+    let lead = view.book.known(group);
+    let lease = view.book.lease(group, now);
+    let newest = view.fresh.newest(group);
+    Belief {
+        version,
+        primary: lead.map(|(lead, _)| lead.primary.to_string()),
+        epoch: lead.map(|(lead, _)| lead.epoch),
+        lead_age: lead.map(|(_, asked)| millis(now.since(asked))),
+        lease: lease.map(|lease| millis(lease.until.since(now))),
+        position: newest.map(|(position, _)| position.to_string()),
+        position_age: newest.map(|(_, asked)| millis(now.since(asked))),
+    }
+}
+
+/// Writes the line of a request that was answered.
+pub fn ended(front: &Front, reason: Reason, ended: &Ended<'_>) {
+    let Ended { answer, .. } = ended;
+    match (reason, &answer.end) {
+        (Reason::NotServed, End::Error { code, text }) => {
+            let own = ended.steps.ended != Some("answered");
+            let message = if own {
+                &**text
+            } else {
+                "the database refused it"
+            };
+            let outcome = format!("{code:?}");
+            write(front, module_path!(), ended, message, &outcome);
+        }
+        (Reason::Late, _) => write(front, SERVED, ended, "served late", "Done"),
+        _ => write(front, SERVED, ended, "served, an example", "Done"),
+    }
+}
+
+fn write(front: &Front, target: &str, ended: &Ended<'_>, message: &str, outcome: &str) {
+    let Ended {
+        operation, steps, ..
+    } = ended;
+    let belief = belief(front, ended.route);
+    log::info!(
+        target: target,
+        request:% = operation.request,
+        route:% = clip(ended.host),
+        group:% = Shown(ended.route.map(|route| &route.group)),
+        database:% = Shown(steps.database.as_ref()),
+        outcome,
+        primary:% = Shown(belief.primary.as_ref()),
+        epoch:% = Shown(steps.epoch.or(belief.epoch)),
+        lead_age_ms:% = Shown(belief.lead_age),
+        lease_ms:% = Shown(belief.lease),
+        position:% = Shown(belief.position.as_ref()),
+        position_age_ms:% = Shown(belief.position_age),
+        tries = steps.tries,
+        last:% = Shown(steps.ended),
+        queue_ms = millis(steps.queued),
+        no_primary_ms = millis(steps.without_primary),
+        took_ms = millis(front.now().since(operation.came)),
+        spent_ms = millis(operation.spent()),
+        version:% = Shown(belief.version);
+        "{message}"
+    );
+}
+
+/// Writes the line of a caller that named a database without a route. There is no request yet.
+pub fn no_route(front: &Front, host: &str) {
+    let version = front.config().map(|config| config.version.0);
+    log::info!(
+        route:% = clip(host), version:% = Shown(version), outcome = "NoDatabase";
+        "a session is refused: no route has that name"
+    );
+}
+
+/// Writes the line of a session that ends otherwise than by its caller's wish.
+pub fn session_ends(front: &Front, why: &str, host: &str, operation: &Operation) {
+    if operation.request.is_empty() {
+        return;
+    }
+    log::info!(
+        target: "lentilspoke::direct::session",
+        request:% = operation.request,
+        route:% = clip(host),
+        since_ms = millis(front.now().since(operation.came));
+        "{why}"
+    );
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -20,6 +20,7 @@
 pub mod gate;
 pub mod job;
 pub mod lead;
+pub mod line;
 pub mod mesh;
 pub mod meter;
 pub mod outcome;
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -177,11 +177,15 @@
         let group = &job.route.group;
         let Some((lease, target)) = self.targets.primary(group) else {
             self.meter().lease_lapsed(group);
-            let left = job.news_until().since(self.targets.now());
+            let came = self.targets.now();
+            let left = job.news_until().since(came);
             let news = self
                 .targets
                 .wait_for_news(group, None, left.min(LOOK_AGAIN));
-            if news.await || self.targets.now() < job.news_until() {
+            let came_news = news.await;
+            let now = self.targets.now();
+            job.trace.without_primary(now.since(came));
+            if came_news || now < job.news_until() {
                 return Then::Again;
             }
             let text = "no primary is known";
@@ -234,6 +238,7 @@
                 let group = &job.route.group;
                 let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
                 self.targets.wait_for_news(group, epoch, ASK_AGAIN).await;
+                job.trace.without_primary(self.targets.now().since(now));
                 Then::Again
             }
             Attempt::Lost(why) => {
@@ -255,7 +260,9 @@
         mut answer: Answer,
         held: Box<Held>,
     ) -> Ran {
-        self.count(job, &answer, held.epoch.is_none());
+        if !job.writes && matches!(answer.end, End::Done(_)) {
+            self.meter().read(held.epoch.is_none());
+        }
         if let (Some(_), Some(position)) = (held.epoch, answer.position) {
             session.primary_has(&job.route.group, position);
             let wrote = job.part == Part::Single && job.writes;
@@ -285,21 +292,6 @@
         &self.targets.shared.meter
     }
 
-    /// Counts what a database answered.
-    fn count(&self, job: &Job<'_>, answer: &Answer, by_replica: bool) {
-        let group = &job.route.group;
-        match answer.end {
-            End::Error { code, .. } => self.meter().refused(group, code),
-            End::Done(_) => {
-                let took = self.targets.now().since(job.came);
-                self.meter().served(job.route.kind, took);
-                if !job.writes {
-                    self.meter().read(by_replica);
-                }
-            }
-        }
-    }
-
     /// An answer that says that nothing was run, and when to come back.
     fn busy(&self, session: &mut Session, job: &Job<'_>, retry: Span, text: &str) -> Ran {
         let retry_ms = retry.0 / 1_000;
@@ -313,14 +305,6 @@
             true => Phase::Idle,
             false => Phase::Failed,
         };
-        self.meter().refused(&job.route.group, code);
-        log::info!(
-            request:% = job.query.id,
-            group:% = job.route.group,
-            outcome:? = code,
-            took_ms = self.targets.now().since(job.came).0 / 1_000;
-            "{text}"
-        );
         (session.answer(error(code, text)), None)
     }
 }
--- a/src/direct/transaction.rs
+++ b/src/direct/transaction.rs
@@ -10,6 +10,7 @@
 use crate::direct::session::Session;
 use crate::direct::statement::{Answer, Code, End, State};
 use crate::direct::targets::Targets;
+use crate::types::DatabaseId;
 use std::rc::Rc;
 
 /// Between two tries at a busy database: about a short statement's time.
@@ -43,6 +44,11 @@
         &self.route
     }
 
+    /// The database that it is open on.
+    pub fn database(&self) -> &DatabaseId {
+        &self.held.target.database.id
+    }
+
     /// Rolls it back.
     pub fn roll_back(self, targets: &Targets) {
         self.held.release(targets);
@@ -61,16 +67,21 @@
             Ok(answered) => answered,
             Err((code, text)) => return self.fail(targets, code, text),
         };
+        job.trace.ended("answered");
         let code = match &answer.end {
             End::Done(_) => None,
             End::Error { code, .. } => Some(*code),
         };
+        if let Some(code) = code.filter(|code| code.is_not_run()) {
+            attempt::note_refusal(targets, job, &self.held.target, code);
+        }
         if code.is_some_and(Code::is_not_run) {
             targets.refused(&self.held.target, answer.position, code == Some(Code::Busy));
             return self.refused(targets, job, answer);
         }
         targets.answered(&self.held.target, asked, &answer, job.urgency());
         if !self.holds(targets) {
+            job.trace.ended("lease");
             let (code, text) = outcome::lost(job, self.wrote, Why::Lapsed);
             return self.fail(targets, code, text);
         }
@@ -125,13 +136,20 @@
         job: &Job<'_>,
     ) -> Result<(Answer, Time), (Code, &'static str)> {
         let gate = self.held.target.pool.gate.clone();
+        job.trace
+            .tries(&self.held.target.database.id, self.held.epoch);
         loop {
-            let patience = job.queue_until().since(targets.now());
-            let Ok(_permit) = gate.enter(gate::OPEN, patience).await else {
+            let came = targets.now();
+            let patience = job.queue_until().since(came);
+            let entered = gate.enter(gate::OPEN, patience).await;
+            job.trace.queued(targets.now().since(came));
+            let Ok(_permit) = entered else {
+                job.trace.ended("queue");
                 return Err((Code::Busy, "the database is busy"));
             };
             self.prepare(targets, session, job).await?;
             if !self.holds(targets) {
+                job.trace.ended("lease");
                 return Err((Code::RolledBack, "the primary is being replaced"));
             }
             let asked = targets.now();
--- /dev/null
+++ b/tests/direct_lines.rs
@@ -0,0 +1,217 @@
+//! The log lines from which a caller's complaint is traced, for each way in which a request or a
+//! session ends otherwise than its caller meant it to.
+
+mod scripted;
+
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::direct::trace::{Fate, Operation, Reason, SAMPLE, Sampler};
+use lentilspoke::logs::body;
+use lentilspoke::logs::queue::Queue;
+use lentilspoke::standin::direct::host::play;
+use scripted::{Act, World};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Once;
+
+thread_local! {
+    static LINES: RefCell<String> = const { RefCell::new(String::new()) };
+    static QUEUE: RefCell<Option<Queue>> = const { RefCell::new(None) };
+}
+
+struct Capture;
+
+impl log::Log for Capture {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if record.target().starts_with("lentilspoke::direct") {
+            QUEUE.with_borrow(|queue| {
+                if let Some(queue) = queue {
+                    queue.push((body(record) + "\n").as_bytes());
+                }
+            });
+            LINES.with_borrow_mut(|lines| lines.push_str(&(body(record) + "\n")));
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Plays `scene`, and returns the lines that were written.
+fn lines(scene: impl Future<Output = ()> + 'static) -> String {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        log::set_logger(&Capture).unwrap();
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    play(scene).unwrap();
+    LINES.take()
+}
+
+/// A primary refuses each statement, and the caller is told busy: the line names the database, how
+/// often it was tried, and what was believed.
+#[test]
+fn a_refusal_under_load() {
+    let lines = lines(async {
+        let world = World::new();
+        world.script(|_, _, text| {
+            let busy = "error busy 4\nstate idle 1/10\n";
+            text.starts_with("write").then(|| Act::Say(30, busy.into()))
+        });
+        world.caller("newest").await.ask("write x 1").await;
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// The database fails a statement of an open transaction, and what comes after it is refused
+/// here: both have lines, and the first tells that it was the database.
+#[test]
+fn a_statement_refused_within_a_transaction() {
+    let lines = lines(async {
+        let world = World::new();
+        world.script(|_, _, text| {
+            let failed = "error failed disk full\nstate failed 1/10\n";
+            (text == "write y 1").then(|| Act::Say(1, failed.into()))
+        });
+        let mut caller = world.caller("newest").await;
+        caller
+            .play(&["begin", "write x 1", "write y 1", "read x", "commit"])
+            .await;
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// The connection breaks while a write runs, and another write is not answered at all: the lines
+/// tell which try was lost where, and what the callers were told.
+#[test]
+fn an_answer_that_is_lost() {
+    let lines = lines(async {
+        let world = World::new();
+        world.script(|_, _, text| match text {
+            "write x 1" => Some(Act::Break),
+            "write y 1" => Some(Act::Nothing),
+            _ => None,
+        });
+        let mut caller = world.caller("newest").await;
+        caller.play(&["write x 1", "write y 1"]).await;
+        insta::assert_snapshot!(world.seen());
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// A caller writes in a transaction, rests, and is rolled back: the line names its last request.
+/// Another leaves in the middle of one.
+#[test]
+fn a_transaction_that_is_broken_off() {
+    let lines = lines(async {
+        let world = World::new();
+        let mut rests = world.caller("newest").await;
+        rests.play(&["begin", "write x 1"]).await;
+        tokio::time::sleep(Span::from_secs(4).into()).await;
+        world.lead(1, "a", false);
+        let mut leaves = world.caller("newest").await;
+        leaves.play(&["begin", "write x 1"]).await;
+        drop(leaves);
+        tokio::time::sleep(Span::from_millis(10).into()).await;
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// No route has the name that a caller gives, or none has it any more.
+#[test]
+fn a_name_without_a_route() {
+    let lines = lines(async {
+        let world = World::new();
+        world.refused_caller("nowhere").await;
+        let mut caller = world.caller("newest").await;
+        world.shared.change(|view| {
+            let mut config = scripted::config();
+            config.version.0 = 2;
+            config.routes.remove("newest");
+            view.config = Some(Rc::new(config));
+        });
+        caller.ask("read x").await;
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// A planned stop closes a session that rests, which has asked something before; one that has not
+/// asked anything yet has no line.
+#[test]
+fn what_a_stop_closes() {
+    let lines = lines(async {
+        let world = World::new();
+        let (mut one, mut two) = (world.caller("newest").await, world.caller("newest").await);
+        one.ask("read x").await;
+        let front = Rc::clone(&world.front);
+        tokio::task::spawn_local(async move { front.stop(Span::from_secs(6)).await });
+        assert_eq!(one.line().await, "(closed)");
+        assert_eq!(two.line().await, "(closed)");
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// A statement takes longer than its route's objective, and is served: callers complain of that.
+#[test]
+fn a_late_answer() {
+    let lines = lines(async {
+        let world = World::new();
+        world.script(|_, _, text| {
+            text.starts_with("read")
+                .then(|| Act::Say(500, "done sig\nstate idle 1/10\n".into()))
+        });
+        world.caller("newest").await.ask("read x").await;
+    });
+    insta::assert_snapshot!(lines);
+}
+
+/// Nobody reads the lines: the pipe is full, and the thread that writes them blocks. Every request
+/// is refused and has a line; callers are answered at once all the same, and what finds no room is
+/// counted.
+#[test]
+fn callers_are_answered_while_nobody_reads_the_lines() {
+    const REQUESTS: usize = 2_000;
+    let (_reader, writer) = std::io::pipe().unwrap();
+    let queue = Queue::start(writer, 16 * 1024, |_| String::new()).unwrap();
+    QUEUE.set(Some(queue.clone()));
+    let lines = lines(async {
+        let world = World::new();
+        let mut caller = world.caller("newest").await;
+        let before = world.now();
+        for _ in 0..REQUESTS {
+            assert!(caller.ask("exec missing x").await.starts_with("error"));
+        }
+        assert_eq!(world.now(), before, "an answer waited for something");
+    });
+    QUEUE.set(None);
+    assert_eq!(lines.lines().count(), REQUESTS);
+    assert!(queue.dropped() > 0);
+}
+
+/// Of what is served in time one in some has a line; a transaction that is late has one, at the
+/// statement with which it becomes late, and its pauses don't count.
+#[test]
+fn which_requests_have_a_line() {
+    let sampler = Sampler::default();
+    let mut operation = Operation::default();
+    let fate = Fate::Served {
+        objective: Span::from_millis(300),
+    };
+    let mut play = |at: u64, took: u64, first, fate| {
+        let came = Time(at * 1_000);
+        operation.begin("q", came, first);
+        operation.end(came + Span::from_millis(took), fate, &sampler)
+    };
+    assert_eq!(play(0, 200, true, fate), None);
+    assert_eq!(play(5_000, 90, false, fate), None);
+    assert_eq!(play(6_000, 11, false, fate), Some(Reason::Late));
+    assert_eq!(play(7_000, 10, false, fate), None);
+    assert_eq!(
+        play(8_000, 1, false, Fate::NotServed),
+        Some(Reason::NotServed)
+    );
+    let picked = (0..2 * SAMPLE).filter(|_| play(9_000, 1, true, fate) == Some(Reason::Sample));
+    assert_eq!(picked.count(), 2);
+}
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -156,15 +156,27 @@
         std::mem::take(&mut *self.seen.borrow_mut())
     }
 
+    /// A caller whose session is refused.
+    #[allow(dead_code)]
+    pub async fn refused_caller(&self, route: &str) {
+        let mut caller = self.connect(route).await;
+        assert!(caller.answer().await.starts_with("error no-database"));
+    }
+
     /// A caller of a route whose session has begun.
     pub async fn caller(&self, route: &str) -> Caller {
+        let mut caller = self.connect(route).await;
+        assert_eq!(caller.line().await, "state idle -");
+        caller
+    }
+
+    async fn connect(&self, route: &str) -> Caller {
         let (ours, theirs) = duplex(64 * 1024);
         tokio::task::spawn_local(self.front.clone().serve_stream(Box::new(theirs)));
         let mut caller = Caller { stream: ours };
         let mut output = BytesMut::new();
         wire::write_caller_start(&mut output, route, "someone");
         caller.stream.write_all(&output).await.unwrap();
-        assert_eq!(caller.line().await, "state idle -");
         caller
     }
 }
