Compare the metrics of direct access with their page

Cause: no check held docs/OPERATIONS.md to what direct access counts. Change: tests/pages.rs compares the names in its table with those that the scraper gets.

--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -1,8 +1,13 @@
-//! The operators' page against the code: its examples are read by the real checkers, and its
+//! The operators' pages against the code: their examples are read by the real checkers, and their
 //! tables name each setting, metric and SQLSTATE that there is, and no other.
 
+use lentilspoke::clock::Span;
 use lentilspoke::config::{File, Timing};
 use lentilspoke::core::counters::Counters;
+use lentilspoke::direct::config::Kind;
+use lentilspoke::direct::meter::{LeadLevel, Levels, Meter};
+use lentilspoke::direct::statement::Code;
+use lentilspoke::direct::table::{Ask, Fault};
 use lentilspoke::net::dialect::REQUESTS_DDL;
 use lentilspoke::net::metrics::{self, Gauges};
 use lentilspoke::settings::{Limits, Settings};
@@ -11,6 +16,7 @@
 use std::collections::BTreeSet;
 
 const PAGE: &str = include_str!("../docs/OPERATING.md");
+const OPERATIONS: &str = include_str!("../docs/OPERATIONS.md");
 const CODES: [&str; 3] = [
     include_str!("../src/net/pg/fault.rs"),
     include_str!("../src/sql.rs"),
@@ -95,6 +101,47 @@
     assert_eq!(rows("Metrics"), names.collect());
 }
 
+/// The same for direct access, on its own page; names stand there with their labels.
+#[test]
+fn metrics_of_direct_access_are_complete() {
+    let (group, database) = ("ledger".parse().unwrap(), "a".parse().unwrap());
+    let meter = Meter::new();
+    meter.refused(&group, Code::Busy);
+    meter.served(Kind::Primary, Span::ZERO);
+    meter.read(true);
+    meter.queue_wait(Span::ZERO);
+    meter.connection_opened(&database);
+    meter.connection_failed(&database);
+    meter.answered(&database, Span::ZERO);
+    meter.database_refused(&database, Code::Busy);
+    meter.store_call(
+        &Ask::Read("lead".into()),
+        &Err(Fault::Refused("down".into())),
+    );
+    meter.lease_lapsed(&group);
+    meter.promoted(&group, Span::ZERO);
+    let lead = LeadLevel {
+        group,
+        epoch: 1,
+        age: Span::ZERO,
+        lease: Span::ZERO,
+    };
+    let text = meter.text(&Levels {
+        leads: vec![lead],
+        ..Levels::default()
+    });
+    let kinds = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names = kinds.map(|kind| match kind.split_once(' ').unwrap() {
+        (name, "counter") => format!("{name}_total"),
+        (name, _) => name.to_owned(),
+    });
+    let (_, table) = OPERATIONS.split_once("\n## Metrics\n").unwrap();
+    let cells = table.lines().filter_map(|line| line.strip_prefix("| `"));
+    let cells = cells.flat_map(|line| line.split(" | ").next().unwrap().split("`, `"));
+    let named = cells.map(|cell| cell.split(['{', '`']).next().unwrap().to_owned());
+    assert_eq!(named.collect::<BTreeSet<_>>(), names.collect());
+}
+
 #[test]
 fn sqlstates_are_complete() {
     let quoted = CODES.iter().flat_map(|code| code.split('"'));
