--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -10,6 +10,7 @@
 use crate::direct::session::Session;
 use crate::direct::statement::{Answer, Code, End, Order};
 use crate::direct::targets::{Target, Targets};
+use crate::direct::trace::Shown;
 use crate::direct::view::Shared;
 use crate::types::{GroupId, Position};
 use std::pin::pin;
@@ -218,6 +219,11 @@
         return result;
     }
     targets.failed(&target.database);
+    log::info!(
+        request:% = job.query.id, group:% = target.database.group, database:% = target.database.id,
+        epoch:% = Shown(job.trace.epoch()), took_ms = SILENT.0 / 1_000;
+        "no answer yet"
+    );
     let left = job.deadline().since(targets.now());
     let result = tokio::time::timeout(left.into(), run).await;
     result.unwrap_or(Err(Lost::Silent))
--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -267,7 +267,7 @@
             return;
         };
         log::info!(
-            request:% = self.operation.request,
+            request:% = self.operation.request, operation:% = self.operation.id,
             group:% = transaction.route().group, database:% = transaction.database(),
             since_ms = self.front.now().since(self.operation.came).0 / 1_000;
             "a transaction is rolled back: {reason}"
--- a/src/direct/line.rs
+++ b/src/direct/line.rs
@@ -92,6 +92,7 @@
     log::info!(
         target: target,
         request:% = operation.request,
+        operation:% = operation.id,
         route:% = clip(ended.host),
         group:% = Shown(ended.route.map(|route| &route.group)),
         database:% = Shown(steps.database.as_ref()),
@@ -130,6 +131,7 @@
     log::info!(
         target: "lentilspoke::direct::session",
         request:% = operation.request,
+        operation:% = operation.id,
         route:% = clip(host),
         since_ms = millis(front.now().since(operation.came));
         "{why}"
--- a/src/direct/trace.rs
+++ b/src/direct/trace.rs
@@ -91,6 +91,11 @@
         self.0.borrow_mut().ended = Some(how);
     }
 
+    /// The epoch under which it was tried last.
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.0.borrow().epoch
+    }
+
     /// All of them.
     pub fn into_steps(self) -> Steps {
         self.0.into_inner()
@@ -100,6 +105,8 @@
 /// The operation that a session is in: one statement, or a transaction.
 #[derive(Debug, Default)]
 pub struct Operation {
+    /// The id of its first request, by which some callers know all of it.
+    pub id: Box<str>,
     /// The id of its newest request.
     pub request: Box<str>,
     /// When that came.
@@ -113,6 +120,7 @@
     pub fn begin(&mut self, request: &str, now: Time, first: bool) {
         (self.request, self.came) = (clip(request).into(), now);
         if first {
+            self.id = self.request.clone();
             (self.spent, self.late) = (Span::ZERO, false);
         }
     }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -26,6 +26,9 @@
 /// The key under which a line names its request.
 const REQUEST: &str = "request";
 
+/// The key under which it names the first request of its operation.
+const OPERATION: &str = "operation";
+
 /// A request's story, or that of a moment on a VM.
 #[derive(Debug)]
 pub struct Story<'a> {
@@ -136,8 +139,9 @@
     told
 }
 
+/// Whether a line is of request `id`, or of the transaction that began with it.
 fn is_of(line: &Line, id: &str) -> bool {
-    line.value(REQUEST) == Some(id)
+    line.value(REQUEST) == Some(id) || line.value(OPERATION) == Some(id)
 }
 
 fn values<'a>(lines: &[&'a Line], keys: &[&str]) -> BTreeSet<&'a str> {
--- a/tests/direct_lines.rs
+++ b/tests/direct_lines.rs
@@ -190,6 +190,17 @@
     assert!(queue.dropped() > 0);
 }
 
+/// A caller knows its transaction by the id of the first statement; a later one is refused.
+#[test]
+fn a_transaction_is_found_by_its_first_request() {
+    let mut operation = Operation::default();
+    operation.begin("one", Time(1), true);
+    operation.begin("two", Time(2), false);
+    assert_eq!((&*operation.id, &*operation.request), ("one", "two"));
+    operation.begin("three", Time(3), true);
+    assert_eq!((&*operation.id, &*operation.request), ("three", "three"));
+}
+
 /// Of what is served in time one in some has a line; a transaction that is late has one, at the
 /// statement with which it becomes late, and its pauses don't count.
 #[test]
--- a/tests/explain_cause.rs
+++ b/tests/explain_cause.rs
@@ -74,8 +74,13 @@
         "the primary was replaced meanwhile",
         "outcome=Unknown last=lease",
     );
+    let of_transaction = ended("the answer was lost", "outcome=Unknown last=lost").replace(
+        &format!("request={ID}"),
+        &format!("request=9 operation={ID}"),
+    );
     let causes = [
         ended("the answer was lost", "outcome=Unknown last=lost"),
+        of_transaction,
         lapsed.clone(),
         REPLACED.to_owned() + &lapsed,
         ended("the route's timeout is over", "outcome=Late last=lost"),
