Say so when a caller left before its answer

The answer went into a closed connection, and no line named the request. Change: an end that follows an answer sooner than the way to any caller and back says that the answer was not taken. No poll or call is added to a statement.

Shown by tests/direct_lines.rs an_answer_that_nobody_takes.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -41,6 +41,10 @@
 /// How long an answer may take to be read by its caller before the session is given up.
 const SLOW_CALLER: Span = Span::from_secs(15);
 
+/// An end that follows an answer this closely was sent before the answer could be read: a caller
+/// is further away than that, there and back.
+const UNREAD: Span = Span::from_millis(2);
+
 /// Why a session ends.
 #[derive(Debug)]
 enum Gone {
@@ -208,6 +212,7 @@
         tokio::select! {
             biased;
             read = self.stream.read_buf(&mut self.input) => match read? {
+                0 if self.front.now() < self.told + UNREAD => Err(Gone::Unread),
                 0 => Err(Gone::Left),
                 _ => Ok(()),
             },
--- a/tests/direct_lines.rs
+++ b/tests/direct_lines.rs
@@ -113,12 +113,32 @@
         world.lead(1, "a", false);
         let mut leaves = world.caller("newest").await;
         leaves.play(&["begin", "write x 1"]).await;
+        tokio::time::sleep(Span::from_millis(10).into()).await;
         drop(leaves);
         tokio::time::sleep(Span::from_millis(10).into()).await;
     });
     insta::assert_snapshot!(lines);
 }
 
+/// A caller gives up and leaves while its statement runs. The answer goes nowhere, and the line says
+/// so, although nothing was refused. One that leaves later has taken its answer.
+#[test]
+fn an_answer_that_nobody_takes() {
+    let lines = lines(async {
+        let world = World::new();
+        world.script(|_, _, text| {
+            (text == "read slow").then(|| Act::Say(100, "done sig\nstate idle 1/10\n".into()))
+        });
+        let (mut one, mut two) = (world.caller("newest").await, world.caller("newest").await);
+        one.send("read slow").await;
+        two.ask("read x").await;
+        tokio::time::sleep(Span::from_millis(50).into()).await;
+        drop((one, two));
+        tokio::time::sleep(Span::from_millis(100).into()).await;
+    });
+    insta::assert_snapshot!(lines);
+}
+
 /// No route has the name that a caller gives, or none has it any more.
 #[test]
 fn a_name_without_a_route() {
