Write lines in whole pieces, and name a transaction by its first statement

Change: a write has whole lines and 4 KiB at most, which a pipe takes at once; the operation's id is that of its first statement after BEGIN.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -283,7 +283,7 @@
 
     async fn answer(&mut self, query: &Query) -> Answer {
         let now = self.front.now();
-        let begins = self.session.phase == Phase::Idle;
+        let begins = matches!(self.session.phase, Phase::Idle | Phase::Begun(_));
         self.operation.begin(&query.id, now, begins);
         let Some(route) = self.route() else {
             let end = error(Code::NoDatabase, "no route has that name any more");
--- a/src/direct/trace.rs
+++ b/src/direct/trace.rs
@@ -105,7 +105,8 @@
 /// The operation that a session is in: one statement, or a transaction.
 #[derive(Debug, Default)]
 pub struct Operation {
-    /// The id of its first request, by which some callers know all of it.
+    /// The id of its first request that was more than the beginning of a transaction: some callers
+    /// know all of it by that.
     pub id: Box<str>,
     /// The id of its newest request.
     pub request: Box<str>,
@@ -116,7 +117,7 @@
 }
 
 impl Operation {
-    /// A request comes at `now`; `first` tells whether it begins an operation.
+    /// A request comes at `now`; `first` tells whether nothing of an operation ran before it.
     pub fn begin(&mut self, request: &str, now: Time, first: bool) {
         (self.request, self.came) = (clip(request).into(), now);
         if first {
--- a/src/logs/queue.rs
+++ b/src/logs/queue.rs
@@ -13,6 +13,10 @@
 /// most. A line that comes alone is written at once.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes of one write at most, unless one line is longer: as many as a pipe takes whole or not at
+/// all. A reader that takes 8 KiB of a longer write and leaves the rest cuts lines in two.
+const PIECE: usize = 4096;
+
 #[derive(Debug, Default)]
 struct State {
     waiting: Vec<u8>,
@@ -117,8 +121,10 @@
             if dropped > 0 {
                 lines.extend_from_slice(say(dropped).as_bytes());
             }
-            // Nobody can be told that the output is gone; lines go nowhere from then on.
-            let _ = out.write_all(&lines);
+            for piece in pieces(&lines) {
+                // Nobody can be told that the output is gone; lines go nowhere from then on.
+                let _ = out.write_all(piece);
+            }
             lines.clear();
             self.lock().writing = false;
             self.changed.notify_all();
@@ -138,3 +144,19 @@
         std::mem::take(&mut state.unsaid)
     }
 }
+
+/// Whole lines, as many at a time as [`PIECE`] allows.
+fn pieces(mut lines: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        if lines.is_empty() {
+            return None;
+        }
+        let is_end = |byte: &u8| *byte == b'\n';
+        let room = &lines[..lines.len().min(PIECE)];
+        let end = room.iter().rposition(is_end);
+        let end = end.or_else(|| lines.iter().position(is_end));
+        let (piece, rest) = lines.split_at(end.map_or(lines.len(), |end| end + 1));
+        lines = rest;
+        Some(piece)
+    })
+}
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -5,6 +5,7 @@
 use lentilspoke::logs::queue::Queue;
 use lentilspoke::logs::{body, line};
 use std::io::Read;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const LINES: usize = 20_000;
@@ -46,6 +47,35 @@
     assert_eq!(written as u64 + said, LINES as u64);
 }
 
+/// Some readers take 8 KiB of a write and leave the rest. Each write holds whole lines, and no more
+/// than a pipe takes at once, but for a line that is longer.
+#[test]
+fn writes_are_whole_lines() {
+    #[derive(Clone, Default)]
+    struct Calls(Arc<Mutex<Vec<Vec<u8>>>>);
+    impl std::io::Write for Calls {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            self.0.lock().unwrap().push(bytes.to_vec());
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let calls = Calls::default();
+    let queue = Queue::start(calls.clone(), 64 * 1024, told).unwrap();
+    let line = "x".repeat(299) + "\n";
+    let long = "y".repeat(5_000) + "\n";
+    let lines = line.repeat(40) + &long + &line.repeat(20);
+    queue.push(lines.as_bytes());
+    queue.drain(PATIENCE);
+    let calls = calls.0.lock().unwrap();
+    assert_eq!(calls.concat(), lines.as_bytes());
+    assert!(calls.iter().all(|call| call.ends_with(b"\n")));
+    let too_long = calls.iter().filter(|call| call.len() > 4096);
+    assert_eq!(too_long.collect::<Vec<_>>(), [long.as_bytes()]);
+}
+
 /// Whoever reads the logs has gone for good. Lines go nowhere, and nothing waits for them.
 #[test]
 fn a_reader_that_went_away_stops_nothing() {
