--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -25,10 +25,13 @@
     match line.value("outcome") {
         Some("Busy") => busy(case, line),
         Some("Unknown") => unknown(case, line),
-        Some("Late") => format!(
-            "its outcome is unknown because {} did not answer before the route's timeout",
-            database(line)
-        ),
+        Some("Late") => {
+            let told = format!(
+                "its outcome is unknown because {} did not answer before the route's timeout",
+                database(line)
+            );
+            beside(case, line, told)
+        }
         Some("RolledBack") => rolled_back(case, line),
         Some("NoDatabase") => no_route(case, line),
         Some("Failed") => format!("{} ran it and told an error", database(line)),
@@ -56,25 +59,34 @@
     format!("{:.3}", at_ms as f64 / 1_000.0)
 }
 
+/// What was told, and the replacement of the primary near it, which may lie behind it.
+fn beside(case: &Case<'_>, line: &Line, told: String) -> String {
+    match replacement(case, line) {
+        Some(reason) => format!("{told}; {reason}"),
+        None => told,
+    }
+}
+
 fn busy(case: &Case<'_>, line: &Line) -> String {
     let name = database(line);
-    match line.value("last") {
-        Some("queue") => {
-            return format!(
-                "it was refused because this VM had as much under way at {name} as it may, for {} ms",
-                number(line, "queue_ms")
-            );
-        }
-        Some("full") => {
-            return format!("it was refused because {name} was full: it had no connection left");
+    let full = match line.value("last") {
+        Some("queue") => Some(format!(
+            "it was refused because this VM had as much under way at {name} as it may, for {} ms",
+            number(line, "queue_ms")
+        )),
+        Some("full") => Some(format!(
+            "it was refused because {name} was full: it had no connection left"
+        )),
+        Some("busy") => Some(format!(
+            "it was refused because {name} was full: it had too much to do"
+        )),
+        _ if line.message.starts_with("the primary is busy") => {
+            Some(format!("it was refused because {name} was full"))
         }
-        Some("busy") => {
-            return format!("it was refused because {name} was full: it had too much to do");
-        }
-        _ => {}
-    }
-    if line.message.starts_with("the primary is busy") {
-        return format!("it was refused because {name} was full");
+        _ => None,
+    };
+    if let Some(full) = full {
+        return beside(case, line, full);
     }
     let without = "it was refused because no primary could be used";
     match without_primary(case, line) {
@@ -143,7 +155,8 @@
 fn unknown(case: &Case<'_>, line: &Line) -> String {
     let name = database(line);
     if line.message.starts_with("the answer was lost") {
-        return format!("its outcome is unknown because the answer of {name} was lost");
+        let lost = format!("its outcome is unknown because the answer of {name} was lost");
+        return beside(case, line, lost);
     }
     let ended = format!(
         "its outcome is unknown because this VM's lease on {name} ended before the answer was read"
--- a/tests/explain_cause.rs
+++ b/tests/explain_cause.rs
@@ -28,16 +28,19 @@
 20.900 front-b-1 9800 WARN direct::control::change the primary is replaced group=gocu21a primary=i-2 cause=Lost took_ms=1800
 ";
 
-/// A copy that is full, busy, or to which this VM has enough under way.
+/// A copy that is full, busy, or to which this VM has enough under way, once because it was lost.
 #[test]
 fn refused_because_full() {
     let busy = "the primary is busy; retry_ms=30";
-    let causes = ["full", "busy", "queue"].map(|last| {
-        cause(&ended(
+    let full = |last| {
+        ended(
             busy,
             &format!("outcome=Busy tries=4 last={last} queue_ms=75"),
-        ))
-    });
+        )
+    };
+    let [full, busy, queue] = ["full", "busy", "queue"].map(full);
+    let lost = REPLACED.to_owned() + &queue;
+    let causes = [full, busy, queue, lost].map(|text| cause(&text));
     insta::assert_snapshot!(causes.join("\n"));
 }
 
