--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -6,6 +6,7 @@
 use crate::direct::gate::{self, Urgency};
 use crate::direct::session::{Shape, Values};
 use crate::direct::statement::Query;
+use crate::direct::trace::Trace;
 use std::rc::Rc;
 
 /// The part of a route's timeout that a statement waits for a primary at most. A planned change
@@ -54,6 +55,8 @@
     pub since: Time,
     /// When it came.
     pub came: Time,
+    /// What it meets on its way.
+    pub trace: &'a Trace,
 }
 
 impl Job<'_> {
@@ -68,6 +71,7 @@
             urgency: self.urgency(),
             queue_until: self.queue_until(),
             deadline: self.deadline(),
+            trace: self.trace,
         }
     }
 
--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -10,6 +10,7 @@
 use crate::direct::session::Shape;
 use crate::direct::statement::{Answer, Code, Message, Order, Query, State};
 use crate::direct::targets::{Target, Targets};
+use crate::direct::trace::Trace;
 use crate::types::Position;
 use bytes::BytesMut;
 use std::cell::Cell;
@@ -271,10 +272,11 @@
             read: opening.read,
             after: start.after,
         });
+        let trace = Trace::default();
         let statement = Statement {
             begin: begin.as_ref(),
             after: start.after,
-            ..self.statement(&start.ask, &query, shape.as_ref())
+            ..self.statement(&start.ask, &query, shape.as_ref(), &trace)
         };
         let busy = self.relay.begin();
         let ran = exchange::start(&targets, &target, &statement, || Some(busy), || true).await;
@@ -305,7 +307,9 @@
             return Told::only(Reply::NotRun(Code::Malformed));
         };
         let targets = self.relay.targets.clone();
-        let statement = self.statement(&ask, &query, shape.as_ref());
+        // The VM that asks writes the request's line.
+        let trace = Trace::default();
+        let statement = self.statement(&ask, &query, shape.as_ref(), &trace);
         let (target, connection) = (open.target.clone(), open.lent.connection());
         let ran = exchange::next(&targets, &target, connection, &statement, || true).await;
         let reply = match ran {
@@ -366,6 +370,7 @@
         ask: &'a Ask,
         query: &'a Query,
         shape: Option<&'a Rc<Shape>>,
+        trace: &'a Trace,
     ) -> Statement<'a> {
         let now = self.relay.now();
         Statement {
@@ -377,6 +382,7 @@
             urgency: ask.urgency,
             queue_until: now + ask.patience,
             deadline: now + ask.within,
+            trace,
         }
     }
 
