Keep one log for the fakes' databases and the core's tests

Cause: `standin::fake::base` and tests/support/database.rs each played terms, opening, lineage, positions and rows by code of their own, and each had the same configuration beside it. Change: `fake::log::Log` plays them for both; what differs (connections, faults, when a row is applied) stays with each. A test that looked at a database's fields looks at its log's; no assertion is changed otherwise.

--- a/src/schedule/check.rs
+++ b/src/schedule/check.rs
@@ -30,7 +30,7 @@
 impl<'a> History<'a> {
     fn new(system: &'a System) -> Self {
         let mut left = BTreeMap::new();
-        let log = system.primary().map(|base| &base.log);
+        let log = system.primary().map(|base| &base.log.rows);
         for row in log.into_iter().flatten() {
             *left.entry((&*row.key, &*row.value)).or_insert(0) += 1;
         }
--- a/src/standin/fake/base.rs
+++ b/src/standin/fake/base.rs
@@ -1,11 +1,10 @@
-//! A database that keeps a log of rows, and its faults.
+//! A database with its connections, and its faults.
 
+use super::log::{Log, Row};
 use crate::clock::{Span, Time};
-use crate::core::database::{Event, Order, Refusal, Reply, Run, State};
-use crate::core::lineage::Lineage;
+use crate::core::database::{Event, Order, Refusal, Reply, Run};
 use crate::core::request::Status;
-use crate::core::term::may_raise;
-use crate::types::{ConnId, DatabaseId, Life, Offset, Position, RequestId, RequestKey, Term, VmId};
+use crate::types::{ConnId, DatabaseId, Life, Position, RequestId, VmId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// How long an order to reach a position is kept waiting.
@@ -14,19 +13,6 @@
 /// A connection, as the database knows it.
 pub(super) type Owner = (VmId, Life, ConnId);
 
-/// An entry of the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Row {
-    /// The term that wrote it.
-    pub term: Term,
-    /// What it is about.
-    pub key: Box<str>,
-    /// What was written.
-    pub value: Box<str>,
-    /// The key of the request.
-    pub request: Option<RequestKey>,
-}
-
 /// One database.
 #[derive(Debug)]
 pub struct Base {
@@ -44,14 +30,10 @@
     pub limit: usize,
     /// The next answers that are lost after their effect.
     pub lose_answers: u32,
-    pub(super) term: Term,
-    pub(super) open: bool,
-    /// The log.
-    pub log: Vec<Row>,
+    /// What it has written and received.
+    pub log: Log,
     /// Every row that it ever wrote itself.
     pub(super) ran: Vec<Row>,
-    lineage: Lineage,
-    applied: usize,
     replay: VecDeque<(Time, usize)>,
     /// The open connections, each with the rows of its transaction.
     pub(super) connections: BTreeMap<Owner, Option<Vec<Row>>>,
@@ -65,9 +47,7 @@
 #[derive(Debug)]
 pub(super) struct Offer {
     pub from: DatabaseId,
-    term: Term,
-    log: Vec<Row>,
-    lineage: Lineage,
+    log: Log,
 }
 
 /// An order to reach a position that is not reached yet.
@@ -90,12 +70,8 @@
             lag: Span::from_millis(20),
             limit: 25,
             lose_answers: 0,
-            term: crate::config::FIRST_TERM,
-            open: false,
-            log: Vec::new(),
+            log: Log::default(),
             ran: Vec::new(),
-            lineage: Lineage::default(),
-            applied: 0,
             replay: VecDeque::new(),
             connections: BTreeMap::new(),
             silent: Vec::new(),
@@ -109,22 +85,6 @@
         self.silent.extend(self.connections.keys().cloned());
     }
 
-    fn position(&self, length: usize) -> Position {
-        let last = length.checked_sub(1).and_then(|last| self.log.get(last));
-        let term = last.map_or(Term(0), |row| row.term);
-        Position::new(term, Offset(length as u64))
-    }
-
-    fn state(&self) -> State {
-        State {
-            term: self.term,
-            position: self.position(self.log.len()),
-            applied: self.position(self.applied),
-            open: self.open,
-            lineage: self.lineage.clone(),
-        }
-    }
-
     /// Carries out an order; `None` if its answer comes later.
     pub(super) fn order(
         &mut self,
@@ -133,40 +93,21 @@
         id: RequestId,
         order: Order,
     ) -> Option<Event> {
-        let refusal = Err(Refusal::Term(self.term));
-        let result = match order {
-            Order::Report => Ok(self.state()),
-            Order::Raise(term) if may_raise(self.term, term) => {
-                self.term = term;
-                self.open = false;
-                Ok(self.state())
-            }
-            Order::Open(term) if term == self.term => {
-                if !self.open {
-                    self.lineage.open(term, self.position(self.log.len()));
-                    self.applied = self.log.len();
-                    self.replay.clear();
-                    self.open = true;
-                }
-                Ok(self.state())
-            }
-            Order::Raise(_) | Order::Open(_) => refusal,
-            Order::Reach(position) => {
-                let end = self.position(self.log.len());
-                if !self.lineage.holds(end, position) {
-                    self.waits.push(Wait {
-                        vm: owner.0.clone(),
-                        life: owner.1,
-                        id,
-                        position,
-                        until: now + REACH,
-                    });
-                    return None;
-                }
-                Ok(self.state())
-            }
-        };
-        let result = Some(result);
+        let was_open = self.log.open;
+        let result = self.log.order(order);
+        if self.log.open && !was_open {
+            self.replay.clear();
+        }
+        if let (None, Order::Reach(position)) = (&result, order) {
+            self.waits.push(Wait {
+                vm: owner.0.clone(),
+                life: owner.1,
+                id,
+                position,
+                until: now + REACH,
+            });
+        }
+        let result = Some(result?);
         Some(Event::Controlled { id, result })
     }
 
@@ -180,12 +121,12 @@
             refusal,
         };
         let open = self.connections.get(owner)?.clone();
-        if run.term.is_some_and(|term| term != self.term) {
-            return Some(refused(Refusal::Term(self.term)));
+        if run.term.is_some_and(|term| term != self.log.term) {
+            return Some(refused(Refusal::Term(self.log.term)));
         }
         let text = String::from_utf8_lossy(&run.body).into_owned();
         let (verb, rest) = text.split_once(' ').unwrap_or((&text, ""));
-        if verb == "write" && !self.open {
+        if verb == "write" && !self.log.open {
             return Some(refused(Refusal::ReadOnly));
         }
         let mut wrote = None;
@@ -196,7 +137,7 @@
             ("write", open) => {
                 let (key, value) = rest.split_once('=').unwrap_or((rest, ""));
                 let row = Row {
-                    term: self.term,
+                    term: self.log.term,
                     key: key.into(),
                     value: value.into(),
                     request: run.key,
@@ -213,10 +154,10 @@
             ("read", _) => body = self.read(rest),
             ("commit", Some(rows)) => {
                 for mut row in rows {
-                    if !self.open {
+                    if !self.log.open {
                         return Some(refused(Refusal::ReadOnly));
                     }
-                    row.term = self.term;
+                    row.term = self.log.term;
                     wrote = Some(self.append(row));
                 }
                 now_open = None;
@@ -237,53 +178,45 @@
             request,
             body: body.into(),
             status,
-            applied: self.position(self.applied),
+            applied: self.log.reached(),
             wrote,
         };
         Some(Event::Answered { conn, reply })
     }
 
     fn read(&self, key: &str) -> String {
-        let applied = &self.log[..self.applied];
-        let rows = applied.iter().filter(|row| &*row.key == key);
+        let rows = self.log.seen().iter().filter(|row| &*row.key == key);
         let values: Vec<&str> = rows.map(|row| &*row.value).collect();
         format!("{key}: {}", values.join(","))
     }
 
     /// Appends a row, unless its request key is there already.
     fn append(&mut self, row: Row) -> Position {
-        let known = row.request.is_some() && self.log.iter().any(|r| r.request == row.request);
-        if !known {
+        if self.log.find(row.request.as_ref()).is_none() {
             self.ran.push(row.clone());
             self.log.push(row);
-            self.applied = self.log.len();
         }
-        self.position(self.log.len())
+        self.log.end()
     }
 
     /// Takes over the log of a primary of this database's term.
     pub(super) fn follow(&mut self, now: Time, offer: &Offer) {
-        let Offer { log, lineage, .. } = offer;
-        let same = self.log == *log && self.lineage == *lineage;
-        if offer.term != self.term || self.open || same {
+        let (mine, theirs) = (&self.log, &offer.log);
+        let same = mine.rows == theirs.rows && mine.lineage == theirs.lineage;
+        if theirs.term != mine.term || mine.open || same {
             return;
         }
-        let pairs = self.log.iter().zip(log);
-        let same = pairs.take_while(|(a, b)| a == b).count();
-        self.applied = self.applied.min(same);
+        let same = self.log.replace(theirs);
         self.replay.retain(|(_, length)| *length <= same);
-        self.log = log.clone();
-        self.lineage = lineage.clone();
-        self.replay.push_back((now + self.lag, log.len()));
+        let length = self.log.rows.len();
+        self.replay.push_back((now + self.lag, length));
     }
 
     pub(super) fn offer(&self) -> Option<Offer> {
-        let offers = self.open && self.up && !self.frozen;
+        let offers = self.log.open && self.up && !self.frozen;
         offers.then(|| Offer {
             from: self.id.clone(),
-            term: self.term,
             log: self.log.clone(),
-            lineage: self.lineage.clone(),
         })
     }
 
@@ -293,11 +226,10 @@
             && due <= now
         {
             self.replay.pop_front();
-            self.applied = self.applied.max(length.min(self.log.len()));
+            self.log.apply(length);
         }
-        let end = self.position(self.log.len());
-        let (state, lineage) = (self.state(), self.lineage.clone());
-        let over = |wait: &mut Wait| wait.until <= now || lineage.holds(end, wait.position);
+        let (state, log) = (self.log.state(), &self.log);
+        let over = |wait: &mut Wait| wait.until <= now || log.holds(wait.position);
         let ended = self.waits.extract_if(.., over);
         let event = |wait: Wait| {
             let id = wait.id;
--- a/src/standin/fake/mod.rs
+++ b/src/standin/fake/mod.rs
@@ -7,6 +7,7 @@
 mod base;
 mod caller;
 mod link;
+pub mod log;
 mod platform;
 pub mod script;
 mod wire;
@@ -18,9 +19,10 @@
 use crate::core::message::Message;
 use crate::core::node::{Identity, Input, Node, Output};
 use crate::types::{ConnId, DatabaseId, Domain, Life, Version, VmId};
-pub use base::{Base, Row};
+pub use base::Base;
 pub use caller::{Answer, Ask, Ticket};
 use link::Stream;
+use log::Row;
 pub use platform::Applied;
 use platform::Store;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -101,11 +103,17 @@
     text.parse().ok()
 }
 
+/// A group `ledger` of `a`, `b` and `c` in domains `x`, `y`, `z`; pools `safe` (majority) and
+/// `fast` (primary). `None` if the built-in configuration does not parse.
+pub fn document() -> Option<Document> {
+    serde_json::from_str(DOCUMENT).ok()
+}
+
 impl System {
     /// `vms` proxies named `vm1` on, one a failure domain in turn, and databases `a`, `b`, `c`
     /// of group `ledger`. `None` if the built-in configuration does not parse.
     pub fn new(vms: usize) -> Option<Self> {
-        let document: Document = serde_json::from_str(DOCUMENT).ok()?;
+        let document = document()?;
         let ids = document.groups.values().flat_map(|g| g.databases.keys());
         let bases = ids.map(|id| (id.clone(), Base::new(id.clone()))).collect();
         let now = Time(1_000_000);
@@ -157,8 +165,8 @@
 
     /// The database that is open in the highest term.
     pub fn primary(&self) -> Option<&Base> {
-        let open = self.bases.values().filter(|base| base.open);
-        open.max_by_key(|base| base.term)
+        let open = self.bases.values().filter(|base| base.log.open);
+        open.max_by_key(|base| base.log.term)
     }
 
     /// The state of every proxy, as JSON.
@@ -195,7 +203,7 @@
 
     /// The databases' logs.
     pub fn logs(&self) -> impl Iterator<Item = &[Row]> {
-        self.bases.values().map(|base| base.log.as_slice())
+        self.bases.values().map(|base| base.log.rows.as_slice())
     }
 
     /// Whether a VM's process runs and is not paused.
--- a/src/standin/fake/script.rs
+++ b/src/standin/fake/script.rs
@@ -211,7 +211,7 @@
 
     /// What `log`, `versions` and `primary` show.
     fn log(&mut self) {
-        let rows = self.system.primary().map(|base| &base.log);
+        let rows = self.system.primary().map(|base| &base.log.rows);
         let rows = rows.into_iter().flatten();
         let texts: Vec<String> = rows.map(|r| format!("{}={}", r.key, r.value)).collect();
         self.say(&format!("log: {}", texts.join(" ")));
--- a/tests/node_guard.rs
+++ b/tests/node_guard.rs
@@ -181,7 +181,7 @@
         world.wait(link, 1);
     }
     for replica in ["b", "c"] {
-        world.database(replica).applied = 0;
+        world.database(replica).log.applied = 0;
     }
     for link in 12..16 {
         world.read_as("vm1", link, "broker");
--- a/tests/node_session.rs
+++ b/tests/node_session.rs
@@ -222,7 +222,7 @@
     world.wait(1, 2);
     world.wait(2, 1);
     for replica in ["b", "c"] {
-        world.database(replica).applied = 2;
+        world.database(replica).log.applied = 2;
     }
     world.read_as("vm1", 1, "broker");
     world.wait(1, 3);
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -140,7 +140,7 @@
     assert!(world.told(1).iter().all(|told| told.starts_with("done")));
     let primary = world.primary().unwrap();
     assert_ne!(primary, "a");
-    assert_eq!(world.database(&primary).log.len(), 299);
+    assert_eq!(world.database(&primary).log.rows.len(), 299);
 }
 
 /// A configuration is accepted at one proxy, and the store fails right after. The others hear
--- a/tests/node_term.rs
+++ b/tests/node_term.rs
@@ -136,11 +136,11 @@
 fn one_vm_that_misses_the_steward_changes_nothing() {
     let mut world = World::ready(3);
     let steward = world.steward().unwrap().to_string();
-    let term = world.database("a").term;
+    let term = world.database("a").log.term;
     let other = if steward == "vm1" { "vm2" } else { "vm1" };
     world.cut(&steward, other);
     world.run(Span::from_secs(8));
-    assert_eq!(world.database("a").term, term);
+    assert_eq!(world.database("a").log.term, term);
     assert_eq!(world.steward().unwrap().to_string(), steward);
 }
 
--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -1,21 +1,12 @@
 //! A database that keeps a log of texts, as the core's tests need it.
 
 use lentilspoke::clock::Span;
-use lentilspoke::core::database::{Command, Event, Order, Refusal, Reply, Run, State};
-use lentilspoke::core::lineage::Lineage;
+use lentilspoke::core::database::{Command, Event, Order, Refusal, Reply, Run};
 use lentilspoke::core::request::Status;
-use lentilspoke::core::term::may_raise;
-use lentilspoke::types::{ConnId, DatabaseId, Offset, Position, RequestId, Term, VmId};
+use lentilspoke::standin::fake::log::{Log, Row};
+use lentilspoke::types::{ConnId, DatabaseId, Position, RequestId, RequestKey, VmId};
 use std::collections::BTreeMap;
 
-/// An entry of the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Row {
-    pub term: Term,
-    pub text: String,
-    pub key: Option<String>,
-}
-
 /// One database. `w TEXT` writes, `r` reads all, `begin`, `commit` and `rollback` do as named.
 #[derive(Debug, Clone)]
 pub struct Database {
@@ -25,11 +16,7 @@
     pub frozen: bool,
     /// Connections that are open get no answers any more; new ones do.
     pub silent: bool,
-    pub term: Term,
-    pub open: bool,
-    pub log: Vec<Row>,
-    pub applied: usize,
-    pub lineage: Lineage,
+    pub log: Log,
     pub lag: Span,
     /// How long a statement takes.
     pub work: Span,
@@ -50,11 +37,7 @@
             up: true,
             frozen: false,
             silent: false,
-            term: Term(1),
-            open: false,
-            log: Vec::new(),
-            applied: 0,
-            lineage: Lineage::default(),
+            log: Log::default(),
             lag: Span::ZERO,
             work: Span::ZERO,
             connections: BTreeMap::new(),
@@ -83,30 +66,13 @@
     }
 
     pub fn texts(&self) -> Vec<&str> {
-        self.log.iter().map(|row| row.text.as_str()).collect()
+        texts(&self.log.rows)
     }
 
     pub fn just_opened(&mut self) -> bool {
         std::mem::take(&mut self.opened)
     }
 
-    fn position(&self, length: usize) -> Position {
-        let term = length
-            .checked_sub(1)
-            .map_or(Term(0), |last| self.log[last].term);
-        Position::new(term, Offset(length as u64))
-    }
-
-    fn state(&self) -> State {
-        State {
-            term: self.term,
-            position: self.position(self.log.len()),
-            applied: self.position(self.applied),
-            open: self.open,
-            lineage: self.lineage.clone(),
-        }
-    }
-
     pub fn unreachable(&self, command: &Command) -> Option<Event> {
         match command {
             Command::Connect { conn, .. } => Some(Event::ConnectFailed {
@@ -147,36 +113,14 @@
     }
 
     fn order(&mut self, vm: &VmId, id: RequestId, order: Order) -> Option<Event> {
-        let refusal = Err(Refusal::Term(self.term));
-        let result = match order {
-            Order::Report => Ok(self.state()),
-            Order::Raise(term) if may_raise(self.term, term) => {
-                self.term = term;
-                self.open = false;
-                Ok(self.state())
-            }
-            Order::Open(term) if term == self.term => {
-                if !self.open {
-                    self.lineage.open(term, self.position(self.log.len()));
-                    self.applied = self.log.len();
-                    (self.open, self.opened) = (true, true);
-                }
-                Ok(self.state())
-            }
-            Order::Raise(_) | Order::Open(_) => refusal,
-            Order::Reach(position) => {
-                let end = self.position(self.log.len());
-                if !self.lineage.holds(end, position) {
-                    self.waits.push((vm.clone(), id, position));
-                    return None;
-                }
-                Ok(self.state())
-            }
-        };
-        Some(Event::Controlled {
-            id,
-            result: Some(result),
-        })
+        let was_open = self.log.open;
+        let result = self.log.order(order);
+        self.opened |= self.log.open && !was_open;
+        if let (None, Order::Reach(position)) = (&result, order) {
+            self.waits.push((vm.clone(), id, position));
+        }
+        let result = Some(result?);
+        Some(Event::Controlled { id, result })
     }
 
     fn run(&mut self, vm: &VmId, conn: ConnId, run: Run) -> Option<Event> {
@@ -192,20 +136,19 @@
             self.refuse -= 1;
             return refuse(Refusal::KeyBusy);
         }
-        if run.term.is_some_and(|term| term != self.term) {
-            return refuse(Refusal::Term(self.term));
+        if run.term.is_some_and(|term| term != self.log.term) {
+            return refuse(Refusal::Term(self.log.term));
         }
         let text = String::from_utf8(run.body.to_vec()).unwrap();
         let (verb, rest) = text.split_once(' ').unwrap_or((&text, ""));
         let open = self.connections.get(&(vm.clone(), conn)).cloned()?;
-        if verb == "w" && !self.open {
+        if verb == "w" && !self.log.open {
             return refuse(Refusal::ReadOnly);
         }
         if self.silent {
             return None;
         }
         self.runs += 1;
-        let key = run.key.map(|key| key.to_string());
         let mut wrote = None;
         let mut now_open = open.clone();
         match (verb, open) {
@@ -214,7 +157,7 @@
                 pending.push(rest.into());
                 now_open = Some(pending);
             }
-            ("w", None) => wrote = Some(self.append(rest, key)),
+            ("w", None) => wrote = Some(self.append(rest, run.key)),
             ("commit", Some(pending)) => {
                 for text in &pending {
                     wrote = Some(self.append(text, None));
@@ -224,11 +167,7 @@
             ("rollback", _) => now_open = None,
             _ => {}
         }
-        let seen: Vec<&str> = self.log[..self.applied]
-            .iter()
-            .map(|r| r.text.as_str())
-            .collect();
-        let body = seen.join(",");
+        let body = texts(self.log.seen()).join(",");
         let status = if now_open.is_some() {
             Status::Open
         } else {
@@ -244,46 +183,35 @@
             request,
             body: body.into(),
             status,
-            applied: self.position(self.applied),
+            applied: self.log.reached(),
             wrote,
         };
         Some(Event::Answered { conn, reply })
     }
 
-    fn append(&mut self, text: &str, key: Option<String>) -> Position {
-        let done = |row: &Row| key.is_some() && row.key == key;
-        if let Some(index) = self.log.iter().position(done) {
-            return self.position(index + 1);
+    fn append(&mut self, text: &str, request: Option<RequestKey>) -> Position {
+        if let Some(position) = self.log.find(request.as_ref()) {
+            return position;
         }
         self.log.push(Row {
-            term: self.term,
-            text: text.into(),
-            key,
-        });
-        self.applied = self.log.len();
-        self.position(self.log.len())
+            term: self.log.term,
+            key: "".into(),
+            value: text.into(),
+            request,
+        })
     }
 
     /// Takes over the log of `source`, if that is the primary of this database's term.
     pub fn follow(&mut self, source: &Database) -> Vec<(VmId, Event)> {
-        let leads = source.open && source.up && source.term == self.term;
+        let leads = source.log.open && source.up && source.log.term == self.log.term;
         if !self.up || self.frozen || !leads {
             return Vec::new();
         }
-        let same = self
-            .log
-            .iter()
-            .zip(&source.log)
-            .take_while(|(a, b)| a == b)
-            .count();
-        self.applied = self.applied.min(same);
-        self.log = source.log.clone();
-        self.lineage = source.lineage.clone();
-        let end = self.position(self.log.len());
-        let (state, lineage) = (self.state(), self.lineage.clone());
+        self.log.replace(&source.log);
+        let (state, log) = (self.log.state(), &self.log);
         let reached = self
             .waits
-            .extract_if(.., |(_, _, wanted)| lineage.holds(end, *wanted));
+            .extract_if(.., |(_, _, wanted)| log.holds(*wanted));
         let event = |(vm, id, _)| {
             let result = Some(Ok(state.clone()));
             (vm, Event::Controlled { id, result })
@@ -292,8 +220,12 @@
     }
 
     pub fn apply(&mut self, length: usize) {
-        if self.up && !self.open {
-            self.applied = self.applied.max(length.min(self.log.len()));
+        if self.up && !self.log.open {
+            self.log.apply(length);
         }
     }
 }
+
+fn texts(rows: &[Row]) -> Vec<&str> {
+    rows.iter().map(|row| &*row.value).collect()
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use lentilspoke::core::message::Message;
 use lentilspoke::core::node::{Identity, Input, Node, Output};
 use lentilspoke::core::request::Outcome;
+use lentilspoke::standin::fake;
 use lentilspoke::types::{ConnId, DatabaseId, Life, Link, Position, Version, VmId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -85,21 +86,14 @@
     text.parse().unwrap()
 }
 
-/// A group `ledger` of `a`, `b` and `c` in domains `x`, `y`, `z`; pools `safe` (majority) and
-/// `fast` (primary).
+/// The fakes' group and pools, with few connections, so that a test can use them all.
 pub fn document() -> Document {
-    serde_json::from_str(
-        r#"{
-        "groups": {"ledger": {"databases": {
-            "a": {"address": "10.0.0.1:1", "domain": "x", "slots": 3, "connections": 8},
-            "b": {"address": "10.0.0.2:1", "domain": "y", "slots": 3, "connections": 8},
-            "c": {"address": "10.0.0.3:1", "domain": "z", "slots": 3, "connections": 8}}}},
-        "pools": {
-            "safe": {"groups": ["ledger"]},
-            "fast": {"groups": ["ledger"], "callers": ["fast"], "durability": "primary"}}
-    }"#,
-    )
-    .unwrap()
+    let mut document = fake::document().unwrap();
+    let groups = document.groups.values_mut();
+    for database in groups.flat_map(|group| group.databases.values_mut()) {
+        database.connections = 8;
+    }
+    document
 }
 
 impl World {
@@ -364,7 +358,7 @@
                     let source = self.databases[&from].clone();
                     let replica = self.databases.get_mut(&to).unwrap();
                     let (events, lag) = (replica.follow(&source), replica.lag);
-                    let length = source.log.len();
+                    let length = source.log.rows.len();
                     self.later(lag, Coming::Apply(to.clone(), length));
                     for (vm, event) in events {
                         self.later(LATENCY, Coming::Event(to.clone(), vm, event));
@@ -418,13 +412,13 @@
         };
         let cut = self.is_cut(vm.as_str(), database.as_str());
         let target = self.databases.get_mut(&database).unwrap();
-        let before = target.log.len();
+        let before = target.log.rows.len();
         let event = if cut {
             target.unreachable(&command)
         } else {
             target.take(&vm, command)
         };
-        let wrote = target.log.len() > before || target.just_opened();
+        let wrote = target.log.rows.len() > before || target.just_opened();
         let delay = if cut {
             Span::from_millis(100)
         } else {
@@ -477,8 +471,8 @@
 
     /// The database that is open in the highest term.
     pub fn primary(&self) -> Option<String> {
-        let open = self.databases.iter().filter(|(_, db)| db.open && db.up);
-        let primary = open.max_by_key(|(_, db)| db.term)?;
+        let open = self.databases.iter().filter(|(_, db)| db.log.open && db.up);
+        let primary = open.max_by_key(|(_, db)| db.log.term)?;
         Some(primary.0.to_string())
     }
 
