Give the core's tests one set-up for each situation

Cause: the same four to eight lines (steward and another VM, replicas cut off or lagging, a transaction with one write, a write on a silent connection, a bench's listener) stood in up to seven tests each.

--- a/benches/wire.rs
+++ b/benches/wire.rs
@@ -190,10 +190,15 @@
     }
 }
 
-fn proxy() -> SocketAddr {
+fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
     listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn proxy() -> SocketAddr {
+    let (listener, address) = listen();
     std::thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
             let listener = tokio::net::TcpListener::from_std(listener).unwrap();
@@ -205,9 +210,7 @@
 
 /// Answers each piece of bytes that arrives with a fixed number of bytes.
 fn plain(length: usize) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    listener.set_nonblocking(true).unwrap();
+    let (listener, address) = listen();
     std::thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
             use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/node_guard.rs
+++ b/tests/node_guard.rs
@@ -153,10 +153,7 @@
 #[test]
 fn a_statement_that_was_not_run_ends_its_transaction() {
     let mut world = World::ready(3);
-    world.say("vm1", 1, "begin");
-    world.wait(1, 1);
-    world.say("vm1", 1, "w lot-1");
-    world.wait(1, 2);
+    world.begin("vm1", 1, "lot-1");
     world.database("a").refuse = 1;
     world.say("vm1", 1, "w lot-2");
     world.wait(1, 3);
--- a/tests/node_outcome.rs
+++ b/tests/node_outcome.rs
@@ -7,7 +7,7 @@
 use lentilspoke::core::message::{Answer, Hint, Message};
 use lentilspoke::core::node::Input;
 use lentilspoke::core::request::{Done, Kind, Outcome, Status};
-use lentilspoke::types::RequestId;
+use lentilspoke::types::{RequestId, VmId};
 use support::{World, id};
 
 /// A holder answers a request twice, and another VM answers one that it was not asked. The
@@ -15,8 +15,7 @@
 #[test]
 fn answers_that_nobody_waits_for_are_dropped() {
     let mut world = World::ready(4);
-    let steward = world.steward().unwrap().to_string();
-    let entry = if steward == "vm1" { "vm2" } else { "vm1" };
+    let (steward, entry) = world.steward_and_other();
     let stranger = if steward == "vm3" { "vm0" } else { "vm3" };
     world.write(entry, 1, "lot-1");
     let stray = |request| Answer {
@@ -48,8 +47,7 @@
     for key in [None, Some("key-1")] {
         let mut world = World::ready(4);
         world.run(Span::from_secs(10));
-        let steward = world.steward().unwrap().to_string();
-        let entry = if steward == "vm1" { "vm2" } else { "vm1" };
+        let (steward, entry) = world.steward_and_other();
         world.swallow = Some(|message| matches!(message, Message::Answer(_)));
         let mut request = world.request(1, Kind::Write, "w lot-1");
         request.key = key.map(id);
@@ -69,19 +67,25 @@
     }
 }
 
-/// A database's connections fall silent: what is sent on them gets no answer, for good. A read
-/// is tried at another database once its connection's time is over; a booking's outcome is
-/// unknown then, and the connection is not used again.
-#[test]
-fn a_silent_connection_is_given_up() {
+/// One VM, whose connection to the primary falls silent after `lot-1`; `lot-2` is sent on it.
+fn write_on_silence() -> World {
     let mut world = World::ready(1);
     world.write("vm0", 1, "lot-1");
     world.wait(1, 1);
     world.database("a").silent = true;
     let mut request = world.request(1, Kind::Write, "w lot-2");
     request.deadline = world.now + Span::from_secs(30);
-    let asked = world.now;
     world.submit("vm0", request);
+    world
+}
+
+/// A database's connections fall silent: what is sent on them gets no answer, for good. A read
+/// is tried at another database once its connection's time is over; a booking's outcome is
+/// unknown then, and the connection is not used again.
+#[test]
+fn a_silent_connection_is_given_up() {
+    let mut world = write_on_silence();
+    let asked = world.now;
     world.wait(1, 2);
     assert_eq!(world.told(1)[1], "unknown: Broken");
     assert!(world.now.since(asked) < Span::from_millis(5_100));
@@ -151,13 +155,7 @@
 /// looked at: the next tick counts from the last one, not from the last input.
 #[test]
 fn a_busy_proxy_keeps_deadlines() {
-    let mut world = World::ready(1);
-    world.write("vm0", 1, "lot-1");
-    world.wait(1, 1);
-    world.database("a").silent = true;
-    let mut request = world.request(1, Kind::Write, "w lot-2");
-    request.deadline = world.now + Span::from_secs(30);
-    world.submit("vm0", request);
+    let mut world = write_on_silence();
     for link in 10_000..16_000 {
         world.read("vm0", link);
         world.run(Span::from_millis(1));
@@ -171,11 +169,8 @@
 #[test]
 fn a_replaced_entry_gets_no_answer_of_its_predecessor() {
     let mut world = World::ready(4);
-    let steward = world.steward().unwrap().to_string();
-    let entry: lentilspoke::types::VmId = id(if steward == "vm1" { "vm2" } else { "vm1" });
-    for replica in ["b", "c"] {
-        world.cut("a", replica);
-    }
+    let entry: VmId = id(world.steward_and_other().1);
+    world.cut_replicas();
     world.write(entry.as_str(), 1, "old");
     world.run(Span::from_millis(50));
     world.kill(entry.as_str());
--- a/tests/node_session.rs
+++ b/tests/node_session.rs
@@ -22,9 +22,7 @@
     world.wait(1, 1);
     world.read_as("vm1", 2, "broker");
     world.wait(2, 1);
-    for name in ["b", "c"] {
-        world.database(name).lag = LAG;
-    }
+    world.lag_replicas(LAG);
     world.write_as("vm2", 3, "broker", "lot-2");
     world.wait(3, 1);
     world.read_as("vm1", 2, "broker");
@@ -67,9 +65,7 @@
     let others = ["vm0", "vm1", "vm2", "vm3"].map(str::to_owned);
     let mut others = others.into_iter().filter(|vm| *vm != steward);
     let (writer, reader) = (others.next().unwrap(), others.next().unwrap());
-    for name in ["b", "c"] {
-        world.database(name).lag = Span::from_secs(20);
-    }
+    world.lag_replicas(Span::from_secs(20));
     world.write_as(&writer, 1, "broker", "lot-1");
     world.wait(1, 1);
     world.kill(&steward);
@@ -137,9 +133,7 @@
 /// Cuts the primary off from its replicas, writes `lot-1` where it need not reach them, and lets
 /// every proof of a replica's age grow old.
 fn write_unreplicated(world: &mut World) {
-    for replica in ["b", "c"] {
-        world.cut("a", replica);
-    }
+    world.cut_replicas();
     let mut request = world.request(9, Kind::Write, "w lot-1");
     request.pool = id("fast");
     world.submit("vm1", request);
@@ -209,10 +203,8 @@
     let mut world = World::ready(3);
     world.write_as("vm1", 1, "broker", "lot-0");
     world.wait(1, 1);
-    for replica in ["b", "c"] {
-        world.cut("a", replica);
-        world.database(replica).lag = Span::from_secs(20);
-    }
+    world.cut_replicas();
+    world.lag_replicas(Span::from_secs(20));
     world.write_as("vm1", 1, "broker", "lot-1");
     world.run(Span::from_millis(10));
     world.write_as("vm2", 2, "broker", "lot-2");
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -15,8 +15,7 @@
 #[test]
 fn a_planned_stop_cuts_nothing() {
     let mut world = World::ready(4);
-    let steward = world.steward().unwrap().to_string();
-    let other = if steward == "vm1" { "vm2" } else { "vm1" };
+    let (steward, other) = world.steward_and_other();
     world.read(&steward, 7);
     world.wait(7, 1);
     world.say(&steward, 1, "begin");
@@ -53,8 +52,7 @@
 #[test]
 fn a_handover_takes_a_moment() {
     let mut world = World::ready(4);
-    let steward = world.steward().unwrap().to_string();
-    let other = if steward == "vm1" { "vm2" } else { "vm1" };
+    let (steward, other) = world.steward_and_other();
     world.input(&id(&steward), Input::Stop);
     let mut longest = Span::ZERO;
     for count in 1..400 {
@@ -76,9 +74,7 @@
     let steward = world.steward().unwrap().to_string();
     let others: Vec<String> = world.nodes.keys().map(ToString::to_string).collect();
     let others: Vec<&String> = others.iter().filter(|vm| **vm != steward).collect();
-    for name in ["b", "c"] {
-        world.database(name).lag = Span::from_millis(300);
-    }
+    world.lag_replicas(Span::from_millis(300));
     world.input(&id(&steward), Input::Stop);
     for count in 1..200 {
         world.write_as(others[0], 1, "broker", &format!("lot-{count}"));
--- a/tests/node_term.rs
+++ b/tests/node_term.rs
@@ -101,9 +101,7 @@
 #[test]
 fn a_write_without_a_majority_is_not_acknowledged() {
     let mut world = World::ready(3);
-    for other in ["b", "c"] {
-        world.cut("a", other);
-    }
+    world.cut_replicas();
     let mut request = world.request(1, Kind::Write, "w lot-1");
     // Before the steward may suspect the primary for it.
     request.deadline = world.now + Span::from_millis(500);
--- a/tests/node_transaction.rs
+++ b/tests/node_transaction.rs
@@ -34,10 +34,7 @@
     let mut world = World::ready(4);
     let steward = world.steward().unwrap().to_string();
     let entry = if steward == "vm3" { "vm2" } else { "vm3" };
-    world.say(entry, 1, "begin");
-    world.wait(1, 1);
-    world.say(entry, 1, "w lot-1");
-    world.wait(1, 2);
+    world.begin(entry, 1, "lot-1");
     assert_eq!(world.database("a").open_transactions(), 1);
     world.kill(entry);
     world.run(Span::from_secs(1));
@@ -52,10 +49,7 @@
 #[test]
 fn an_idle_transaction_is_rolled_back() {
     let mut world = World::ready(3);
-    world.say("vm1", 1, "begin");
-    world.wait(1, 1);
-    world.say("vm1", 1, "w lot-1");
-    world.wait(1, 2);
+    world.begin("vm1", 1, "lot-1");
     world.run(Span::from_secs(31));
     world.say("vm1", 1, "commit");
     world.wait(1, 3);
@@ -85,10 +79,7 @@
     } else {
         "vm1"
     };
-    world.say(entry, 1, "begin");
-    world.wait(1, 1);
-    world.say(entry, 1, "w lot-1");
-    world.wait(1, 2);
+    world.begin(entry, 1, "lot-1");
     world.paused.insert(steward.clone());
     world.run(Span::from_secs(4));
     assert_ne!(world.steward_but(&steward), None);
@@ -106,8 +97,7 @@
 #[test]
 fn a_commit_whose_holder_was_lost_is_unknown() {
     let mut world = World::ready(3);
-    let steward = world.steward().unwrap().to_string();
-    let entry = if steward == "vm1" { "vm2" } else { "vm1" };
+    let (steward, entry) = world.steward_and_other();
     world.say(entry, 1, "begin");
     world.wait(1, 1);
     world.database("a").work = Span::from_millis(50);
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -49,6 +49,14 @@
         self.submit(vm, request);
     }
 
+    /// Opens a transaction that writes `text`, and waits for both answers.
+    pub fn begin(&mut self, vm: &str, link: u64, text: &str) {
+        self.say(vm, link, "begin");
+        self.wait(link, 1);
+        self.say(vm, link, &format!("w {text}"));
+        self.wait(link, 2);
+    }
+
     pub fn write_as(&mut self, vm: &str, link: u64, session: &str, text: &str) {
         let mut request = self.request(link, Kind::Write, &format!("w {text}"));
         request.session = Some(id(session));
--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -1,5 +1,6 @@
 //! A database that keeps a log of texts, as the core's tests need it.
 
+use super::World;
 use lentilspoke::clock::Span;
 use lentilspoke::core::database::{Command, Event, Order, Refusal, Reply, Run};
 use lentilspoke::core::request::Status;
@@ -229,3 +230,19 @@
 fn texts(rows: &[Row]) -> Vec<&str> {
     rows.iter().map(|row| &*row.value).collect()
 }
+
+impl World {
+    /// Cuts the first primary off from both replicas.
+    pub fn cut_replicas(&mut self) {
+        for replica in ["b", "c"] {
+            self.cut("a", replica);
+        }
+    }
+
+    /// Lets both replicas apply what they receive this much later.
+    pub fn lag_replicas(&mut self, lag: Span) {
+        for replica in ["b", "c"] {
+            self.database(replica).lag = lag;
+        }
+    }
+}
