Let tests wait for what happens in place of sleeping

Cause: tests/load.rs put load on for 1, 6 and 10 s and set faults after 1 s, tests/serve.rs asked again each 50 ms, tests/config_outage.rs each 10 ms; on a slow machine a fault could come before the first write, and a run could end before the group was served again. Change: `load::run` goes on until a future ends (the command passes its duration). The tests pass their faults: each waits for writes in the databases' logs, for another primary, for the former one to follow (`database::Handle::until`). A proxy tells its version, readiness and stop by a watch (`shell::Status`), which also replaces two polls of its own (20 and 100 ms). In serve.rs the proxy that leads is killed, and the next term is waited for. Strictness: every assertion is kept. A run under faults no longer ends by the clock, so writes have to go on after each fault; a run that waits in vain fails after 180 s. That a failover takes a bounded time is asserted on virtual time (tests/node_term.rs, the scenarios), as before.

--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -33,6 +33,7 @@
 
 struct Args {
     plan: Plan,
+    duration: Span,
     json: bool,
 }
 
@@ -57,13 +58,15 @@
             max_age: value(&matches, "max-age")?.unwrap_or(Span::from_secs(5)),
             roam: value(&matches, "roam")?.unwrap_or(10),
             rate: value(&matches, "rate")?,
-            duration: value(&matches, "duration")?.unwrap_or(Span::from_secs(10)),
             seed: value(&matches, "seed")?.unwrap_or(1),
             timeout: value(&matches, "timeout")?.unwrap_or(Span::from_secs(10)),
         };
         check(&plan)?;
-        let json = matches.opt_present("json");
-        Ok(Self { plan, json })
+        Ok(Self {
+            plan,
+            duration: value(&matches, "duration")?.unwrap_or(Span::from_secs(10)),
+            json: matches.opt_present("json"),
+        })
     }
 }
 
@@ -147,7 +150,10 @@
 pub fn run(words: &[String]) -> Result<(), Error> {
     let args = Args::parse(words)?;
     let progress = |line: &str| eprintln!("{line}");
-    let report = actix_rt::System::new().block_on(load::run(&args.plan, progress));
+    let report = actix_rt::System::new().block_on(async {
+        let end = tokio::time::sleep(args.duration.into());
+        load::run(&args.plan, end, progress).await
+    });
     if args.json {
         println!("{}", serde_json::to_string(&report).map_err(Error::failed)?);
     } else {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 const USAGE: &str = "\
 Run one proxy, until SIGTERM or SIGINT asks it to stop; it then finishes what is in
@@ -97,6 +98,7 @@
             ..pg::Rules::default()
         },
         callers,
+        status: watch::Sender::default(),
     };
     println!("ready {}", settings.callers);
     proxy::run(setup, util::asked_to_stop().map_err(Error::failed)?).await;
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -3,7 +3,7 @@
 use super::client::{Connections, Mode, Outcome};
 use super::record::{Row, Told, entry};
 use super::stats::{Kind, Stats};
-use super::{Mix, Plan};
+use super::{Ended, Mix, Plan, over_within};
 use crate::clock::{Span, Time};
 use crate::types::GroupId;
 use rand::{RngExt, SeedableRng};
@@ -36,14 +36,18 @@
     closed: BTreeMap<GroupId, bool>,
 }
 
-/// Works until the plan's duration is over; returns what was written and told.
-pub(super) async fn run(number: u32, plan: Rc<Plan>, stats: Rc<RefCell<Stats>>) -> Rows {
+/// Works until the run is over; returns what was written and told.
+pub(super) async fn run(
+    number: u32,
+    plan: Rc<Plan>,
+    stats: Rc<RefCell<Stats>>,
+    mut ended: Ended,
+) -> Rows {
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed.wrapping_add(u64::from(number)));
     // A second run with the same seed must not meet the first one's rows.
     let name = format!("load-{:08x}-{number}", rand::random::<u32>());
     let address = random.random_range(0..plan.addresses.len().max(1));
     let start = stats.borrow().start();
-    let end = start + plan.duration.into();
     let mut pace = Pace::new(&plan, start, &mut random);
     let mut caller = Caller {
         connections: Connections::new(&plan, name.clone()),
@@ -57,10 +61,9 @@
     };
     loop {
         let due = pace.next();
-        if due.max(Instant::now()) >= end {
+        if over_within(&mut ended, due).await {
             return caller.rows;
         }
-        tokio::time::sleep_until(due).await;
         caller.step(due).await;
     }
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -22,6 +22,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// What load to put on.
@@ -44,8 +45,6 @@
     /// Operations a second of all callers together; `None`: each starts the next one when one
     /// has ended.
     pub rate: Option<f64>,
-    /// How long.
-    pub duration: Span,
     /// Draws the operations.
     pub seed: u64,
     /// How long an operation may take before the caller gives its connection up.
@@ -63,6 +62,9 @@
     pub aged_reads: u8,
 }
 
+/// Whether the run is over.
+type Ended = watch::Receiver<bool>;
+
 /// Reads counted by the proxies, by the role of the database that answered.
 #[derive(Debug, Clone, Copy, Default)]
 struct Reads {
@@ -70,22 +72,33 @@
     primary: u64,
 }
 
-/// Puts on the load, calling `progress` once a second with a line about it.
-pub async fn run(plan: &Plan, progress: impl Fn(&str)) -> Report {
+/// Puts on the load until `end`, calling `progress` once a second with a line about it.
+pub async fn run(plan: &Plan, end: impl Future<Output = ()>, progress: impl Fn(&str)) -> Report {
+    let (over, ended) = watch::channel(false);
     let before = reads(&plan.admins).await;
     let stats = Rc::new(RefCell::new(Stats::new(Instant::now())));
     let plan = Rc::new(plan.clone());
     let tasks: Vec<_> = (0..plan.callers)
-        .map(|number| actix_rt::spawn(caller::run(number, plan.clone(), stats.clone())))
+        .map(|number| {
+            actix_rt::spawn(caller::run(
+                number,
+                plan.clone(),
+                stats.clone(),
+                ended.clone(),
+            ))
+        })
         .collect();
-    let ticker = tick(&plan, &stats, &progress);
     let mut callers = Vec::new();
     let joined = async {
         for task in tasks {
             callers.extend(task.await.ok());
         }
     };
-    futures_util::join!(joined, ticker);
+    let end = async {
+        end.await;
+        over.send_replace(true);
+    };
+    futures_util::join!(joined, end, tick(&stats, ended, &progress));
     stats.borrow_mut().end(Instant::now(), &plan.groups);
     let after = reads(&plan.admins).await;
     progress("reading back");
@@ -97,15 +110,19 @@
     report::build(&plan, &stats.borrow(), share, found)
 }
 
-async fn tick(plan: &Plan, stats: &Rc<RefCell<Stats>>, progress: &impl Fn(&str)) {
+async fn tick(stats: &RefCell<Stats>, mut ended: Ended, progress: &impl Fn(&str)) {
     const TICK: Duration = Duration::from_secs(1);
-    let end = Instant::now() + plan.duration.into();
-    while Instant::now() + TICK < end {
-        tokio::time::sleep(TICK).await;
+    while !over_within(&mut ended, Instant::now() + TICK).await {
         progress(&stats.borrow().line());
     }
 }
 
+/// Waits until `due`, or until the run is over; tells whether it is.
+async fn over_within(ended: &mut Ended, due: Instant) -> bool {
+    let over = ended.wait_for(|over| *over);
+    tokio::time::timeout_at(due, over).await.is_ok()
+}
+
 /// The sum over all admin addresses; `None` if there is none, or one does not answer.
 async fn reads(admins: &[SocketAddr]) -> Option<Reads> {
     let mut sum = Reads::default();
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -54,7 +54,8 @@
 /// Ready means that a caller who connects now can be served: the platform's balancer sends
 /// nobody here before that, nor once a planned stop has begun.
 fn ready(shell: &Shell) -> Reply {
-    if shell.inspect(|node| node.is_ready() && !node.is_stopping()) {
+    let status = shell.status();
+    if status.ready && !status.stopping {
         Reply::new(StatusCode::OK, "ready\n")
     } else {
         Reply::new(
@@ -65,11 +66,10 @@
 }
 
 fn text(shell: &Shell) -> Box<str> {
-    let version = shell.inspect(|node| node.accepted().map_or(0, |accepted| accepted.version.0));
     let gauges = Gauges {
         callers: shell.callers() as u64,
         peers: shell.peers().open() as u64,
-        version,
+        version: shell.status().version.0,
         resident: process::resident().unwrap_or_default(),
         processor: process::processor().map_or(0, |time| time.as_micros() as u64),
     };
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -1,19 +1,17 @@
 //! One proxy: its listeners, its core, and where its news comes from.
 
 use crate::config::Accepted;
-use crate::core::node::{Identity, Input, Node};
+use crate::core::node::{Identity, Input};
 use crate::net::platform::watch::{self, News, Pace};
 use crate::net::platform::{Client, Listed};
-use crate::net::shell::Shell;
+use crate::net::shell::{Shell, Status};
 use crate::net::{admin, pg};
-use crate::types::{Version, VmId};
+use crate::types::VmId;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
-
-const CONFIGURED_CHECK: Duration = Duration::from_millis(20);
+use tokio::sync::watch::Sender;
 
 /// All that a proxy needs from outside.
 #[derive(Debug)]
@@ -32,6 +30,8 @@
     pub platform: Client,
     /// Limits on callers.
     pub rules: pg::Rules,
+    /// Follows what the proxy is in.
+    pub status: Sender<Status>,
 }
 
 /// Runs a proxy on this thread until a planned stop, asked for by `stop` or by the platform's
@@ -39,7 +39,7 @@
 pub async fn run(setup: Setup, stop: impl Future<Output = ()> + 'static) {
     let vm = setup.identity.vm.clone();
     let platform = Rc::new(setup.platform);
-    let shell = Shell::start(setup.identity, setup.source);
+    let shell = Shell::start(setup.identity, setup.source, setup.status);
     shell.peers().listen(setup.peers);
     let operators = admin::serve(setup.admin, Rc::clone(&shell), Rc::clone(&platform));
     let tasks = [
@@ -49,7 +49,7 @@
     let door = actix_rt::spawn(admit(Rc::clone(&shell), setup.callers, setup.rules));
     tokio::select! {
         () = stop => shell.input(Input::Stop),
-        () = shell.stopping() => {}
+        () = shell.until(|status| status.stopping) => {}
     }
     log::info!("stopping: no new callers, what is in flight finishes");
     door.abort();
@@ -62,14 +62,12 @@
 /// Accepts callers, once there are a configuration and a list of VMs by which to serve them: a
 /// caller of a VM that has just started would be told that no pool serves it.
 async fn admit(shell: Rc<Shell>, listener: TcpListener, rules: pg::Rules) {
-    while !shell.inspect(Node::is_ready) {
-        tokio::time::sleep(CONFIGURED_CHECK).await;
-    }
+    shell.until(|status| status.ready).await;
     pg::serve(listener, shell.for_callers(), rules).await;
 }
 
 async fn follow(shell: Rc<Shell>, platform: Rc<Client>, vm: VmId) {
-    let version = || shell.inspect(|node| node.accepted().map_or(Version(0), |a| a.version));
+    let version = || shell.status().version;
     watch::run(&platform, Pace::default(), version, |news| match news {
         News::Config(accepted) => enforce(&shell, accepted),
         News::Members(listed) => learn(&shell, &vm, listed),
--- a/src/net/shell.rs
+++ b/src/net/shell.rs
@@ -5,15 +5,13 @@
 use crate::net::peer::{self, Peers};
 use crate::net::pg::{self, Told};
 use crate::net::target::Targets;
-use crate::types::Link;
+use crate::types::{Link, Version};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
-const STOP_CHECK: std::time::Duration = std::time::Duration::from_millis(100);
-
 /// One proxy's core and all that it is connected to.
 #[derive(Debug)]
 pub struct Shell {
@@ -26,12 +24,38 @@
     peers: Rc<Peers>,
     armed: Cell<Option<Time>>,
     rearmed: Notify,
+    status: watch::Sender<Status>,
     stopped: watch::Sender<bool>,
 }
 
+/// What those who wait on a proxy want to know of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Status {
+    /// The version of the configuration in force.
+    pub version: Version,
+    /// Whether callers can be served.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+}
+
+impl Status {
+    fn of(node: &Node) -> Self {
+        Self {
+            version: node.accepted().map_or(Version(0), |found| found.version),
+            ready: node.is_ready(),
+            stopping: node.is_stopping(),
+        }
+    }
+}
+
 impl Shell {
-    /// Starts a core with nothing known yet.
-    pub fn start(identity: Identity, source: std::net::IpAddr) -> Rc<Self> {
+    /// Starts a core with nothing known yet; `status` follows what it is in.
+    pub fn start(
+        identity: Identity,
+        source: std::net::IpAddr,
+        status: watch::Sender<Status>,
+    ) -> Rc<Self> {
         let (target_events, from_targets) = mpsc::unbounded_channel();
         let (peer_events, from_peers) = mpsc::unbounded_channel();
         let peer_identity = peer::Identity {
@@ -49,6 +73,7 @@
             peers: Peers::new(peer_identity, peer_events),
             armed: Cell::new(None),
             rearmed: Notify::new(),
+            status,
             stopped: watch::Sender::new(false),
         });
         actix_rt::spawn(pump_targets(Rc::clone(&shell), from_targets));
@@ -133,11 +158,16 @@
         }
     }
 
-    /// Completes once a planned stop has begun.
-    pub async fn stopping(&self) {
-        while !self.inspect(Node::is_stopping) {
-            tokio::time::sleep(STOP_CHECK).await;
-        }
+    /// What the proxy is in.
+    pub fn status(&self) -> Status {
+        *self.status.borrow()
+    }
+
+    /// Completes once the proxy is as wanted.
+    pub async fn until(&self, wanted: impl Fn(Status) -> bool) {
+        let mut status = self.status.subscribe();
+        // The sender lives as long as the shell.
+        let _ = status.wait_for(|status| wanted(*status)).await;
     }
 
     /// Completes once a planned stop has nothing left to do.
@@ -153,14 +183,16 @@
     /// paused in between decides with the time at which it woke.
     pub fn input(&self, input: Input) {
         let mut outputs = Vec::new();
-        let wake = {
+        let (wake, status) = {
             let mut node = self.node.borrow_mut();
             node.handle(self.now(), input, &mut outputs);
-            node.wake()
+            (node.wake(), Status::of(&node))
         };
         outputs
             .into_iter()
             .for_each(|output| self.carry_out(output));
+        self.status
+            .send_if_modified(|known| std::mem::replace(known, status) != status);
         self.arm(wake);
     }
 
--- a/src/standin/database/mod.rs
+++ b/src/standin/database/mod.rs
@@ -183,8 +183,14 @@
 
     /// Waits until a database's state is as wanted.
     pub async fn reached(&self, id: &DatabaseId, wanted: impl Fn(&State) -> bool) {
+        let wanted = |group: &Self| group.state(id).is_none_or(|state| wanted(&state));
+        self.until(wanted).await;
+    }
+
+    /// Waits until the group is as wanted. Looked at whenever a log or a term has changed.
+    pub async fn until(&self, wanted: impl Fn(&Self) -> bool) {
         let mut changed = self.shared.changed.subscribe();
-        while !self.state(id).is_none_or(|state| wanted(&state)) {
+        while !wanted(self) {
             if changed.changed().await.is_err() {
                 return;
             }
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -8,6 +8,7 @@
 use crate::net::platform::Client;
 use crate::net::platform::apply::{Proposal, Verdict, settle};
 use crate::net::proxy::{self, Setup};
+use crate::net::shell::Status;
 use crate::standin::database::{Group, Handle, Lag, Spec};
 use crate::standin::deployment::{APPLY_LAG, CONNECT, Deployment, GROUPS, RECEIVE_LAG, SERVICE};
 use crate::standin::platform::{self, Platform};
@@ -19,7 +20,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 /// How long a demo may take until it serves.
@@ -63,6 +64,7 @@
 struct Proxy {
     callers: SocketAddr,
     admin: SocketAddr,
+    status: watch::Receiver<Status>,
     stop: oneshot::Sender<()>,
     thread: JoinHandle<()>,
 }
@@ -187,6 +189,7 @@
         leaving: false,
     };
     let (stop, stopped) = oneshot::channel();
+    let (status, known) = watch::channel(Status::default());
     let thread = std::thread::Builder::new()
         .name(member.vm.to_string())
         .spawn(move || {
@@ -208,6 +211,7 @@
                     admin,
                     platform: Client::new([platform]),
                     rules: pg::Rules::default(),
+                    status,
                 };
                 // A demo that is dropped ends its proxies too.
                 proxy::run(setup, async { stopped.await.unwrap_or_default() }).await;
@@ -218,6 +222,7 @@
         Proxy {
             callers: callers_address,
             admin: admin_address,
+            status: known,
             stop,
             thread,
         },
@@ -235,6 +240,11 @@
         self.running().map(|proxy| proxy.admin).collect()
     }
 
+    /// What each proxy is in, as it changes.
+    pub fn statuses(&self) -> Vec<watch::Receiver<Status>> {
+        self.running().map(|proxy| proxy.status.clone()).collect()
+    }
+
     /// The databases, for faults.
     pub fn groups(&self) -> &BTreeMap<GroupId, Handle> {
         &self.groups
--- a/tests/config_outage.rs
+++ b/tests/config_outage.rs
@@ -10,7 +10,6 @@
 use lentilspoke::standin::platform::Health;
 use lentilspoke::types::{ApplyId, Version};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 async fn start() -> Demo {
     let plan = demo::Plan {
@@ -30,17 +29,20 @@
 }
 
 /// Waits until a proxy has `version`; a proxy that shows an earlier one than before fails.
-async fn reaches(admin: SocketAddr, version: Version) -> Accepted {
+async fn reaches(demo: &Demo, proxy: usize, version: Version) -> Accepted {
+    let mut status = demo.statuses().swap_remove(proxy);
     let mut before = Version(0);
-    loop {
-        let accepted = in_force(admin).await;
-        assert!(accepted.version >= before, "{admin} went back");
-        if accepted.version >= version {
-            return accepted;
+    while before < version {
+        let known = status.borrow_and_update().version;
+        assert!(known >= before, "proxy {proxy} went back");
+        if known < version {
+            status.changed().await.unwrap();
         }
-        before = accepted.version;
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        before = known;
     }
+    let accepted = in_force(demo.admins()[proxy]).await;
+    assert!(accepted.version >= before, "proxy {proxy} shows less");
+    accepted
 }
 
 fn proposal(id: u64, base: &Accepted, slots: u32) -> Proposal {
@@ -62,13 +64,13 @@
 async fn an_accepted_version_spreads_without_the_platform() {
     let demo = start().await;
     let admins = demo.admins();
-    let first = reaches(admins[0], Version(1)).await;
+    let first = reaches(&demo, 0, Version(1)).await;
     let proposal = proposal(7, &first, 5);
     let verdict = propose(admins[0], &proposal).await.unwrap();
     demo.platform().set_health(Health::Silent);
     assert_eq!(verdict, Verdict::Accepted(Version(2)));
-    for admin in admins {
-        let accepted = reaches(admin, Version(2)).await;
+    for proxy in 0..admins.len() {
+        let accepted = reaches(&demo, proxy, Version(2)).await;
         assert_eq!(accepted.document, proposal.document);
     }
 }
@@ -79,7 +81,7 @@
 async fn a_race_has_one_winner_everywhere() {
     let demo = start().await;
     let admins = demo.admins();
-    let first = reaches(admins[0], Version(1)).await;
+    let first = reaches(&demo, 0, Version(1)).await;
     let (a, b) = (proposal(1, &first, 4), proposal(2, &first, 6));
     let (told_a, told_b) = futures_util::join!(propose(admins[0], &a), propose(admins[1], &b));
     let (winner, loser) = match (told_a.unwrap(), told_b.unwrap()) {
@@ -88,8 +90,9 @@
         neither => panic!("{neither:?}"),
     };
     assert!(matches!(loser, Verdict::Outrun(_)), "{loser:?}");
-    for admin in admins {
-        assert_eq!(reaches(admin, Version(2)).await.document, winner.document);
+    for proxy in 0..admins.len() {
+        let accepted = reaches(&demo, proxy, Version(2)).await;
+        assert_eq!(accepted.document, winner.document);
     }
     let stored = Client::new([demo.platform().address()])
         .config(Version(0))
@@ -103,7 +106,7 @@
 async fn nothing_changes_while_the_platform_is_down() {
     let demo = start().await;
     let admin = demo.admins()[0];
-    let first = reaches(admin, Version(1)).await;
+    let first = reaches(&demo, 0, Version(1)).await;
     let proposal = proposal(9, &first, 4);
     demo.platform().set_health(Health::Down);
     let refused = propose(admin, &proposal).await.unwrap();
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -5,13 +5,18 @@
 
 use command::lentilspoke;
 use lentilspoke::clock::{Span, Time};
+use lentilspoke::core::database::State;
 use lentilspoke::load::record::{Fault, Row, Told};
-use lentilspoke::load::{self, Kind, Mix, Plan};
+use lentilspoke::load::{self, Kind, Mix, Plan, Report};
 use lentilspoke::standin::database::Handle;
 use lentilspoke::standin::demo;
 use lentilspoke::standin::deployment::Deployment;
+use lentilspoke::types::{DatabaseId, Position};
 use std::time::Duration;
 
+/// Many times what a busy machine takes for the longest run.
+const GIVE_UP: Duration = Duration::from_secs(180);
+
 fn row() -> Row {
     let told = vec![
         Told::Done(Time(10)),
@@ -84,17 +89,48 @@
         max_age: Span::from_secs(5),
         roam: 30,
         rate: None,
-        duration: Span::from_secs(1),
         seed: 7,
         timeout: Span::from_secs(10),
     }
 }
 
+/// Where the primary's log ends.
+fn end(group: &Handle) -> Position {
+    let state = group.primary().and_then(|primary| group.state(&primary));
+    state.map_or(Position::default(), |state| state.position)
+}
+
+/// Waits until callers have written `count` more times to a group, whichever primary it has.
+async fn written(group: &Handle, count: u64) {
+    let offset = end(group).offset.0 + count;
+    group.until(|group| end(group).offset.0 >= offset).await;
+}
+
+/// Waits until a group has another primary than `former`, and callers write to it.
+async fn replaced(group: &Handle, former: &DatabaseId) {
+    let other = |group: &Handle| group.primary().is_some_and(|primary| primary != *former);
+    group.until(other).await;
+    written(group, 20).await;
+}
+
+/// Puts load on until `end`. Whoever waits for what never comes is told so, in place of a run
+/// without an end.
+async fn run(plan: &Plan, end: impl Future<Output = ()>) -> Report {
+    let run = load::run(plan, end, |_| ());
+    let report = tokio::time::timeout(GIVE_UP, run).await;
+    report.expect("what the run waits for does not come")
+}
+
 /// Sessions write and read through two proxies, moving between them: what they are told is so.
 #[actix_rt::test]
 async fn a_small_run_against_the_demo_is_clean() {
     let demo = start().await;
-    let report = load::run(&plan(&demo), |_| ()).await;
+    let (first, second) = (group(&demo, "ledger1"), group(&demo, "ledger2"));
+    let enough = async {
+        written(first, 100).await;
+        written(second, 100).await;
+    };
+    let report = run(&plan(&demo), enough).await;
     assert!(report.is_clean(), "{report}");
     assert_eq!(report.kinds.len(), 3, "{report}");
     assert!(report.kinds.values().all(|line| line.done > 0), "{report}");
@@ -109,17 +145,20 @@
     let demo = start().await;
     let (first, second) = (group(&demo, "ledger1"), group(&demo, "ledger2"));
     let mut plan = plan(&demo);
-    plan.duration = Span::from_secs(6);
     plan.callers = 6;
     let faults = async {
-        tokio::time::sleep(Duration::from_secs(1)).await;
+        written(first, 50).await;
+        written(second, 50).await;
         let primary = second.primary().unwrap();
         second.lose_answers(&primary, 3);
         let replica = second.group().databases.keys().find(|id| **id != primary);
         second.silence(replica.unwrap());
-        first.kill(&first.primary().unwrap());
+        let former = first.primary().unwrap();
+        first.kill(&former);
+        replaced(first, &former).await;
+        written(second, 50).await;
     };
-    let (report, ()) = futures_util::join!(load::run(&plan, |_| ()), faults);
+    let report = run(&plan, faults).await;
     assert!(report.is_clean(), "{report}");
     assert!(report.kinds[&Kind::Write].unknown >= 1, "{report}");
     assert!(first.primary().is_some());
@@ -133,16 +172,19 @@
     let demo = start().await;
     let first = group(&demo, "ledger1");
     let mut plan = plan(&demo);
-    plan.duration = Span::from_secs(10);
     plan.callers = 6;
     let before = first.primary().unwrap();
     let faults = async {
-        tokio::time::sleep(Duration::from_secs(1)).await;
+        written(first, 50).await;
         first.isolate(&before, true);
-        tokio::time::sleep(Duration::from_secs(6)).await;
+        replaced(first, &before).await;
         first.isolate(&before, false);
+        let healed = end(first);
+        let follows = |state: &State| state.term >= healed.term && state.applied >= healed;
+        first.reached(&before, follows).await;
+        written(first, 50).await;
     };
-    let (report, ()) = futures_util::join!(load::run(&plan, |_| ()), faults);
+    let report = run(&plan, faults).await;
     assert!(report.is_clean(), "{report}");
     assert_ne!(first.primary().unwrap(), before);
 }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -7,8 +7,8 @@
 use lentilspoke::core::member::Member;
 use lentilspoke::standin::database::{self, Spec};
 use lentilspoke::standin::platform::{self, Platform};
+use lentilspoke::types::Term;
 use std::net::{SocketAddr, TcpListener};
-use std::time::Duration;
 use tokio_postgres::Client;
 
 /// A proxy's process, and where it listens.
@@ -66,8 +66,10 @@
     broker(address, "-c lentilspoke.session=broker-17").await
 }
 
-/// Writes a row of this id as soon as the system takes it. "Not run" is sent again, and so is
-/// work whose proxy was lost: the id is a key, so a duplicate tells that it was done.
+/// Writes a row of this id as soon as the system takes it, which proxies wait for too: a
+/// connection until they can serve, a statement until there is a leader. "Not run" is sent
+/// again, and so is work whose proxy was lost: the id is a key, so a duplicate tells that it was
+/// done.
 async fn write(address: SocketAddr, id: &str) {
     loop {
         let sql = format!("INSERT INTO ledger VALUES ('{id}', 'x')");
@@ -81,18 +83,32 @@
             Err(Some(code)) if code.code() == "23505" => return,
             Err(other) => panic!("{other:?}: {result:?}"),
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
+/// The term of the group's primary.
+fn term(databases: &database::Handle) -> Term {
+    let state = databases.primary().and_then(|id| databases.state(&id));
+    state.map_or(Term::default(), |state| state.term)
+}
+
+/// Whether this proxy leads the group, by its own word.
+fn leads(proxy: &Proxy) -> bool {
+    let dump = lentilspoke(&["dump", &proxy.admin.to_string()]);
+    let json = dump.strip_prefix("exit 0").unwrap();
+    let state: serde_json::Value = serde_json::from_str(json).unwrap();
+    state["stewards"]["ledger1"]["phase"] == "lead"
+}
+
 async fn ids(address: SocketAddr) -> Vec<String> {
     let client = connect(address).await.unwrap();
     let rows = client.query("SELECT id FROM ledger ORDER BY id", &[]).await;
     rows.unwrap().iter().map(|row| row.get(0)).collect()
 }
 
-/// A broker writes at one proxy and reads its write at the other. The first proxy's process is
-/// killed; the broker goes on at the other, which takes the group over, with all that it wrote.
+/// A broker writes at one proxy and reads its write at the other. The process of the proxy that
+/// leads the group is killed; the broker goes on at the other, which takes the group over, with all
+/// that it wrote.
 #[actix_rt::test]
 async fn a_session_goes_on_when_a_proxy_s_process_is_killed() {
     let platform = Platform::start("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -106,15 +122,17 @@
     let at = platform.address().to_string();
     let said = lentilspoke(&["apply", file.path(), "--platform", &at, "--base", "0"]);
     assert!(said.starts_with("exit 0"), "{said}");
-    let first = serve("vm1", &platform);
-    let second = serve("vm2", &platform);
-    write(first.callers, "lot-1").await;
+    let mut proxies = vec![serve("vm1", &platform), serve("vm2", &platform)];
+    write(proxies[0].callers, "lot-1").await;
+    let leading = proxies.iter().position(leads).unwrap();
+    let first = proxies.swap_remove(leading);
+    let second = proxies.swap_remove(0);
     assert_eq!(ids(second.callers).await, ["lot-1"]);
     let shown = lentilspoke(&["show", "--proxy", &second.admin.to_string()]);
     assert!(shown.contains("\"base\": 1"), "{shown}");
-    let dump = lentilspoke(&["dump", &second.admin.to_string()]);
-    assert!(dump.starts_with("exit 0"), "{dump}");
+    let former = term(&databases);
     drop(first);
+    databases.until(|databases| term(databases) > former).await;
     write(second.callers, "lot-2").await;
     assert_eq!(ids(second.callers).await, ["lot-1", "lot-2"]);
 }
