Take outputs and identities out of the node's file

Cause: the core's one circle of files (twenty by a script that reads the imports, children counted) went by two types: `world`, which every role takes, imported `Identity` and `Output` from `node`, which imports every role. Change: `Output` has a file of its own, `Identity` stands beside `Member`. What is left are parents with their own children (entry, holder, steward, node). Ran: node_*, scenarios, schedules, member (57 tests, all passed).

--- a/benches/node.rs
+++ b/benches/node.rs
@@ -9,11 +9,12 @@
 use lentilspoke::config::{Accepted, Document};
 use lentilspoke::core::database::{Command, Event, Order, Reply, State};
 use lentilspoke::core::lineage::Lineage;
-use lentilspoke::core::member::Member;
+use lentilspoke::core::member::{Identity, Member};
 use lentilspoke::core::message::{
     Answer, Controlled, Found, Grant, Hint, Leased, Message, Primary, Report, Suspected, Work,
 };
-use lentilspoke::core::node::{Identity, Input, Node, Output};
+use lentilspoke::core::node::{Input, Node};
+use lentilspoke::core::output::Output;
 use lentilspoke::core::request::{Class, Done, Kind, Outcome, Request, Status};
 use lentilspoke::types::{
     GroupId, Life, Link, Offset, Position, RequestId, SessionId, Term, Version, VmId,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,7 +1,7 @@
 //! `lentilspoke serve`: one proxy.
 
 use crate::cmd::{Error, parse, single};
-use crate::core::node::Identity;
+use crate::core::member::Identity;
 use crate::direct::adapter::Build;
 use crate::logs;
 use crate::net::direct::{self, Place};
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::{Span, Time};
 use crate::core::message::{Message, Work};
-use crate::core::node::Output;
+use crate::core::output::Output;
 use crate::core::recent::Recent;
 use crate::core::request::{Cause, Class, Kind, NotRun, Outcome, Request, Unknown};
 use crate::core::retry::Budget;
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -1,6 +1,6 @@
 //! The VMs that run proxies, as the platform's lagging list shows them.
 
-use crate::types::{DatabaseId, Domain, VmId};
+use crate::types::{DatabaseId, Domain, Life, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -20,6 +20,17 @@
     pub leaving: bool,
 }
 
+/// Which proxy this is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Identity {
+    /// The VM's name.
+    pub vm: VmId,
+    /// The failure domain it runs in.
+    pub domain: Domain,
+    /// The life of its process.
+    pub life: Life,
+}
+
 /// The VMs in the order in which they should hold `database`: those of its own failure domain
 /// first, by rendezvous hashing within.
 ///
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod message;
 pub mod node;
+pub mod output;
 pub mod pool;
 pub mod ramp;
 mod recent;
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -7,16 +7,17 @@
 use crate::clock::{Span, Time};
 use crate::config::{Accepted, Pool};
 use crate::core::counters::Counters;
-use crate::core::database::{Command, Event};
+use crate::core::database::Event;
 use crate::core::entry::Entry;
 use crate::core::holder::Holder;
-use crate::core::member::Member;
+use crate::core::member::{Identity, Member};
 use crate::core::message::Message;
-use crate::core::request::{Outcome, Request};
+use crate::core::output::Output;
+use crate::core::request::Request;
 use crate::core::spread::Spread;
 use crate::core::steward::{Quiet, Steward};
 use crate::core::world::{Turn, World};
-use crate::types::{CallerId, DatabaseId, Domain, GroupId, Life, Link, PoolId, Position, VmId};
+use crate::types::{CallerId, DatabaseId, GroupId, Link, PoolId, VmId};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -76,44 +77,6 @@
     Tick,
 }
 
-/// What a proxy does.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Output {
-    /// Tells a caller what came of its request.
-    Reply {
-        /// The caller's connection.
-        link: Link,
-        /// What came of it.
-        outcome: Outcome,
-        /// The session's floor, for the token that the caller is shown.
-        floor: Option<Position>,
-    },
-    /// Ends an idle caller's connection, with the advice to connect again.
-    Dismiss(Link),
-    /// Sends a message to another proxy, opening the stream if there is none.
-    Send {
-        /// The receiver.
-        to: VmId,
-        /// What to say.
-        message: Message,
-    },
-    /// Tells a database something.
-    Database(Command),
-    /// Nothing is left to do: the process may end.
-    Stopped,
-}
-
-/// Which proxy this is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Identity {
-    /// The VM's name.
-    pub vm: VmId,
-    /// The failure domain it runs in.
-    pub domain: Domain,
-    /// The life of its process.
-    pub life: Life,
-}
-
 /// One proxy's core, without sockets or timers.
 #[derive(Debug)]
 pub struct Node {
--- a/src/core/node/dump.rs
+++ b/src/core/node/dump.rs
@@ -1,8 +1,9 @@
 //! A proxy's whole state, as `dump` shows it.
 
-use super::{Identity, Node, Stopping};
+use super::{Node, Stopping};
 use crate::clock::Time;
 use crate::core::counters::Counters;
+use crate::core::member::Identity;
 use crate::core::message::Primary;
 use crate::core::{entry, holder, steward};
 use crate::types::{DatabaseId, GroupId, Version, VmId};
--- a/src/core/node/peer.rs
+++ b/src/core/node/peer.rs
@@ -1,11 +1,12 @@
 //! Messages of other proxies, and of this one to itself.
 
-use super::{Node, Output};
+use super::Node;
 use crate::clock::Span;
 use crate::core::database::{Event, Order, Refusal, State};
 use crate::core::message::{
     Answer, Control, Controlled, Found, Grant, Hello, Hint, Message, Probe, Report, Suspect, Work,
 };
+use crate::core::output::Output;
 use crate::core::request::{Cause, NotRun, Outcome};
 use crate::core::spread;
 use crate::core::world::Errand;
--- a/src/core/node/settle.rs
+++ b/src/core/node/settle.rs
@@ -1,12 +1,13 @@
 //! What passes between the roles of one proxy: ended jobs, acknowledgements, roles, ownership.
 
-use super::{Node, Output};
+use super::Node;
 use crate::clock::Span;
 use crate::config::Accepted;
 use crate::core::database::{Event, Refusal};
 use crate::core::holder::{End, Ended, Holder, Job, Role};
 use crate::core::member::Member;
 use crate::core::message::{Answer, Hint, Message};
+use crate::core::output::Output;
 use crate::core::request::{Done, Outcome, Unknown};
 use crate::core::steward::Steward;
 use crate::core::world::Turn;
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -5,9 +5,9 @@
 use crate::config::{Accepted, Database, Document, Group, Pool, Timing};
 use crate::core::counters::Counters;
 use crate::core::database::{Command, Order};
-use crate::core::member::{self, Member};
+use crate::core::member::{self, Identity, Member};
 use crate::core::message::{Control, Message, Primary, Probe, Suspect};
-use crate::core::node::{Identity, Output};
+use crate::core::output::Output;
 use crate::core::request::Outcome;
 use crate::types::{
     CallerId, ConnId, DatabaseId, GroupId, Life, Link, PoolId, Position, RequestId, Version, VmId,
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -1,7 +1,8 @@
 //! One proxy: its listeners, its core, and where its news comes from.
 
 use crate::config::Accepted;
-use crate::core::node::{Identity, Input};
+use crate::core::member::Identity;
+use crate::core::node::Input;
 use crate::net::platform::watch::{self, News, Pace};
 use crate::net::platform::{Client, Listed};
 use crate::net::shell::{Shell, Status};
--- a/src/net/shell.rs
+++ b/src/net/shell.rs
@@ -1,7 +1,9 @@
 //! Drives one core with the sockets and timers of its process.
 
 use crate::clock::{Span, Time};
-use crate::core::node::{Identity, Input, Node, Output};
+use crate::core::member::Identity;
+use crate::core::node::{Input, Node};
+use crate::core::output::Output;
 use crate::net::peer::{self, Peers};
 use crate::net::pg::{self, Told};
 use crate::net::target::Targets;
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -2,8 +2,7 @@
 
 use crate::clock::Span;
 use crate::config::{Document, Durability, Pool};
-use crate::core::member::Member;
-use crate::core::node::Identity;
+use crate::core::member::{Identity, Member};
 use crate::net::pg;
 use crate::net::platform::Client;
 use crate::net::platform::apply::{Proposal, Verdict, settle};
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -2,8 +2,8 @@
 
 use lentilspoke::clock::Time;
 use lentilspoke::config::Accepted;
-use lentilspoke::core::member::{Member, first, order};
-use lentilspoke::core::node::{Identity, Input, Node};
+use lentilspoke::core::member::{Identity, Member, first, order};
+use lentilspoke::core::node::{Input, Node};
 use lentilspoke::types::{DatabaseId, Domain, Life, Version};
 
 fn members(count: usize) -> Vec<Member> {
--- a/tests/node_guard.rs
+++ b/tests/node_guard.rs
@@ -4,8 +4,10 @@
 
 use lentilspoke::clock::{Span, Time};
 use lentilspoke::core::database::{Command, Event, Reply};
+use lentilspoke::core::member::Identity;
 use lentilspoke::core::message::{Hello, Message, Work};
-use lentilspoke::core::node::{Identity, Input, Node, Output};
+use lentilspoke::core::node::{Input, Node};
+use lentilspoke::core::output::Output;
 use lentilspoke::core::request::{Class, Kind, Outcome, Status};
 use lentilspoke::types::{ConnId, Life, Link, Offset, Position, RequestId, Term, Version, VmId};
 use std::sync::Arc;
