Give jobs and roles files of their own

Cause: the steward and its acknowledgements imported the holder for two types that are not the holder's own. Change: `core::job` and `core::role`; when a job counts as silent is its own method.

--- a/src/core/acknowledge.rs
+++ b/src/core/acknowledge.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Time;
 use crate::core::database::Reply;
-use crate::core::holder::Job;
+use crate::core::job::Job;
 use crate::core::request::Unknown;
 use crate::core::session::Holding;
 use crate::core::term::{Confirmations, majority};
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -4,14 +4,16 @@
 mod queue;
 
 use crate::clock::{Span, Time};
-use crate::config::{Database, Timing};
+use crate::config::Database;
 use crate::core::age::Proofs;
-use crate::core::database::{Command, Order, Refusal, Reply, State};
+use crate::core::database::{Command, Order, State};
 use crate::core::gate::Gate;
+use crate::core::job::{Ended, Job};
 use crate::core::lineage::Standing;
 use crate::core::message::{Hint, Primary, Work};
 use crate::core::pool::Pool;
-use crate::core::request::{Cause, Class, Kind, NotRun, Unknown};
+use crate::core::request::Kind;
+use crate::core::role::Role;
 use crate::core::world::{Errand, Turn};
 use crate::types::{ConnId, DatabaseId, GroupId, Link, Position, RequestId, Term, VmId};
 use connection::{Connection, Transaction};
@@ -22,50 +24,6 @@
 /// How often a replica is asked for its state while reads wait for it to catch up.
 const REFRESH: Span = Span::from_millis(10);
 
-/// Work at its database's holder.
-#[derive(Debug, Clone)]
-pub(crate) struct Job {
-    /// The holder's own number for it.
-    pub id: RequestId,
-    /// The entry's VM.
-    pub origin: VmId,
-    pub work: Work,
-    pub deadline: Time,
-    /// The term under which it runs, on a primary.
-    pub term: Option<Term>,
-    /// The entry or its caller is gone: nobody is told.
-    pub abandoned: bool,
-}
-
-/// What came of a job at its database.
-#[derive(Debug)]
-pub(crate) enum End {
-    Answered(Reply),
-    NotRun(NotRun, Option<Refusal>),
-    Unknown(Unknown),
-}
-
-/// A job that has left the holder.
-#[derive(Debug)]
-pub(crate) struct Ended {
-    pub job: Job,
-    pub end: End,
-}
-
-/// What the database is to this VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum Role {
-    /// It serves reads that it is new enough for.
-    Replica,
-    /// This VM is the steward and it is the primary of this term.
-    Primary(Term),
-    /// As before, but the group is about to be handed over: no transaction starts.
-    Draining(Term),
-    /// As before, and nothing starts.
-    Frozen(Term),
-}
-
 /// One database as its holder has it.
 #[derive(Debug)]
 pub(crate) struct Holder {
@@ -314,50 +272,6 @@
     }
 }
 
-impl Role {
-    /// The term in which the database is this steward's primary.
-    pub fn term(self) -> Option<Term> {
-        match self {
-            Role::Replica => None,
-            Role::Primary(term) | Role::Draining(term) | Role::Frozen(term) => Some(term),
-        }
-    }
-
-    /// Why `work` may not start, if so.
-    ///
-    /// Failure: a read without a floor is sent to a steward that was replaced meanwhile.
-    /// Symptom: it is answered from an old primary as if from a replica, and its session does
-    /// not see its write. Enough, because work for a primary is refused by every other role.
-    fn forbids(self, work: &Work) -> Option<Cause> {
-        let begins = matches!(work.kind, Kind::Begin | Kind::BeginRead);
-        match self {
-            Role::Replica if work.primary => Some(Cause::NoPrimary),
-            Role::Draining(_) if begins => Some(Cause::NoPrimary),
-            Role::Frozen(_) => Some(Cause::NoPrimary),
-            _ => None,
-        }
-    }
-}
-
-impl Job {
-    /// Whether it belongs to the transaction that its link has open.
-    fn continues(&self) -> bool {
-        self.work.kind == Kind::Continue
-    }
-
-    fn owner(&self) -> (VmId, Link) {
-        (self.origin.clone(), self.work.link)
-    }
-}
-
-fn silence(timing: Timing, job: &Job, now: Time) -> Time {
-    let answer = now + timing.answer;
-    if job.work.class == Class::Long {
-        return answer.max(job.deadline);
-    }
-    answer
-}
-
 /// Closes a connection at once.
 fn close(turn: &mut Turn, conn: ConnId) {
     turn.database(Command::Close { conn });
--- a/src/core/holder/connection.rs
+++ b/src/core/holder/connection.rs
@@ -1,11 +1,13 @@
 //! A holder's connections: opened, used, kept by a transaction, and closed in doubt.
 
-use super::{End, Holder, Role, close, silence};
+use super::{Holder, close};
 use crate::clock::Time;
 use crate::core::database::{Command, Event, Refusal, Reply, Run};
+use crate::core::job::End;
 use crate::core::lineage::Standing;
 use crate::core::pool::Demand;
 use crate::core::request::{Cause, Status, Unknown};
+use crate::core::role::Role;
 use crate::core::world::Turn;
 use crate::types::{ConnId, Link, Position, RequestId, VmId};
 use serde::Serialize;
@@ -85,7 +87,7 @@
         };
         connection.usage = Usage::Running {
             job: id,
-            until: silence(timing, job, turn.now),
+            until: job.silent_at(turn.now, timing),
         };
         let run = Run {
             request: id,
--- a/src/core/holder/queue.rs
+++ b/src/core/holder/queue.rs
@@ -1,12 +1,14 @@
 //! Work on its way to a connection: checks, the queue, and the ends that it can come to
 //! without having been run.
 
-use super::{End, Ended, Fit, Holder, Job, Lagging, Role};
+use super::{Fit, Holder, Lagging};
 use crate::clock::{Span, Time};
 use crate::core::database::Refusal;
 use crate::core::gate::Item;
+use crate::core::job::{End, Ended, Job};
 use crate::core::message::Work;
 use crate::core::request::{Cause, Class, Kind, NotRun, Unknown};
+use crate::core::role::Role;
 use crate::core::world::Turn;
 use crate::types::{Link, RequestId, VmId};
 
--- a/src/core/steward.rs
+++ b/src/core/steward.rs
@@ -9,9 +9,10 @@
 
 use crate::clock::Time;
 use crate::core::detect::{Damper, Detector};
-use crate::core::holder::{Job, Role};
+use crate::core::job::Job;
 use crate::core::message::{Grant, Message, Primary, Probe, Suspect, Suspected};
 use crate::core::request::{Outcome, Unknown};
+use crate::core::role::Role;
 use crate::core::term::Promotion;
 use crate::core::world::Turn;
 use crate::types::{DatabaseId, GroupId, Position, RequestId, Term, VmId};
--- a/src/core/steward/pass.rs
+++ b/src/core/steward/pass.rs
@@ -8,7 +8,7 @@
 use crate::config::Durability;
 use crate::core::acknowledge::Waiting;
 use crate::core::database::{Order, Reply};
-use crate::core::holder::Job;
+use crate::core::job::Job;
 use crate::core::message::{Control, Message};
 use crate::core::request::{Done, Outcome, Unknown};
 use crate::core::world::Turn;
