--- /dev/null
+++ b/src/core/entry/dispatch.rs
@@ -0,0 +1,139 @@
+//! Where a request is sent: the primary, or one replica after the other.
+
+use super::{Entry, Pending, Sent};
+use crate::clock::Span;
+use crate::core::message::{Message, Work};
+use crate::core::request::{Cause, Class, Kind, Request};
+use crate::core::route::{Candidate, Need};
+use crate::core::world::Turn;
+use crate::types::{DatabaseId, VmId};
+
+/// The share of a caller's patience that a holder is not given, in percent, so that its "not
+/// run" is back before the entry has to say that the outcome is unknown.
+const MARGIN_PERCENT: u64 = 5;
+
+impl Entry {
+    /// Sends a request to where it may run, or lets it wait for what it lacks.
+    pub(super) fn dispatch(&mut self, turn: &mut Turn, mut pending: Pending) {
+        if pending.request.deadline <= turn.now {
+            return self.not_run(turn, pending, Cause::Expired, Span::ZERO);
+        }
+        match pending.request.kind {
+            Kind::Write | Kind::Begin | Kind::Continue => {
+                pending.floor = self.known_floor(&pending.request);
+                self.send_to_primary(turn, pending);
+            }
+            Kind::Read | Kind::BeginRead => {
+                let Some(session) = pending.request.session.clone() else {
+                    pending.floor = self.own_floor(&pending.request);
+                    return self.send_to_replica(turn, pending);
+                };
+                self.under_lease(turn, pending, session);
+            }
+        }
+    }
+
+    /// Sends a read to the next best database that is left to try.
+    pub(super) fn send_to_replica(&mut self, turn: &mut Turn, mut pending: Pending) {
+        if pending.left.is_none() {
+            pending.left = Some(self.choose(turn, &pending));
+        }
+        let leader = turn.world.leaders.get(&pending.request.group);
+        let primary = leader.map(|leader| leader.database.clone());
+        let next = pending.left.as_mut().and_then(Vec::pop);
+        match next {
+            Some(database) if Some(&database) != primary.as_ref() => {
+                let vm = turn.world.holder(turn.now, &database);
+                self.send(turn, pending, vm, database, false);
+            }
+            _ => self.send_to_primary(turn, pending),
+        }
+    }
+
+    /// The databases for a read, worst first.
+    fn choose(&mut self, turn: &mut Turn, pending: &Pending) -> Vec<DatabaseId> {
+        let group = &pending.request.group;
+        let leader = turn.world.leaders.get(group);
+        let primary = leader.map(|leader| &leader.database);
+        let Some(found) = turn.world.group(group) else {
+            return Vec::new();
+        };
+        let stays = found
+            .databases
+            .iter()
+            .filter(|(_, settings)| !settings.leaving);
+        let candidates: Vec<Candidate> = stays
+            .map(|(id, settings)| Candidate {
+                database: id.clone(),
+                primary: primary == Some(id),
+                near: settings.domain == turn.world.me.domain,
+            })
+            .collect();
+        let need = Need {
+            floor: pending.floor,
+            max_age: pending.request.max_age,
+        };
+        let view = self.groups.entry(group.clone()).or_default();
+        let mut order = view.router.order(turn.now, &need, &candidates);
+        order.reverse();
+        order
+    }
+
+    /// Sends work to a database's holder and remembers it until its answer.
+    pub(super) fn send(
+        &mut self,
+        turn: &mut Turn,
+        mut pending: Pending,
+        vm: VmId,
+        database: DatabaseId,
+        primary: bool,
+    ) {
+        let id = turn.id();
+        pending.tries += 1;
+        let request = &pending.request;
+        let left = request.deadline.since(turn.now);
+        let leader = turn.world.leaders.get(&request.group);
+        let work = Work {
+            request: id,
+            link: request.link,
+            session: request.session.clone(),
+            caller: request.caller.clone(),
+            pool: request.pool.clone(),
+            group: request.group.clone(),
+            database: database.clone(),
+            kind: request.kind,
+            primary,
+            class: class(turn, request),
+            floor: pending.floor,
+            max_age: request.max_age,
+            key: request.key.clone(),
+            patience: left.percent(100 - MARGIN_PERCENT),
+            leader: leader.map(|leader| leader.term),
+            body: request.body.clone(),
+        };
+        if let Some(view) = self.groups.get_mut(&request.group) {
+            view.router.sent(turn.now, &database);
+        }
+        turn.send(&vm, Message::Work(work));
+        let sent = Sent {
+            pending,
+            vm,
+            database,
+            at: turn.now,
+            primary,
+        };
+        self.sent.insert(id, sent);
+    }
+}
+
+/// A request's place among other work.
+fn class(turn: &Turn, request: &Request) -> Class {
+    if turn.world.pool(&request.pool).is_some_and(|pool| pool.long) {
+        return Class::Long;
+    }
+    match request.kind {
+        Kind::Write | Kind::Begin | Kind::Continue => Class::Confirm,
+        Kind::Read | Kind::BeginRead if request.max_age.is_some() => Class::Aged,
+        Kind::Read | Kind::BeginRead => Class::Session,
+    }
+}
