--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -12,8 +12,10 @@
 
 mod batch;
 mod caller;
+mod end;
 pub mod fault;
 mod gather;
+mod login;
 pub mod prepared;
 mod reply;
 mod settings;
@@ -159,7 +161,7 @@
     }
     let _ = stream.set_nodelay(true);
     let place = Place::new(Rc::clone(door));
-    actix_rt::spawn(caller::run(stream, place));
+    actix_rt::spawn(login::run(stream, place));
 }
 
 /// A caller's place among those that may be connected.
--- a/src/net/pg/caller.rs
+++ b/src/net/pg/caller.rs
@@ -1,12 +1,13 @@
-//! One caller's connection, from login to its end.
+//! One caller's connection, from its login on.
 
 use super::batch::{self, Batch, Session};
+use super::end::{End, say, send};
 use super::fault::Fault;
 use super::gather::{Inbox, Next};
 use super::prepared::Names;
 use super::settings::Settings;
-use super::startup::{self, Cancel, Login, Opening};
-use super::{LOGIN_LIMIT, Place, READ_AHEAD, SEND_LIMIT, Told, reply};
+use super::startup::{self, Cancel, Login};
+use super::{Place, READ_AHEAD, Told, reply};
 use crate::clock::Span;
 use crate::core::request::{Cause, Done, Kind, NotRun, Outcome, Request, Status};
 use crate::net::frame::{self, Frame, kind, put};
@@ -16,39 +17,11 @@
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::startup::ParameterStatus;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::io::{AsyncWriteExt, sink};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Answers larger than this are sent before the next batch is looked at, in bytes.
 const COALESCE: usize = 16 * 1024;
-/// How long a caller that is closed may take to notice.
-const LINGER: Duration = Duration::from_secs(1);
-/// The answer to a request for encryption: no.
-const NO_ENCRYPTION: &[u8] = b"N";
-
-/// Why a connection ends.
-#[derive(Debug)]
-enum End {
-    /// The caller left, or can't be reached.
-    Gone,
-    /// The caller is told why, and closed.
-    Fault(Fault),
-}
-
-impl From<Fault> for End {
-    fn from(fault: Fault) -> Self {
-        Self::Fault(fault)
-    }
-}
-
-impl From<std::io::Error> for End {
-    fn from(_: std::io::Error) -> Self {
-        Self::Gone
-    }
-}
-
 /// A transaction that is over while the caller does not know it yet.
 ///
 /// Failure: the transaction's connection is lost, and the caller has pipelined more of it.
@@ -79,63 +52,8 @@
     dismissed: bool,
 }
 
-/// Serves one caller.
-pub(super) async fn run(mut stream: TcpStream, place: Place) {
-    let mut inbox = Inbox::default();
-    let login = tokio::time::timeout(LOGIN_LIMIT, login(&mut stream, &mut inbox, &place)).await;
-    let end = match login {
-        Ok(Ok(Some(login))) => return start(stream, place, inbox, login).await,
-        Ok(Ok(None)) | Err(_) => return,
-        Ok(Err(end)) => end,
-    };
-    say(&mut stream, &end).await;
-}
-
-/// Tells a caller why its connection ends.
-async fn say(stream: &mut TcpStream, end: &End) {
-    if let End::Fault(fault) = end {
-        log::info!(code = fault.code(), reason:% = fault; "closing a caller");
-        let message = frame::encode(&fault.response(true));
-        let _ = send(stream, &message).await;
-        let _ = stream.shutdown().await;
-        // A close with bytes unread resets the connection, and the caller would lose the message.
-        let _ = tokio::time::timeout(LINGER, tokio::io::copy(stream, &mut sink())).await;
-    }
-}
-
-async fn send(stream: &mut TcpStream, bytes: &[u8]) -> Result<(), End> {
-    let sent = tokio::time::timeout(SEND_LIMIT, stream.write_all(bytes)).await;
-    sent.map_err(|_| End::Gone)?.map_err(End::from)
-}
-
-/// Reads messages up to the login; `None` if the connection was for a cancel request.
-async fn login(
-    stream: &mut TcpStream,
-    inbox: &mut Inbox,
-    place: &Place,
-) -> Result<Option<Box<Login>>, End> {
-    loop {
-        match startup::take(inbox.buffer())? {
-            Some(Opening::Encryption) => send(stream, NO_ENCRYPTION).await?,
-            Some(Opening::Login(login)) => return Ok(Some(login)),
-            Some(Opening::Cancel(cancel)) => {
-                let link = place.door.secrets.borrow().get(&cancel).copied();
-                if let Some(link) = link {
-                    (place.door.core.cancel)(link);
-                }
-                return Ok(None);
-            }
-            None => {
-                stream.readable().await?;
-                if !inbox.read(stream, place)? {
-                    return Err(End::Gone);
-                }
-            }
-        }
-    }
-}
-
-async fn start(mut stream: TcpStream, place: Place, inbox: Inbox, login: Box<Login>) {
+/// Serves a caller that has logged in, until its end.
+pub(super) async fn start(mut stream: TcpStream, place: Place, inbox: Inbox, login: Box<Login>) {
     let mut settings = Settings::new(place.door.rules.key.clone());
     let served = (place.door.core.pool)(&login.caller, &login.group).is_some();
     let checked = if served {
