--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -4,17 +4,19 @@
 //! again here, because only the core knows what may be.
 
 mod handshake;
+mod stream;
 
 use crate::core::message::Message;
 use crate::net::rpc;
 use crate::types::{Life, VmId};
 use handshake::{Incoming, accept, connect};
-use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
+use stream::Stream;
+pub use stream::{DOUBT, Frame, UNREAD_LIMIT};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -22,10 +24,6 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
-/// How long a frame may go unacknowledged before its stream is in doubt. Far above a round trip
-/// between regions (20 ms), and short enough that a silent stream costs a caller one wait.
-pub const DOUBT: Duration = Duration::from_secs(2);
-
 /// How often doubts and owed acknowledgements are looked at; an acknowledgement that no
 /// message carries is sent after at most this long.
 pub const CHECK: Duration = Duration::from_millis(500);
@@ -36,22 +34,8 @@
 /// How long after a failed attempt the next one waits.
 pub const REDIAL: Duration = Duration::from_millis(250);
 
-/// Bytes of work and answers that may be unacknowledged on one stream. A peer that reads too
-/// slowly would otherwise fill this process's memory; past it the stream counts as in doubt.
-pub const UNREAD_LIMIT: usize = 64 << 20;
-
 const FLUSH_CHECK: Duration = Duration::from_millis(20);
 
-/// What travels on a stream.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct Frame {
-    /// How many messages the sender has taken from this stream so far.
-    taken: u64,
-    /// What it says; `None` if it only acknowledges.
-    message: Option<Message>,
-}
-
 /// What happens on the streams.
 #[derive(Debug)]
 pub enum Event {
@@ -99,77 +83,6 @@
     Failed(Instant),
 }
 
-#[derive(Debug)]
-struct Stream {
-    serial: u64,
-    frames: mpsc::UnboundedSender<Frame>,
-    sent: u64,
-    acknowledged: u64,
-    unread: usize,
-    doubtful: Option<Instant>,
-    taken: u64,
-    told: u64,
-}
-
-impl Stream {
-    fn new(serial: u64, frames: mpsc::UnboundedSender<Frame>) -> Self {
-        Self {
-            serial,
-            frames,
-            sent: 0,
-            acknowledged: 0,
-            unread: 0,
-            doubtful: None,
-            taken: 0,
-            told: 0,
-        }
-    }
-
-    fn send(&mut self, message: Message) {
-        self.sent += 1;
-        self.unread += size(&message);
-        self.doubtful.get_or_insert_with(|| Instant::now() + DOUBT);
-        self.push(Some(message));
-    }
-
-    fn push(&mut self, message: Option<Message>) {
-        self.told = self.taken;
-        // A closed channel shows as the end of the stream's reader, which reports it.
-        let _ = self.frames.send(Frame {
-            taken: self.taken,
-            message,
-        });
-    }
-
-    fn acknowledge(&mut self, taken: u64) {
-        if taken <= self.acknowledged {
-            return;
-        }
-        self.acknowledged = taken;
-        let rest = self.sent.saturating_sub(taken);
-        self.doubtful = (rest > 0).then(|| Instant::now() + DOUBT);
-        if rest == 0 {
-            self.unread = 0;
-        }
-    }
-
-    fn in_doubt(&self, now: Instant) -> bool {
-        self.unread > UNREAD_LIMIT || self.doubtful.is_some_and(|deadline| deadline <= now)
-    }
-}
-
-fn size(message: &Message) -> usize {
-    match message {
-        Message::Work(work) => work.body.len(),
-        Message::Answer(answer) => match &answer.outcome {
-            crate::core::request::Outcome::Done(done) => done.body.len(),
-            _ => 0,
-        },
-        Message::Document(bytes) => bytes.len(),
-        _ => 0,
-    }
-}
-
 impl Peers {
     /// No streams yet. What happens on them goes to `events`.
     pub fn new(identity: Identity, events: mpsc::UnboundedSender<Event>) -> Rc<Self> {
