--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -13,43 +13,18 @@
 //! holder has the last word, so a wrong guess costs a retry and never a stale read. The primary
 //! comes last, unless no replica will do or the replicas' queues are long.
 
+mod seen;
+
 use crate::clock::{Span, Time};
 use crate::core::message::Hint;
 use crate::core::ramp::Share;
-use crate::types::{DatabaseId, Position};
+use crate::types::DatabaseId;
+pub use seen::Need;
+use seen::{Rank, Seen, UNKNOWN};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The least time of a read rises by this part of itself with each answer, so that it follows a path
-/// that has become longer within a hundred reads.
-const RISE_PART: u64 = 64;
-
-/// A database's time before its first answer, and what it is forgotten towards.
-const UNKNOWN: Span = Span::from_millis(5);
-
-/// A replica that was sent reads and has answered nothing for this long is passed over: long before
-/// the stream to it is known to be broken, and well over a read's time on a slow database.
-const SILENT: Span = Span::from_millis(250);
-
-/// A time that was not confirmed for this long counts half: a replica that was slow and is
-/// no longer asked is asked again within a few such spans.
-const FORGET: Span = Span::from_secs(2);
-
-/// A hint older than this says nothing of the queue or the age: four probe rounds.
-const HINT_LIFE: Span = Span::from_millis(1_000);
-
-/// How much longer than the position alone tells a read's floor is taken to need. The
-/// holder waits for a replica that is nearly there, so a tight guess is worth trying.
-const CATCH_UP: Span = Span::from_millis(50);
-
-/// Failures in a row after which a replica comes after all others.
-const MOST_FAILURES: u32 = 3;
-
-/// How long a replica that failed so often, or is silent, is left out before one read tries it again: as long as
-/// a lost connection takes to be noticed and opened again, several times over.
-const LEFT_OUT: Span = Span::from_millis(500);
-
 /// Replicas' queues longer than this may spill reads to the primary: above the scatter of
 /// a queue that empties, so that in ordinary load the primary keeps its slots for writes.
 const SPILL_WAIT: Span = Span::from_millis(25);
@@ -65,15 +40,6 @@
 /// quarters of the reads.
 const CLEARLY_PERCENT: u64 = 75;
 
-/// What a read needs of its database.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Need {
-    /// The log position that has to be applied.
-    pub floor: Option<Position>,
-    /// The age that must not be exceeded.
-    pub max_age: Option<Span>,
-}
-
 /// A database that might serve a read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -116,24 +82,6 @@
     }
 }
 
-/// What is known of one database.
-#[derive(Debug, Clone, Serialize)]
-struct Seen {
-    /// The least time of a read of late, in microseconds: the way there and back.
-    least: u64,
-    /// Reads sent since the last hint, which does not count them in.
-    unseen: u64,
-    /// When the first of those was sent.
-    unseen_since: Time,
-    failures: u32,
-    left_out_until: Time,
-    share: Share,
-    hint: Hint,
-    hint_at: Time,
-    /// Log entries applied per microsecond.
-    speed: f64,
-}
-
 /// What an entry has learned of a group's databases from their answers.
 #[derive(Debug, Clone, Serialize)]
 pub struct Router {
@@ -157,14 +105,6 @@
     rank: Rank,
 }
 
-/// How well a replica fits; the better one first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Rank {
-    Fit,
-    Behind,
-    Failing,
-}
-
 impl Router {
     /// A router of a stated policy. Entries with different seeds draw differently.
     pub fn with(policy: Policy, seed: u64) -> Self {
@@ -208,39 +148,24 @@
 
     /// A read was sent to `database`.
     pub fn sent(&mut self, now: Time, database: &DatabaseId) {
-        let seen = self.entry(now, database);
-        if seen.unseen == 0 || now.since(seen.unseen_since) > SILENT + LEFT_OUT {
-            seen.unseen_since = now;
-        }
-        seen.unseen += 1;
+        self.entry(now, database).sent(now);
     }
 
     /// `database` answered after `took`, and told `hint` in passing.
     pub fn answered(&mut self, now: Time, database: &DatabaseId, took: Span, hint: &Hint) {
-        let seen = self.entry(now, database);
-        seen.failures = 0;
-        seen.least = took.0.min(seen.least + seen.least / RISE_PART + 1);
-        seen.learn(now, hint);
+        self.entry(now, database).answered(now, took, hint);
     }
 
     /// `database` could not be reached, or broke off.
     pub fn failed(&mut self, now: Time, database: &DatabaseId) {
-        let seen = self.entry(now, database);
-        seen.unseen = 0;
-        seen.failures = seen.failures.saturating_add(1);
-        if seen.failures >= MOST_FAILURES {
-            seen.left_out_until = now + LEFT_OUT;
-            seen.share = Share::returned(now);
-        }
+        self.entry(now, database).failed(now);
     }
 
     /// The holder of `database` refused a read: it was not new enough, or too busy for this
     /// caller. That says nothing about its health; counted as a failure, one greedy caller's
     /// refusals would send everyone's reads to the primary.
     pub fn refused(&mut self, now: Time, database: &DatabaseId, hint: &Hint) {
-        let seen = self.entry(now, database);
-        seen.failures = 0;
-        seen.learn(now, hint);
+        self.entry(now, database).refused(now, hint);
     }
 
     /// The share of its fair load that `database` gets, between 0 and 1.
@@ -354,94 +279,3 @@
     }
     choices.len() - 1
 }
-
-impl Seen {
-    fn new(now: Time) -> Self {
-        Self {
-            least: UNKNOWN.0,
-            unseen: 0,
-            unseen_since: now,
-            failures: 0,
-            left_out_until: Time::default(),
-            share: Share::full(now),
-            hint: Hint::default(),
-            hint_at: Time::default(),
-            speed: 0.0,
-        }
-    }
-
-    fn learn(&mut self, now: Time, hint: &Hint) {
-        let passed = now.since(self.hint_at).0;
-        let moved = hint
-            .position
-            .offset
-            .0
-            .saturating_sub(self.hint.position.offset.0);
-        if self.hint_at > Time::default() && passed > 0 && passed < HINT_LIFE.0 {
-            let weight = passed as f64 / HINT_LIFE.0 as f64;
-            let speed = moved as f64 / passed as f64;
-            self.speed += (speed - self.speed) * weight;
-        }
-        self.hint = hint.clone();
-        self.hint_at = now;
-        self.unseen = 0;
-    }
-
-    /// What a read takes there without waiting, forgotten towards [`UNKNOWN`] while nothing is heard.
-    fn time(&self, now: Time) -> u64 {
-        let halvings = now.since(self.hint_at).0 / FORGET.0;
-        let known = self.least + self.hint.run.0;
-        let over = known.saturating_sub(UNKNOWN.0);
-        known - over + over.checked_shr(halvings as u32).unwrap_or(0)
-    }
-
-    /// How long newly queued work would wait, as last heard.
-    fn wait(&self, now: Time) -> Span {
-        if now.since(self.hint_at) > HINT_LIFE {
-            return Span::ZERO;
-        }
-        self.hint.wait
-    }
-
-    /// The expected time of one more read.
-    fn cost(&self, now: Time) -> u64 {
-        self.time(now) + self.hint.run.0 * self.unseen + self.wait(now).0
-    }
-
-    fn rank(&self, now: Time, need: &Need) -> Rank {
-        let failing = self.failures >= MOST_FAILURES && now < self.left_out_until;
-        let quiet = now.since(self.unseen_since);
-        let silent = self.unseen > 0 && quiet > SILENT && quiet <= SILENT + LEFT_OUT;
-        if failing || silent {
-            return Rank::Failing;
-        }
-        if self.is_behind(now, need) {
-            return Rank::Behind;
-        }
-        Rank::Fit
-    }
-
-    fn is_behind(&self, now: Time, need: &Need) -> bool {
-        if self.hint_at == Time::default() {
-            return false;
-        }
-        let fresh = now.since(self.hint_at) <= HINT_LIFE;
-        let too_old = match (need.max_age, self.hint.age) {
-            (Some(most), Some(age)) => fresh && age > most,
-            (Some(_), None) => fresh,
-            (None, _) => false,
-        };
-        too_old || need.floor.is_some_and(|floor| self.misses(now, floor))
-    }
-
-    /// Whether the database is expected not to have `floor` within [`CATCH_UP`].
-    fn misses(&self, now: Time, floor: Position) -> bool {
-        let seen = self.hint.position;
-        if seen >= floor || seen.term != floor.term {
-            return false;
-        }
-        let ahead = now.since(self.hint_at).0 + CATCH_UP.0;
-        let reached = seen.offset.0 as f64 + self.speed * ahead as f64;
-        reached < floor.offset.0 as f64
-    }
-}
