--- a/src/slopes/fleet.rs
+++ b/src/slopes/fleet.rs
@@ -6,15 +6,15 @@
 
 use crate::clock::{Span, Time};
 use crate::config::{Accepted, Database, Document};
-use crate::core::database::{Command, Event, Order, Refusal, State};
-use crate::core::lineage::Lineage;
+use crate::core::database::{Command, Event};
 use crate::core::member::{self, Identity, Member};
 use crate::core::message::Message;
 use crate::core::node::{Input, Node};
 use crate::core::output::Output;
-use crate::core::term::may_raise;
+use crate::slopes::base::{self, Base};
+use crate::slopes::cost::{Cost, Spent};
 use crate::slopes::deployment::{DOMAINS, FIRST_REGION, document, members};
-use crate::types::{DatabaseId, GroupId, Invalid, Life, Position, Term, Version, VmId};
+use crate::types::{DatabaseId, GroupId, Invalid, Life, Version, VmId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
@@ -72,64 +72,6 @@
     input: Input,
 }
 
-#[derive(Debug)]
-struct Base {
-    group: GroupId,
-    term: Term,
-    open: bool,
-    opener: Option<usize>,
-    lineage: Lineage,
-}
-
-impl Base {
-    fn state(&self) -> State {
-        let position = Position::default();
-        State {
-            term: self.term,
-            position,
-            applied: position,
-            open: self.open,
-            lineage: self.lineage.clone(),
-        }
-    }
-
-    fn obey(&mut self, order: Order, seat: usize) -> Result<State, Refusal> {
-        match order {
-            Order::Raise(term) if may_raise(self.term, term) => {
-                self.term = term;
-                self.open = false;
-            }
-            Order::Open(term) if term == self.term => {
-                if !self.open {
-                    self.lineage.open(term, Position::default());
-                }
-                self.open = true;
-                self.opener = Some(seat);
-            }
-            Order::Raise(_) | Order::Open(_) => return Err(Refusal::Term(self.term)),
-            Order::Report | Order::Reach(_) => {}
-        }
-        Ok(self.state())
-    }
-}
-
-/// What a fleet's nodes did in a stretch of time, for each node and second.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Cost {
-    /// Control messages sent, on average.
-    pub messages: f64,
-    /// Control bytes sent, on average.
-    pub bytes: f64,
-    /// Control bytes sent by the node that sent most.
-    pub most_bytes: f64,
-    /// Processor time in microseconds, on average.
-    pub micros: f64,
-    /// Processor time in microseconds of the busiest node.
-    pub most_micros: f64,
-    /// Streams to other nodes, on average.
-    pub streams: f64,
-}
-
 impl Fleet {
     /// Starts a fleet that has just learned its members and configuration.
     pub fn start(size: Size) -> Result<Self, Invalid> {
@@ -139,7 +81,7 @@
             nodes: Vec::new(),
             seats: HashMap::new(),
             members: members(size.nodes)?,
-            bases: bases(&document),
+            bases: base::bases(&document),
             document,
             streams: HashSet::new(),
             queue: BinaryHeap::new(),
@@ -199,27 +141,9 @@
         while self.step(until) {}
         self.now = until;
         let after: Vec<_> = self.nodes.iter().map(Seat::spent).collect();
-        let secs = span.0 as f64 / 1e6;
-        let mut cost = Cost::default();
-        let mut live = 0.0;
-        for (before, after) in before.iter().zip(&after) {
-            let (Some(before), Some(after)) = (before, after) else {
-                continue;
-            };
-            let bytes = (after.bytes - before.bytes) as f64 / secs;
-            let micros = (after.busy - before.busy).as_nanos() as f64 / 1e3 / secs;
-            cost.messages += (after.messages - before.messages) as f64 / secs;
-            cost.bytes += bytes;
-            cost.micros += micros;
-            cost.most_bytes = cost.most_bytes.max(bytes);
-            cost.most_micros = cost.most_micros.max(micros);
-            live += 1.0;
-        }
-        cost.messages /= live;
-        cost.bytes /= live;
-        cost.micros /= live;
-        cost.streams = self.streams.len() as f64 / live;
-        cost
+        let spent = before.into_iter().zip(after);
+        let live = spent.filter_map(|(before, after)| Some((before?, after?)));
+        Cost::of(live, span, self.streams.len())
     }
 
     /// Runs until `done`, but no longer than `limit`; returns how long it took, if it was done.
@@ -263,16 +187,8 @@
 
     /// How many groups have no such primary.
     pub fn unserved(&self) -> usize {
-        let mut highest: HashMap<&GroupId, &Base> = HashMap::new();
-        for base in self.bases.values() {
-            let best = highest.entry(&base.group).or_insert(base);
-            if (base.term, base.open) > (best.term, best.open) {
-                *best = base;
-            }
-        }
         let live = |seat: usize| self.nodes.get(seat).is_some_and(Option::is_some);
-        let served = |base: &&&Base| base.open && base.opener.is_some_and(live);
-        highest.len() - highest.values().filter(served).count()
+        base::unserved(self.bases.values(), live)
     }
 
     /// VMs vanish without a word; the platform's list shows it after `lag`. Returns how many
@@ -426,13 +342,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Spent {
-    messages: u64,
-    bytes: u64,
-    busy: Duration,
-}
-
 impl Seat {
     fn spent(seat: &Option<Seat>) -> Option<Spent> {
         let seat = seat.as_ref()?;
@@ -451,17 +360,3 @@
         false => BETWEEN_REGIONS,
     }
 }
-
-fn bases(document: &Document) -> HashMap<DatabaseId, Base> {
-    let base = |(group, id, _): (&GroupId, &DatabaseId, &Database)| {
-        let base = Base {
-            group: group.clone(),
-            term: Term(0),
-            open: false,
-            opener: None,
-            lineage: Lineage::default(),
-        };
-        (id.clone(), base)
-    };
-    document.databases().map(base).collect()
-}
