Shorten what takes messages and statements

Each case of some length is a function; an answer is built in one place (`fake::log::Log::reply`). No change in what is done.

--- a/src/core/node/peer.rs
+++ b/src/core/node/peer.rs
@@ -4,13 +4,15 @@
 use crate::clock::Span;
 use crate::core::database::{Event, Order, Refusal, State};
 use crate::core::message::{
-    Answer, Control, Controlled, Found, Grant, Hello, Hint, Message, Probe, Report, Suspect, Work,
+    Answer, Ask, Control, Controlled, Found, Grant, Hello, Hint, Message, Probe, Report, Suspect,
+    Suspected, Work,
 };
 use crate::core::output::Output;
 use crate::core::request::{Cause, NotRun, Outcome};
 use crate::core::spread;
 use crate::core::world::Errand;
 use crate::types::{DatabaseId, Link, Term, VmId};
+use bytes::Bytes;
 use std::sync::Arc;
 
 impl Node {
@@ -22,24 +24,8 @@
             Message::Cancel(request) => {
                 self.each_holder(out, |holder, turn| holder.cancel(turn, &from, request));
             }
-            Message::Depart(link) => {
-                self.departed(&from, Some(link), out);
-            }
-            Message::Ask(ask) => {
-                let (group, request) = (ask.group.clone(), ask.request);
-                let joined =
-                    self.with_steward(&group, out, |steward, turn| steward.ask(turn, &from, ask));
-                if !joined {
-                    let (mut turn, _) = self.turn(out);
-                    let grant = Grant {
-                        request,
-                        group,
-                        floor: None,
-                        primary: None,
-                    };
-                    turn.send(&from, Message::Grant(grant));
-                }
-            }
+            Message::Depart(link) => self.departed(&from, Some(link), out),
+            Message::Ask(ask) => self.ask(&from, ask, out),
             Message::Grant(grant) => parts.entry.granted(&mut turn, &from, grant),
             Message::Revoke(revoke) => parts.entry.revoked(&mut turn, &from, revoke),
             Message::Revoked(revoke) => {
@@ -49,12 +35,7 @@
                 });
             }
             Message::Probe(probe) => self.probe(from, probe, out),
-            Message::Report(report) => {
-                parts.spread.heard(&mut turn, &from, report.version);
-                parts.spread.answer(&mut turn, &from, report.version);
-                let group = report.group.clone();
-                self.with_steward(&group, out, |steward, turn| steward.reported(turn, report));
-            }
+            Message::Report(report) => self.reported(&from, report, out),
             Message::Control(control) => self.control(from, control, out),
             Message::Controlled(controlled) => {
                 let Some(group) = turn.world.group_of(&controlled.database).cloned() else {
@@ -71,27 +52,56 @@
                 });
             }
             Message::Suspect(suspect) => self.suspect(from, suspect, out),
-            Message::Suspected(suspected) => {
-                let group = suspected.group.clone();
-                if let Some(primary) = &suspected.primary {
-                    turn.world.learn(&group, primary);
-                }
-                self.with_steward(&group, out, |steward, turn| {
-                    steward.evidence(turn, &from, suspected);
-                });
-            }
+            Message::Suspected(suspected) => self.suspected(&from, suspected, out),
             Message::Hello(hello) => self.hello(from, hello, out),
             Message::Want(version) => parts.spread.want(&mut turn, &from, version),
-            Message::Document(packed) => match spread::unpack(&packed) {
-                Some(accepted) => {
-                    let settled = parts.spread.offered(&mut turn, Arc::new(accepted));
-                    self.put_in_force(settled, out);
-                }
-                None => turn.world.counters.nonsense += 1,
-            },
+            Message::Document(packed) => self.document(&packed, out),
         }
     }
 
+    /// An entry asks for a session's floor. Where nobody here knows the group, it is told so.
+    fn ask(&mut self, from: &VmId, ask: Ask, out: &mut Vec<Output>) {
+        let (group, request) = (ask.group.clone(), ask.request);
+        if self.with_steward(&group, out, |steward, turn| steward.ask(turn, from, ask)) {
+            return;
+        }
+        let grant = Grant {
+            request,
+            group,
+            floor: None,
+            primary: None,
+        };
+        self.turn(out).0.send(from, Message::Grant(grant));
+    }
+
+    fn reported(&mut self, from: &VmId, report: Report, out: &mut Vec<Output>) {
+        let (mut turn, parts) = self.turn(out);
+        parts.spread.heard(&mut turn, from, report.version);
+        parts.spread.answer(&mut turn, from, report.version);
+        let group = report.group.clone();
+        self.with_steward(&group, out, |steward, turn| steward.reported(turn, report));
+    }
+
+    fn suspected(&mut self, from: &VmId, suspected: Suspected, out: &mut Vec<Output>) {
+        let group = suspected.group.clone();
+        if let Some(primary) = &suspected.primary {
+            self.world.learn(&group, primary);
+        }
+        self.with_steward(&group, out, |steward, turn| {
+            steward.evidence(turn, from, suspected);
+        });
+    }
+
+    fn document(&mut self, packed: &Bytes, out: &mut Vec<Output>) {
+        let Some(accepted) = spread::unpack(packed) else {
+            self.world.counters.nonsense += 1;
+            return;
+        };
+        let (mut turn, parts) = self.turn(out);
+        let settled = parts.spread.offered(&mut turn, Arc::new(accepted));
+        self.put_in_force(settled, out);
+    }
+
     fn each_holder(
         &mut self,
         out: &mut Vec<Output>,
--- a/src/standin/fake/base.rs
+++ b/src/standin/fake/base.rs
@@ -2,9 +2,8 @@
 
 use super::log::{Log, Row};
 use crate::clock::{Span, Time};
-use crate::core::database::{Event, Order, Refusal, Reply, Run};
-use crate::core::request::Status;
-use crate::types::{ConnId, DatabaseId, Life, Position, RequestId, VmId};
+use crate::core::database::{Event, Order, Refusal, Run};
+use crate::types::{ConnId, DatabaseId, Life, Position, RequestId, RequestKey, VmId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// How long an order to reach a position is kept waiting.
@@ -60,6 +59,14 @@
     until: Time,
 }
 
+/// What a statement did.
+struct Effect {
+    body: String,
+    wrote: Option<Position>,
+    /// The rows of the transaction that is open now.
+    open: Option<Vec<Row>>,
+}
+
 impl Base {
     pub(super) fn new(id: DatabaseId) -> Self {
         Self {
@@ -125,63 +132,77 @@
             return Some(refused(Refusal::Term(self.log.term)));
         }
         let text = String::from_utf8_lossy(&run.body).into_owned();
-        let (verb, rest) = text.split_once(' ').unwrap_or((&text, ""));
+        let effect = match self.perform(open, &text, run.key) {
+            Ok(effect) => effect,
+            Err(refusal) => return Some(refused(refusal)),
+        };
+        let (body, opened) = (effect.body, effect.open.is_some());
+        self.connections.insert(owner.clone(), effect.open);
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            self.connections.remove(owner);
+            return Some(Event::Closed { conn });
+        }
+        let reply = self.log.reply(request, body, opened, effect.wrote);
+        Some(Event::Answered { conn, reply })
+    }
+
+    /// Does what a statement says, on a connection whose transaction holds `open`.
+    fn perform(
+        &mut self,
+        open: Option<Vec<Row>>,
+        text: &str,
+        request: Option<RequestKey>,
+    ) -> Result<Effect, Refusal> {
+        let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         if verb == "write" && !self.log.open {
-            return Some(refused(Refusal::ReadOnly));
+            return Err(Refusal::ReadOnly);
         }
-        let mut wrote = None;
-        let mut body = verb.to_owned();
-        let mut now_open = open.clone();
+        let mut effect = Effect {
+            body: verb.to_owned(),
+            wrote: None,
+            open: None,
+        };
         match (verb, open) {
-            ("begin", _) => now_open = Some(Vec::new()),
+            ("begin", _) => effect.open = Some(Vec::new()),
             ("write", open) => {
-                let (key, value) = rest.split_once('=').unwrap_or((rest, ""));
-                let row = Row {
-                    term: self.log.term,
-                    key: key.into(),
-                    value: value.into(),
-                    request: run.key,
-                };
-                body = format!("wrote {key}");
+                let row = self.row(rest, request);
+                effect.body = format!("wrote {}", row.key);
                 match open {
                     Some(mut rows) => {
                         rows.push(row);
-                        now_open = Some(rows);
+                        effect.open = Some(rows);
                     }
-                    None => wrote = Some(self.append(row)),
+                    None => effect.wrote = Some(self.append(row)),
                 }
             }
-            ("read", _) => body = self.read(rest),
+            ("read", open) => {
+                effect.body = self.read(rest);
+                effect.open = open;
+            }
             ("commit", Some(rows)) => {
                 for mut row in rows {
                     if !self.log.open {
-                        return Some(refused(Refusal::ReadOnly));
+                        return Err(Refusal::ReadOnly);
                     }
                     row.term = self.log.term;
-                    wrote = Some(self.append(row));
+                    effect.wrote = Some(self.append(row));
                 }
-                now_open = None;
             }
-            _ => now_open = None,
-        }
-        let status = match now_open {
-            Some(_) => Status::Open,
-            None => Status::Idle,
-        };
-        self.connections.insert(owner.clone(), now_open);
-        if self.lose_answers > 0 {
-            self.lose_answers -= 1;
-            self.connections.remove(owner);
-            return Some(Event::Closed { conn });
+            _ => {}
         }
-        let reply = Reply {
+        Ok(effect)
+    }
+
+    /// The row of `KEY=VALUE`.
+    fn row(&self, text: &str, request: Option<RequestKey>) -> Row {
+        let (key, value) = text.split_once('=').unwrap_or((text, ""));
+        Row {
+            term: self.log.term,
+            key: key.into(),
+            value: value.into(),
             request,
-            body: body.into(),
-            status,
-            applied: self.log.reached(),
-            wrote,
-        };
-        Some(Event::Answered { conn, reply })
+        }
     }
 
     fn read(&self, key: &str) -> String {
--- a/src/standin/fake/log.rs
+++ b/src/standin/fake/log.rs
@@ -1,9 +1,10 @@
 //! A database's log, and the term in which it stands.
 
-use crate::core::database::{Order, Refusal, State};
+use crate::core::database::{Order, Refusal, Reply, State};
 use crate::core::lineage::Lineage;
+use crate::core::request::Status;
 use crate::core::term::may_raise;
-use crate::types::{Offset, Position, RequestKey, Term};
+use crate::types::{Offset, Position, RequestId, RequestKey, Term};
 
 /// An entry of the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,6 +74,23 @@
         }
     }
 
+    /// The answer to a statement that may have written up to `wrote`.
+    pub fn reply(
+        &self,
+        request: RequestId,
+        body: String,
+        open: bool,
+        wrote: Option<Position>,
+    ) -> Reply {
+        Reply {
+            request,
+            body: body.into(),
+            status: if open { Status::Open } else { Status::Idle },
+            applied: self.reached(),
+            wrote,
+        }
+    }
+
     /// The rows that readers see.
     pub fn seen(&self) -> &[Row] {
         &self.rows[..self.applied]
--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -2,8 +2,7 @@
 
 use super::World;
 use lentilspoke::clock::Span;
-use lentilspoke::core::database::{Command, Event, Order, Refusal, Reply, Run};
-use lentilspoke::core::request::Status;
+use lentilspoke::core::database::{Command, Event, Order, Refusal, Run};
 use lentilspoke::standin::fake::log::{Log, Row};
 use lentilspoke::types::{ConnId, DatabaseId, Position, RequestId, RequestKey, VmId};
 use std::collections::BTreeMap;
@@ -150,44 +149,43 @@
             return None;
         }
         self.runs += 1;
-        let mut wrote = None;
-        let mut now_open = open.clone();
+        let (opened, wrote) = self.perform(open, verb, rest, run.key);
+        let body = texts(self.log.seen()).join(",");
+        let reply = self.log.reply(request, body, opened.is_some(), wrote);
+        self.connections.insert((vm.clone(), conn), opened);
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            self.connections.remove(&(vm.clone(), conn));
+            return Some(Event::Closed { conn });
+        }
+        Some(Event::Answered { conn, reply })
+    }
+
+    /// The transaction that is open after a statement, and what the statement wrote.
+    fn perform(
+        &mut self,
+        open: Option<Vec<String>>,
+        verb: &str,
+        rest: &str,
+        key: Option<RequestKey>,
+    ) -> (Option<Vec<String>>, Option<Position>) {
         match (verb, open) {
-            ("begin", _) => now_open = Some(Vec::new()),
+            ("begin", _) => (Some(Vec::new()), None),
             ("w", Some(mut pending)) => {
                 pending.push(rest.into());
-                now_open = Some(pending);
+                (Some(pending), None)
             }
-            ("w", None) => wrote = Some(self.append(rest, run.key)),
+            ("w", None) => (None, Some(self.append(rest, key))),
             ("commit", Some(pending)) => {
+                let mut wrote = None;
                 for text in &pending {
                     wrote = Some(self.append(text, None));
                 }
-                now_open = None;
+                (None, wrote)
             }
-            ("rollback", _) => now_open = None,
-            _ => {}
+            ("rollback", _) => (None, None),
+            (_, open) => (open, None),
         }
-        let body = texts(self.log.seen()).join(",");
-        let status = if now_open.is_some() {
-            Status::Open
-        } else {
-            Status::Idle
-        };
-        self.connections.insert((vm.clone(), conn), now_open);
-        if self.lose_answers > 0 {
-            self.lose_answers -= 1;
-            self.connections.remove(&(vm.clone(), conn));
-            return Some(Event::Closed { conn });
-        }
-        let reply = Reply {
-            request,
-            body: body.into(),
-            status,
-            applied: self.log.reached(),
-            wrote,
-        };
-        Some(Event::Answered { conn, reply })
     }
 
     fn append(&mut self, text: &str, request: Option<RequestKey>) -> Position {
