Shorten how the demo starts a proxy

Its setup is now built in the proxy's thread, so a listener that can't be used is named with its error.

--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -11,11 +11,11 @@
 use crate::standin::database::{Group, Handle, Lag, Spec};
 use crate::standin::deployment::{APPLY_LAG, CONNECT, Deployment, GROUPS, RECEIVE_LAG, SERVICE};
 use crate::standin::platform::{self, Platform};
-use crate::types::{ApplyId, Domain, GroupId, Invalid, Life, Version, VmId};
+use crate::types::{ApplyId, Domain, GroupId, Invalid, Life, Version};
 use crate::util;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -158,15 +158,16 @@
     Ok(handles)
 }
 
+fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
 fn start_proxy(plan: &Plan, index: u8, platform: SocketAddr) -> Result<(Member, Proxy), Error> {
     let place = usize::from(index) % GROUPS;
     let source = Deployment::address(place, index + 1);
-    let bind = |address: SocketAddr| -> io::Result<(std::net::TcpListener, SocketAddr)> {
-        let listener = std::net::TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        Ok((listener, address))
-    };
     let mut listen = plan.listen;
     if listen.port() != 0 {
         listen.set_port(listen.port() + u16::from(index));
@@ -174,58 +175,53 @@
     let (callers, callers_address) = bind(listen)?;
     let (peers, peers_address) = bind(SocketAddr::new(source, 0))?;
     let (admin, admin_address) = bind(SocketAddr::new(listen.ip(), 0))?;
-    let vm: VmId = format!("vm{}", index + 1).parse()?;
-    let domain = plan.deployment.places()[place].domain.parse()?;
     let identity = Identity {
-        vm: vm.clone(),
-        domain,
+        vm: format!("vm{}", index + 1).parse()?,
+        domain: plan.deployment.places()[place].domain.parse()?,
         life: Life(rand::random()),
     };
     let member = Member {
-        vm,
+        vm: identity.vm.clone(),
         address: peers_address,
         domain: identity.domain.clone(),
         leaving: false,
     };
     let (stop, stopped) = oneshot::channel();
     let (status, known) = watch::channel(Status::default());
+    let build = move || {
+        Ok(Setup {
+            identity,
+            source,
+            callers: tokio::net::TcpListener::from_std(callers)?,
+            peers: tokio::net::TcpListener::from_std(peers)?,
+            admin: tokio::net::TcpListener::from_std(admin)?,
+            platform: Client::new([platform]),
+            rules: pg::Rules::default(),
+            status,
+        })
+    };
     let thread = std::thread::Builder::new()
         .name(member.vm.to_string())
-        .spawn(move || {
-            actix_rt::System::new().block_on(async move {
-                let listeners = (
-                    tokio::net::TcpListener::from_std(callers),
-                    tokio::net::TcpListener::from_std(peers),
-                    tokio::net::TcpListener::from_std(admin),
-                );
-                let (Ok(callers), Ok(peers), Ok(admin)) = listeners else {
-                    log::error!("a listener can't be used: free its port");
-                    return;
-                };
-                let setup = Setup {
-                    identity,
-                    source,
-                    callers,
-                    peers,
-                    admin,
-                    platform: Client::new([platform]),
-                    rules: pg::Rules::default(),
-                    status,
-                };
-                // A demo that is dropped ends its proxies too.
-                proxy::run(setup, async { stopped.await.unwrap_or_default() }).await;
-            });
-        })?;
-    Ok((
-        member,
-        Proxy {
-            callers: callers_address,
-            admin: admin_address,
-            status: known,
-            stop,
-            thread,
-        },
-    ))
+        .spawn(move || run_proxy(build, stopped))?;
+    let proxy = Proxy {
+        callers: callers_address,
+        admin: admin_address,
+        status: known,
+        stop,
+        thread,
+    };
+    Ok((member, proxy))
+}
+
+/// Runs one proxy on this thread. Its setup is built here, where its listeners are served.
+fn run_proxy(build: impl FnOnce() -> io::Result<Setup>, stopped: oneshot::Receiver<()>) {
+    actix_rt::System::new().block_on(async {
+        match build() {
+            // A demo that is dropped ends its proxies too.
+            Ok(setup) => proxy::run(setup, async { stopped.await.unwrap_or_default() }).await,
+            Err(error) => log::error!("a listener can't be used: {error}; free its port"),
+        }
+    });
 }
 
 impl Demo {
