Take out the setting limits.sessions, which nothing used

Cause: it was checked, documented as unused, and had no effect: a steward remembers 16,384 sessions a group, whatever it said. Change: the setting, its row and its default are gone.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -98,8 +98,6 @@
 pub struct Limits {
     /// Callers' connections.
     pub connections: u32,
-    /// Sessions whose floors it remembers as a steward.
-    pub sessions: u32,
 }
 
 impl Default for Limits {
@@ -108,7 +106,6 @@
     fn default() -> Self {
         Self {
             connections: 10_000,
-            sessions: 100_000,
         }
     }
 }
@@ -153,15 +150,9 @@
         if let Some(Err(invalid)) = self.token_key.as_deref().map(Key::from_str) {
             return Err(Fault::new(["token_key"], invalid.to_string()));
         }
-        let limits = [
-            ("connections", self.limits.connections),
-            ("sessions", self.limits.sessions),
-        ];
-        for (key, limit) in limits {
-            if limit == 0 {
-                let message = "0 would turn everyone away: leave it out for the default";
-                return Err(Fault::new(["limits", key], message));
-            }
+        if self.limits.connections == 0 {
+            let message = "0 would turn everyone away: leave it out for the default";
+            return Err(Fault::new(["limits", "connections"], message));
         }
         Ok(())
     }
