--- a/src/slopes/path.rs
+++ b/src/slopes/path.rs
@@ -7,10 +7,9 @@
 use crate::clock::Span;
 use crate::process;
 use crate::standin::demo::{self, Demo, PRIMARY_CALLER, Plan as DemoPlan};
-use crate::standin::deployment::Deployment;
 use hdrhistogram::Histogram;
 use std::cell::Cell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio_postgres::types::{ToSql, Type};
@@ -158,11 +157,8 @@
 /// Starts an ideal deployment.
 pub(super) async fn ideal(proxies: u8) -> Result<Demo, demo::Error> {
     demo::start(&DemoPlan {
-        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        proxies,
-        deployment: Deployment::Association,
-        kill_primary_after: None,
         ideal: true,
+        ..DemoPlan::on_free_ports(proxies)
     })
     .await
 }
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -15,7 +15,7 @@
 use crate::util;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -44,6 +44,19 @@
     pub ideal: bool,
 }
 
+impl Plan {
+    /// The association's deployment on ports of this machine that are free.
+    pub fn on_free_ports(proxies: u8) -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            proxies,
+            deployment: Deployment::Association,
+            kill_primary_after: None,
+            ideal: false,
+        }
+    }
+}
+
 /// The caller whose writes need only the primary, in an ideal deployment.
 pub const PRIMARY_CALLER: &str = "primary";
 
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -1,19 +1,11 @@
 //! Callers through whole proxies to stand-in databases, over sockets.
 
 use lentilspoke::standin::demo::{self, Demo, Plan};
-use lentilspoke::standin::deployment::Deployment;
 use lentilspoke::types::GroupId;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
 async fn start() -> Demo {
-    let plan = Plan {
-        listen: "127.0.0.1:0".parse().unwrap(),
-        proxies: 2,
-        deployment: Deployment::Association,
-        kill_primary_after: None,
-        ideal: false,
-    };
-    let demo = demo::start(&plan).await.unwrap();
+    let demo = demo::start(&Plan::on_free_ports(2)).await.unwrap();
     for proxy in 0..2 {
         ready(&demo, proxy).await;
     }
--- a/tests/config_outage.rs
+++ b/tests/config_outage.rs
@@ -6,20 +6,12 @@
 use lentilspoke::net::platform::Client;
 use lentilspoke::net::platform::apply::{CONFIG_PATH, Proposal, Verdict, propose};
 use lentilspoke::standin::demo::{self, Demo};
-use lentilspoke::standin::deployment::Deployment;
 use lentilspoke::standin::platform::Health;
 use lentilspoke::types::{ApplyId, Version};
 use std::net::SocketAddr;
 
 async fn start() -> Demo {
-    let plan = demo::Plan {
-        listen: "127.0.0.1:0".parse().unwrap(),
-        proxies: 3,
-        deployment: Deployment::Association,
-        kill_primary_after: None,
-        ideal: false,
-    };
-    demo::start(&plan).await.unwrap()
+    demo::start(&demo::Plan::on_free_ports(3)).await.unwrap()
 }
 
 async fn in_force(admin: SocketAddr) -> Accepted {
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -10,7 +10,6 @@
 use lentilspoke::load::{self, Kind, Mix, Plan, Report};
 use lentilspoke::standin::database::Handle;
 use lentilspoke::standin::demo;
-use lentilspoke::standin::deployment::Deployment;
 use lentilspoke::types::{DatabaseId, Position};
 use std::time::Duration;
 
@@ -61,14 +60,7 @@
 }
 
 async fn start() -> demo::Demo {
-    let plan = demo::Plan {
-        listen: "127.0.0.1:0".parse().unwrap(),
-        proxies: 2,
-        deployment: Deployment::Association,
-        kill_primary_after: None,
-        ideal: false,
-    };
-    demo::start(&plan).await.unwrap()
+    demo::start(&demo::Plan::on_free_ports(2)).await.unwrap()
 }
 
 fn group<'d>(demo: &'d demo::Demo, name: &str) -> &'d Handle {
