--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Everything here is driven by typed inputs with the time handed in, and answers with
 //! typed outputs, so that scenarios and the model checker run the code that serves callers.
+//!
+//! `node` hands each input to the roles of a proxy: `entry`, `holder`, `steward`, `spread`. These
+//! share `world` and know nothing of `node`. What one has for another goes by `message`, also on
+//! one VM, or is carried over by `node::settle`. The other modules are what they decide by.
 
 mod acknowledge;
 mod age;
--- a/src/standin/database/mod.rs
+++ b/src/standin/database/mod.rs
@@ -276,11 +276,6 @@
         self.change(id, |node| node.lag = lag);
     }
 
-    /// Sets how long a statement holds a slot.
-    pub fn set_service(&self, id: &DatabaseId, service: Span) {
-        self.change(id, |node| node.service = service);
-    }
-
     fn change(&self, id: &DatabaseId, act: impl FnOnce(&mut Node)) {
         self.shared.node(id, act);
         self.shared.wake_all();
