--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -8,7 +8,7 @@
 use crate::direct::owner::Way;
 use crate::direct::pool::Lent;
 use crate::direct::relay::line::Line;
-use crate::direct::relay::{Ask, Opening, Reply, Request, Start};
+use crate::direct::relay::{Ask, Opening, Reply, Request, Start, Told};
 use crate::direct::session::Session;
 use crate::direct::statement::{Answer, Code, End, Order, State};
 use crate::direct::targets::{Target, Targets};
@@ -111,6 +111,8 @@
 
 /// Tries to run a statement that stands alone or opens a transaction.
 pub async fn run(targets: &Targets, session: &Session, job: &Job<'_>, plan: &Plan) -> Attempt {
+    let epoch = plan.lease.as_ref().map(|lease| lease.epoch);
+    job.trace.tries(&plan.target.database.id, epoch);
     let one = Try {
         targets,
         session,
@@ -191,14 +193,17 @@
         if let End::Error { code, .. } = answer.end
             && outcome::may_do_elsewhere(code)
         {
+            exchange::note_refusal(targets, self.job.trace, target, code);
             targets.refused(target, answer.position, code == Code::Busy);
             held.release(targets);
             return Attempt::NotRun(code);
         }
         targets.answered(target, asked, &answer, self.job.urgency());
         if !self.holds() {
+            self.job.trace.ended("lease");
             return Attempt::Lost(Why::Lapsed);
         }
+        self.job.trace.ended("answered");
         if let (Some(epoch), Some(position)) = (held.epoch, answer.position) {
             targets.learn(&self.job.route.group, epoch, asked, position);
         }
@@ -227,6 +232,7 @@
 
     async fn by(&self, mut line: Line) -> Passed {
         let Some(under_way) = self.start() else {
+            self.job.trace.ended("lease");
             self.targets.lines.give_back(line);
             return Passed::Attempt(Attempt::NotRun(Code::NotPrimary));
         };
@@ -238,13 +244,16 @@
             // A frozen owner is left as soon as a silent database is reported.
             limit = limit.min(SILENT);
         }
+        self.job.trace.through(line.owner());
         let told = match tokio::time::timeout(limit.into(), line.ask(&request)).await {
             Ok(Ok(told)) => told,
             Ok(Err(error)) => {
+                self.job.trace.ended("owner");
                 self.targets.lines.doubt(line.owner(), &error);
                 return Passed::Attempt(Attempt::Lost(Why::Broken));
             }
             Err(_) => {
+                self.job.trace.ended("owner");
                 self.targets.lines.doubt(line.owner(), &"no reply in time");
                 let late = self.targets.now() >= self.job.deadline();
                 let why = if late { Why::Silent } else { Why::Broken };
@@ -253,7 +262,7 @@
         };
         let pool = &self.plan.target.pool;
         pool.owner_waits(self.targets.now() + told.wait);
-        self.passed(line, under_way, asked, told.reply)
+        self.passed(line, under_way, asked, told)
     }
 
     fn request(&self) -> Start {
@@ -269,10 +278,10 @@
         }
     }
 
-    fn passed(&self, line: Line, under_way: Option<UnderWay>, asked: Time, reply: Reply) -> Passed {
+    fn passed(&self, line: Line, under_way: Option<UnderWay>, asked: Time, told: Told) -> Passed {
         let (targets, target) = (self.targets, &self.plan.target);
         let lines = &targets.lines;
-        match reply {
+        match told.reply {
             Reply::Answered(answer) => {
                 let first = matches!(self.job.part, Part::First { .. });
                 let opened = first && answer.state == State::Open;
@@ -285,7 +294,8 @@
             }
             Reply::NotRun(code) => {
                 lines.give_back(line);
-                targets.refused(target, None, false);
+                exchange::note_refusal(targets, self.job.trace, target, code);
+                targets.refused(target, told.position, false);
                 let attempt = Attempt::NotRun(code);
                 match code {
                     Code::Full | Code::OtherDatabase => Passed::Elsewhere(attempt),
@@ -293,11 +303,13 @@
                 }
             }
             Reply::Unreached => {
+                self.job.trace.ended("unreached");
                 lines.give_back(line);
                 targets.failed(&target.database);
                 Passed::Elsewhere(Attempt::Unreached)
             }
             Reply::Lost(why) => {
+                self.job.trace.ended("lost");
                 lines.give_back(line);
                 targets.failed(&target.database);
                 Passed::Attempt(Attempt::Lost(why))
--- a/src/standin/direct/link.rs
+++ b/src/standin/direct/link.rs
@@ -90,6 +90,13 @@
         self.ways.iter().any(|way| way.borrow().held)
     }
 
+    /// Changes how long bytes are under way that are sent from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        for way in &self.ways {
+            way.borrow_mut().delay = delay;
+        }
+    }
+
     /// Holds all bytes back for good.
     pub fn silence(&self) {
         for way in &self.ways {
