Search the ages of replicas' reads as they are told from VM to VM

Cause: ages were tested by cases and by schedules, not by a search.

Change: src/model/ages, with the real Fresh: a primary asked under a lease, told on to another VM, reads that may be so old by what both know, a replacement with or without the last commit, an old primary that goes on to answer. Left out: that a newer epoch forgets older pairs, which no read's age depends on.

--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -4,6 +4,7 @@
 //! stop, restart and lose messages at any point. Each of its safeguards can be taken out; the
 //! search then has to find how the property breaks.
 
+pub mod ages;
 pub mod floors;
 pub mod leads;
 pub mod outcomes;
--- a/src/model/suite.rs
+++ b/src/model/suite.rs
@@ -1,5 +1,6 @@
 //! Every search there is: the protocol as it stands, and with each safeguard taken out.
 
+mod ages;
 mod leads;
 mod vouch;
 
@@ -97,6 +98,7 @@
     ];
     cases.extend(leads::sound()?);
     cases.extend(vouch::sound()?);
+    cases.extend(ages::sound()?);
     Ok(cases)
 }
 
@@ -162,6 +164,7 @@
     }
     cases.extend(leads::unsound()?);
     cases.extend(vouch::unsound()?);
+    cases.extend(ages::unsound()?);
     Ok(cases)
 }
 
