Show times before the first start as they are

Cause: explain split a negative time into seconds and milliseconds by floor, so that -0.250 s stood as -1.750 s, and later lines looked earlier. Change: one Seconds shows all times.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -4,7 +4,7 @@
 pub mod line;
 
 use cause::Case;
-use line::Line;
+use line::{Line, Seconds};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -194,16 +194,6 @@
     known
 }
 
-/// A time in seconds.
-struct Seconds(i64);
-
-impl fmt::Display for Seconds {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (seconds, millis) = (self.0.div_euclid(1_000), self.0.rem_euclid(1_000));
-        write!(f, "{seconds}.{millis:03}")
-    }
-}
-
 impl fmt::Display for Told<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.line)?;
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -4,7 +4,7 @@
 //! belief near it that explains it. They name what the lines show and no more: where nothing near
 //! explains an outcome, they say so.
 
-use super::line::Line;
+use super::line::{Line, Seconds};
 use super::{BEFORE_MS, CONFIGURED};
 
 /// A request's own lines and the beliefs around them, both in order of time.
@@ -55,10 +55,6 @@
     line.value(key).and_then(|n| n.parse().ok()).unwrap_or(0)
 }
 
-fn seconds(at_ms: i64) -> String {
-    format!("{:.3}", at_ms as f64 / 1_000.0)
-}
-
 /// What was told, and the replacement of the primary near it, which may lie behind it.
 fn beside(case: &Case<'_>, line: &Line, told: String) -> String {
     match replacement(case, line) {
@@ -105,13 +101,13 @@
     if let Some(alone) = alone.filter(|l| &*l.message == "the store does not answer") {
         return Some(format!(
             "this VM had no answer of the store since {}, and its lease ended",
-            seconds(alone.at_ms)
+            Seconds(alone.at_ms)
         ));
     }
     let started = newest(case, line, |l| l.vm == line.vm && &*l.message == "started")?;
     Some(format!(
         "this VM had started only at {}",
-        seconds(started.at_ms)
+        Seconds(started.at_ms)
     ))
 }
 
@@ -131,14 +127,14 @@
         return None;
     }
     let until = match end {
-        Some(end) => format!("until {}", seconds(end.at_ms)),
+        Some(end) => format!("until {}", Seconds(end.at_ms)),
         None => "and no line tells that it ended".into(),
     };
     Some(format!(
         "{} was replaced ({}) from {} {until}",
         begin.value("primary").unwrap_or("the primary"),
         begin.value("cause").unwrap_or("no cause told"),
-        seconds(begin.at_ms),
+        Seconds(begin.at_ms),
     ))
 }
 
@@ -189,7 +185,7 @@
     match newest(case, line, |l| {
         l.vm == line.vm && l.message.starts_with("stopping")
     }) {
-        Some(stop) => format!("its VM was told to stop at {}", seconds(stop.at_ms)),
+        Some(stop) => format!("its VM was told to stop at {}", Seconds(stop.at_ms)),
         None => "it was idle for too long".into(),
     }
 }
@@ -211,7 +207,7 @@
             "{told}; version {} was in force on {} at {}",
             number(other, "version"),
             other.vm,
-            seconds(other.at_ms)
+            Seconds(other.at_ms)
         ),
         None => told,
     }
--- a/src/explain/line.rs
+++ b/src/explain/line.rs
@@ -39,15 +39,20 @@
     }
 }
 
+/// A time in milliseconds, shown in seconds; before the first process started it is negative.
+#[derive(Debug, Clone, Copy)]
+pub struct Seconds(pub i64);
+
+impl fmt::Display for Seconds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.0 as f64 / 1_000.0)
+    }
+}
+
 impl fmt::Display for Line {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let seconds = self.at_ms.div_euclid(1_000);
-        let millis = self.at_ms.rem_euclid(1_000);
-        write!(
-            f,
-            "{seconds:>6}.{millis:03} {:<18} {:<5} ",
-            self.vm, self.level
-        )?;
+        let at = Seconds(self.at_ms).to_string();
+        write!(f, "{at:>10} {:<18} {:<5} ", self.vm, self.level)?;
         write!(f, "{}", self.message)?;
         for (key, value) in &self.pairs {
             write!(f, " {key}={value}")?;
