--- a/tests/support/database.rs
+++ b/tests/support/database.rs
@@ -230,6 +230,13 @@
 }
 
 impl World {
+    /// The VM that leads the group, and another one.
+    pub fn steward_and_other(&self) -> (String, &'static str) {
+        let steward = self.steward().unwrap().to_string();
+        let other = if steward == "vm1" { "vm2" } else { "vm1" };
+        (steward, other)
+    }
+
     /// Cuts the first primary off from both replicas.
     pub fn cut_replicas(&mut self) {
         for replica in ["b", "c"] {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -449,13 +449,6 @@
         self.leading(|_| true)
     }
 
-    /// The VM that leads the group, and another one.
-    pub fn steward_and_other(&self) -> (String, &'static str) {
-        let steward = self.steward().unwrap().to_string();
-        let other = if steward == "vm1" { "vm2" } else { "vm1" };
-        (steward, other)
-    }
-
     /// The VM other than `but` that leads the group.
     pub fn steward_but(&self, but: &VmId) -> Option<VmId> {
         self.leading(|vm| vm != but)
