--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -2,8 +2,8 @@
 //! stated rate, in which troubles of all kinds come and go as the seed draws them.
 //!
 //! What callers were told is judged in windows ([`judge`]): operations that are old enough are
-//! taken out, compared with what the databases ran, counted, and forgotten, so that a soak of
-//! hours needs no more memory than one of minutes.
+//! taken out, compared with what the databases ran, counted, and forgotten, so that they need no
+//! more memory in hours than in minutes.
 
 pub mod gap;
 pub mod judge;
