--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -240,8 +240,9 @@
         let asked = self.targets.now();
         self.targets.sent(&self.plan.target.database);
         let mut limit = self.job.deadline().since(asked);
-        if self.job.is_repeatable() {
-            // A frozen owner is left as soon as a silent database is reported.
+        if self.job.is_kept_by_nobody() {
+            // A frozen owner, or one whose stream fell silent for good, is left as soon as a silent
+            // database is reported: a caller that is promised that nothing is kept can ask again.
             limit = limit.min(SILENT);
         }
         self.job.trace.through(line.owner());
--- a/src/direct/control/order.rs
+++ b/src/direct/control/order.rs
@@ -40,7 +40,8 @@
                 target:? = target.map(|t| t.to_string()),
                 took_ms = self.now().since(began).0 / 1_000; "a database is chosen to lead"
             );
-            match self.order_one(work, &id, standing).await? {
+            let only = not_running.is_empty();
+            match self.order_one(work, &id, standing, only).await? {
                 true => return Ok(id),
                 false => not_running = vec![id],
             }
@@ -53,6 +54,7 @@
         work: &Work,
         id: &DatabaseId,
         before: Standing,
+        only: bool,
     ) -> Result<bool, Lost> {
         let mut backoff = Backoff::default();
         let mut unknown = false;
@@ -73,7 +75,7 @@
             );
             match promoted {
                 Promoted::Done => {
-                    if let Some(leads) = self.leads(work, id, before).await {
+                    if let Some(leads) = self.leads(work, id, before, only).await {
                         return Ok(leads);
                     }
                     unknown = true;
@@ -100,10 +102,16 @@
     ///
     /// One that took itself for the primary before it was ordered to lead may do so by a term that
     /// is over: its word counts once its term has risen, or once no promotion can be on its way.
-    async fn leads(&self, work: &Work, id: &DatabaseId, before: Standing) -> Option<bool> {
+    async fn leads(
+        &self,
+        work: &Work,
+        id: &DatabaseId,
+        before: Standing,
+        only: bool,
+    ) -> Option<bool> {
         let until = self.now() + LEADS_WITHIN;
         let settled = self.now() + PROMOTED_WITHIN;
-        let trusted = !before.primary || *id == work.old;
+        let trusted = !before.primary || (only && *id == work.old);
         let is_new = |standing: Standing| trusted || standing.term > before.term;
         while self.now() < until {
             let known = self.setup.shared.look().databases.get(id).cloned();
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Whether nothing of it can be kept, whatever became of it.
+    pub fn is_kept_by_nobody(&self) -> bool {
+        matches!(self.part, Part::First { .. }) || self.is_repeatable()
+    }
+
     /// Whether an answer that was lost may be asked for again: nothing else was told or kept.
     pub fn is_repeatable(&self) -> bool {
         self.part == Part::Single && !self.writes
--- a/src/net/direct.rs
+++ b/src/net/direct.rs
@@ -92,7 +92,9 @@
         Rc::new(move |question| control.answer(question)),
     ));
     actix_rt::spawn(http::serve(ready, admin::ready(Rc::clone(&vm))));
-    actix_rt::spawn(http::serve(operators, admin::operators(Rc::clone(&vm))));
+    if let Some(operators) = operators {
+        actix_rt::spawn(http::serve(operators, admin::operators(Rc::clone(&vm))));
+    }
     actix_rt::spawn(reload::watch(Rc::clone(&vm), place));
     if let Some(relays) = relays {
         actix_rt::spawn(admit_relays(Rc::clone(&vm), relays));
@@ -111,7 +113,8 @@
     peers: TcpListener,
     relays: Option<TcpListener>,
     ready: TcpListener,
-    operators: TcpListener,
+    /// None if its port was taken: service goes before metrics.
+    operators: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -124,7 +127,9 @@
                 None => None,
             },
             ready: listen("direct.ready", place.direct.ready)?,
-            operators: listen("admin", place.settings.admin)?,
+            operators: listen("admin", place.settings.admin)
+                .inspect_err(|error| log::error!("metrics and dumps are not served: {error}"))
+                .ok(),
         })
     }
 }
--- a/tests/adapter/settings.rs
+++ b/tests/adapter/settings.rs
@@ -3,6 +3,9 @@
 use crate::platform;
 use lentilspoke::settings::Settings;
 
+/// Where the bench fetches metrics has to be where this process serves them.
+const DEPLOY: &str = include_str!("../../deploy/system.toml");
+
 const TEMPLATE: &str = include_str!("../../deploy/settings.jsonc");
 
 #[test]
@@ -15,7 +18,6 @@
         ("{{listen.control}}", "10.1.0.8:8782"),
         ("{{listen.ready}}", "10.1.0.8:8785"),
         ("{{ip}}", "10.1.0.8"),
-        ("{{internal_port_range.0}}", "7440"),
         ("{{internal_port_range.1}}", "7455"),
         ("{{platform.address}}", "10.200.1.7:8783"),
         ("{{cloud.address}}", "10.200.0.160:8783"),
@@ -34,6 +36,7 @@
     }
     assert!(!text.contains("{{"), "{text}");
     let settings: Settings = text.parse().unwrap();
+    assert!(DEPLOY.contains(&format!("\"{}/metrics\"", settings.admin.port())));
     let direct = settings.direct.unwrap();
     assert_eq!(direct.grace.to_string(), "6s 500ms");
     assert_eq!(direct.relay, Some("10.1.0.8:7455".parse().unwrap()));
--- a/tests/direct_takeover.rs
+++ b/tests/direct_takeover.rs
@@ -81,6 +81,14 @@
     successor_is_unreached(Duration::from_millis(2_600));
 }
 
+/// The same, and the successor is not reached for longer than the steward waits for it. The old
+/// primary is ordered in its turn: its word that it leads is still that of its old term, as another
+/// one was ordered before, and leads until that order has come true.
+#[test]
+fn old_primary_is_ordered_after_its_successor() {
+    successor_is_unreached(Duration::from_millis(4_000));
+}
+
 fn successor_is_unreached(span: Duration) {
     let setup = Setup {
         promotion: Duration::from_millis(2_400),
