Hold no lock on a stop's progress while an owner says farewell

Cause: a stream to an owner waited for the stop by tokio's watch channel, whose guard the select! kept while the stream went on to write its farewell and to wait for the other end, up to 30 s. Half of the stop's time later the next step took the same lock for writing, on the only thread: the process stood still until it was killed. It took a transaction that rested at an owner for over half of the grace. Change: the wait is a function of its own, with whose end the guard is dropped. Test: direct_relay an_owner_stops_while_a_transaction_rests_there.

--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -149,6 +149,17 @@
     }
 }
 
+/// Waits until a stop has come so far.
+///
+/// **Failure answered.** What the channel returns holds a lock on it, and whoever waits goes on to
+/// write to its peer. **Symptom without it.** The next step of the stop waits for that lock on the
+/// only thread there is, and the process stands still until it is killed. **Why it suffices.** The
+/// lock ends with this function.
+async fn reached(stopping: &mut watch::Receiver<Stopping>, due: Stopping) {
+    // The sender lives as long as the relay, which every session holds.
+    let _ = stopping.wait_for(|stopping| *stopping >= due).await;
+}
+
 impl Session {
     async fn talk(&mut self) -> io::Result<()> {
         let mut stopping = self.relay.stopping.subscribe();
@@ -162,7 +173,7 @@
             let request = tokio::select! {
                 biased;
                 request = tokio::time::timeout(limit.into(), self.next()) => request,
-                _ = stopping.wait_for(|stopping| *stopping >= due) => match due {
+                () = reached(&mut stopping, due) => match due {
                     Stopping::Transactions => {
                         self.roll_back();
                         continue;
--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -132,3 +132,20 @@
         scene.passes().await;
     });
 }
+
+/// An owner is asked to stop while a caller of another VM rests in a transaction there, and streams of
+/// other VMs are idle. Those are told that nothing is taken any more; half of the time later the
+/// transaction is rolled back. A lock that was held since the first step stopped the whole process
+/// at the second one (found by the soak, seed 11, which stood still).
+#[test]
+fn an_owner_stops_while_a_transaction_rests_there() {
+    play(crowded(), |scene| async move {
+        scene.until(3_000).await;
+        let stopped = owner(&scene, "db0a");
+        let resting = scene.rest_in_transactions("primary0", &stopped).await;
+        let stop = Fault::Stop(stopped, Span::from_secs(6));
+        scene.fault(stop, 5_000, 13_000).await;
+        scene.passes().await;
+        assert!(!resting.is_empty());
+    });
+}
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -112,6 +112,20 @@
         first.map_or(LENGTH, |first| first - self.at(since))
     }
 
+    /// Sessions at all VMs but one, each in a transaction that has run a statement and rests.
+    pub async fn rest_in_transactions(&self, route: &str, but: &VmId) -> Vec<Session> {
+        let mut resting = Vec::new();
+        for vm in self.world.running().iter().filter(|vm| *vm != but) {
+            let opened = Session::open(&self.world, &self.record, 0, vm, route).await;
+            let Ok(mut session) = opened else { continue };
+            let begun = session.begin(false).await.is_ok();
+            if begun && session.say("read i1").await.is_ok() {
+                resting.push(session);
+            }
+        }
+        resting
+    }
+
     /// Whether a VM opens a session on a route.
     pub async fn opens(&self, route: &str, vm: &VmId) -> bool {
         let session = Session::open(&self.world, &self.record, 0, vm, route).await;
