--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -139,13 +139,21 @@
 /// at the second one (found by the soak, seed 11, which stood still).
 #[test]
 fn an_owner_stops_while_a_transaction_rests_there() {
-    play(crowded(), |scene| async move {
-        scene.until(3_000).await;
-        let stopped = owner(&scene, "db0a");
-        let resting = scene.rest_in_transactions("primary0", &stopped).await;
-        let stop = Fault::Stop(stopped, Span::from_secs(6));
-        scene.fault(stop, 5_000, 13_000).await;
-        scene.passes().await;
-        assert!(!resting.is_empty());
-    });
+    for number in 1..=6 {
+        play(crowded(), |scene| async move {
+            let stopped = vm(&format!("vm{number}"));
+            scene.until(3_000).await;
+            let resting = scene.rest_in_transactions("primary0", &stopped).await;
+            let ending = scene.rest_in_transactions("primary0", &stopped).await;
+            scene.until(4_900).await;
+            for mut session in ending {
+                // The stream that it leaves is one too many, and stays idle.
+                assert!(session.say("rollback").await.is_ok());
+            }
+            let stop = Fault::Stop(stopped, Span::from_secs(6));
+            scene.fault(stop, 5_000, 13_000).await;
+            scene.passes().await;
+            assert!(!resting.is_empty());
+        });
+    }
 }
