Ask an owner and pass it over in one place, and pass answers on in one place

Read over once more: the first and the next statement of a transaction each timed a request to an owner and doubted the owner by themselves; Lines::ask does both now, and only it doubts. The relay kept or gave back a connection after an answer in two places; Session::passed_on serves both. Behaviour is as before.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -246,17 +246,11 @@
             limit = limit.min(SILENT);
         }
         self.job.trace.through(line.owner());
-        let told = match tokio::time::timeout(limit.into(), line.ask(&request)).await {
-            Ok(Ok(told)) => told,
-            Ok(Err(error)) => {
+        let told = match self.targets.lines.ask(&mut line, &request, limit).await {
+            Ok(told) => told,
+            Err(why) => {
                 self.job.trace.ended("owner");
-                self.targets.lines.doubt(line.owner(), &error);
-                return Passed::Attempt(Attempt::Lost(Why::Broken));
-            }
-            Err(_) => {
-                self.job.trace.ended("owner");
-                self.targets.lines.doubt(line.owner(), &"no reply in time");
-                let late = self.targets.now() >= self.job.deadline();
+                let late = why == Why::Silent && self.targets.now() >= self.job.deadline();
                 let why = if late { Why::Silent } else { Why::Broken };
                 return Passed::Attempt(Attempt::Lost(why));
             }
--- a/src/direct/relay/line.rs
+++ b/src/direct/relay/line.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::adapter::{Adapter, Stream};
+use crate::direct::outcome::Why;
 use crate::direct::relay::{Frames, Request, Told};
 use bytes::BytesMut;
 use futures_util::FutureExt;
@@ -165,9 +166,24 @@
         self.sweep();
     }
 
+    /// Asks an owner over one of its streams, and passes it over if no reply comes `within` that time.
+    pub async fn ask(&self, line: &mut Line, request: &Request, within: Span) -> Result<Told, Why> {
+        match tokio::time::timeout(within.into(), line.ask(request)).await {
+            Ok(Ok(told)) => Ok(told),
+            Ok(Err(error)) => {
+                self.doubt(line.owner, &error);
+                Err(Why::Broken)
+            }
+            Err(_) => {
+                self.doubt(line.owner, &"no reply in time");
+                Err(Why::Silent)
+            }
+        }
+    }
+
     /// Passes an owner over for a while that failed, and closes its idle streams: whatever lost
     /// track of one has often lost track of those beside it.
-    pub fn doubt(&self, owner: SocketAddr, reason: &dyn fmt::Display) {
+    fn doubt(&self, owner: SocketAddr, reason: &dyn fmt::Display) {
         log::info!(owner:%, reason:%; "an owner is passed over for a while");
         self.pass_over(owner, DOUBT);
     }
--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -71,16 +71,6 @@
     busy: Busy,
 }
 
-impl Open {
-    fn new(lent: Box<Lent>, target: &Target, busy: Busy) -> Self {
-        Self {
-            lent,
-            target: target.clone(),
-            busy,
-        }
-    }
-}
-
 /// One stream of another VM.
 struct Session {
     relay: Rc<Relay>,
@@ -293,14 +283,13 @@
         let ran = exchange::start(&targets, &target, &statement, || Some(busy), || true).await;
         let reply = match ran {
             Ran::Answered(answer, lent, busy, asked) => {
-                let urgency = statement.urgency;
-                let open = answer.state == State::Open && statement.begin.is_some();
-                targets.heard(&target, asked, &answer, urgency);
-                match open {
-                    true => self.open = Some(Open::new(lent, &target, busy)),
-                    false => exchange::give_back(&targets, lent, busy),
-                }
-                Reply::Answered(answer)
+                let open = Open {
+                    lent,
+                    target: target.clone(),
+                    busy,
+                };
+                let stays = statement.begin.is_some();
+                self.passed_on(&targets, open, stays, answer, asked, start.ask.urgency)
             }
             Ran::NotRun(code) => Reply::NotRun(code),
             Ran::Unreached => Reply::Unreached,
@@ -324,7 +313,7 @@
         let (target, connection) = (open.target.clone(), open.lent.connection());
         let ran = exchange::next(&targets, &target, connection, &statement, || true).await;
         let reply = match ran {
-            Ok((answer, asked)) => self.passed_on(&targets, open, answer, asked, ask.urgency),
+            Ok((answer, asked)) => self.passed_on(&targets, open, true, answer, asked, ask.urgency),
             Err(failed) => {
                 exchange::give_back(&targets, open.lent, open.busy);
                 match failed {
@@ -350,18 +339,21 @@
         known.term == after.term && known < after
     }
 
+    /// Passes an answer on. What it leaves open stays so if it is of a transaction, and else is
+    /// rolled back.
     fn passed_on(
         &mut self,
         targets: &Targets,
         open: Open,
+        stays: bool,
         answer: Answer,
         asked: Time,
         urgency: Urgency,
     ) -> Reply {
         targets.heard(&open.target, asked, &answer, urgency);
-        match answer.state {
-            State::Open => self.open = Some(open),
-            State::Idle | State::Failed => exchange::give_back(targets, open.lent, open.busy),
+        match stays && answer.state == State::Open {
+            true => self.open = Some(open),
+            false => exchange::give_back(targets, open.lent, open.busy),
         }
         Reply::Answered(answer)
     }
--- a/src/direct/transaction.rs
+++ b/src/direct/transaction.rs
@@ -183,17 +183,8 @@
     let limit = job.deadline().since(asked);
     job.trace.through(line.owner());
     job.trace.ended("owner");
-    let told = match tokio::time::timeout(limit.into(), line.ask(&request)).await {
-        Ok(Ok(told)) => told,
-        Ok(Err(error)) => {
-            targets.lines.doubt(line.owner(), &error);
-            return Err(Failed::Lost(Why::Broken));
-        }
-        Err(_) => {
-            targets.lines.doubt(line.owner(), &"no reply in time");
-            return Err(Failed::Lost(Why::Silent));
-        }
-    };
+    let told = targets.lines.ask(line, &request, limit).await;
+    let told = told.map_err(Failed::Lost)?;
     match told.reply {
         Reply::Answered(answer) => Ok((answer, asked)),
         Reply::NotRun(Code::Busy) => {
