Frame messages between VMs in one place

Both ends of a relay's stream kept their own buffer, read loop and write; relay::Channel sends and receives for both. A request that can't be encoded now leaves its stream unused, where it was kept before; that needs a message over 16 MiB. Else behaviour is as before.

--- a/src/direct/relay/line.rs
+++ b/src/direct/relay/line.rs
@@ -1,10 +1,9 @@
 //! Streams of this VM to owners of databases.
 
 use crate::clock::{Span, Time};
-use crate::direct::adapter::{Adapter, Stream};
+use crate::direct::adapter::Adapter;
 use crate::direct::outcome::Why;
-use crate::direct::relay::{Frames, Request, Told};
-use bytes::BytesMut;
+use crate::direct::relay::{Channel, Request, Told};
 use futures_util::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -12,10 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-/// Room made for each reading; a usual reply fits.
-const READ_SIZE: usize = 1024;
+use tokio::io::AsyncReadExt;
 
 /// How long opening a stream may take: two round trips between regions and a slow VM's turn. The
 /// next owner is asked after that.
@@ -35,9 +31,7 @@
 /// A stream to an owner, for one statement or transaction at a time.
 pub struct Line {
     owner: SocketAddr,
-    stream: Box<dyn Stream>,
-    frames: Frames,
-    input: BytesMut,
+    channel: Channel,
     /// Whether no reply is owed.
     settled: bool,
     used: Time,
@@ -61,28 +55,26 @@
     /// Sends a request and reads the reply. A stream whose reply was not read to its end is of no
     /// use any more.
     pub async fn ask(&mut self, request: &Request) -> io::Result<Told> {
-        let mut output = BytesMut::new();
-        self.frames.write(request, &mut output)?;
         self.settled = false;
-        self.stream.write_all(&output).await?;
-        self.stream.flush().await?;
-        loop {
-            if let Some(told) = self.frames.read(&mut self.input)? {
-                self.settled = true;
-                return Ok(told);
-            }
-            self.input.reserve(READ_SIZE);
-            if self.stream.read_buf(&mut self.input).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
+        self.channel.send(request).await?;
+        let Some(told) = self.channel.receive().await? else {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        };
+        self.settled = true;
+        Ok(told)
     }
 
     /// Whether an idle stream is still open and silent, as far as is known here.
     fn is_alive(&mut self) -> bool {
-        self.input.reserve(1);
-        let read = self.stream.read_buf(&mut self.input).now_or_never();
-        read.is_none() && self.settled && self.input.is_empty()
+        let Channel { stream, input, .. } = &mut self.channel;
+        input.reserve(1);
+        let read = stream.read_buf(input).now_or_never();
+        read.is_none() && self.is_clean()
+    }
+
+    /// Whether every reply was read, and nothing else has come.
+    fn is_clean(&self) -> bool {
+        self.settled && self.channel.input.is_empty()
     }
 }
 
@@ -137,9 +129,7 @@
         match (self.adapter.connect)(owner, OPENING).await {
             Ok(stream) => Ok(Line {
                 owner,
-                stream,
-                frames: Frames::default(),
-                input: BytesMut::new(),
+                channel: Channel::new(stream),
                 settled: true,
                 used: self.now(),
             }),
@@ -156,7 +146,7 @@
 
     /// Keeps a stream for the next statement.
     pub fn give_back(self: &Rc<Self>, mut line: Line) {
-        if !line.settled || !line.input.is_empty() {
+        if !line.is_clean() {
             return;
         }
         line.used = self.now();
--- a/src/direct/relay/mod.rs
+++ b/src/direct/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod serve;
 
 use crate::clock::Span;
+use crate::direct::adapter::Stream;
 use crate::direct::gate::Urgency;
 use crate::direct::outcome::Why;
 use crate::direct::session::{Shape, Values};
@@ -22,11 +23,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::io;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 /// The longest request or reply: a database's longest answer and what stands around it.
 const LIMIT: usize = 16 << 20;
 
+/// Room made for each reading; a usual message fits.
+const READ_SIZE: usize = 1024;
+
 /// What one VM asks of another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
@@ -112,28 +117,42 @@
     Lost(Why),
 }
 
-/// Messages on a stream, each after its length.
-#[derive(Debug)]
-struct Frames(LengthDelimitedCodec);
+/// One end of a stream of messages, each after its length.
+struct Channel {
+    stream: Box<dyn Stream>,
+    codec: LengthDelimitedCodec,
+    input: BytesMut,
+}
 
-impl Default for Frames {
-    fn default() -> Self {
+impl Channel {
+    fn new(stream: Box<dyn Stream>) -> Self {
         let mut builder = LengthDelimitedCodec::builder();
-        Self(builder.max_frame_length(LIMIT).new_codec())
+        Self {
+            stream,
+            codec: builder.max_frame_length(LIMIT).new_codec(),
+            input: BytesMut::new(),
+        }
     }
-}
 
-impl Frames {
-    fn write<T: Serialize>(&mut self, message: &T, output: &mut BytesMut) -> io::Result<()> {
+    async fn send<T: Serialize>(&mut self, message: &T) -> io::Result<()> {
         let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
-        self.0.encode(Bytes::from(bytes), output)
+        let mut output = BytesMut::new();
+        self.codec.encode(Bytes::from(bytes), &mut output)?;
+        self.stream.write_all(&output).await?;
+        self.stream.flush().await
     }
 
-    fn read<T: DeserializeOwned>(&mut self, input: &mut BytesMut) -> io::Result<Option<T>> {
-        let Some(frame) = self.0.decode(input)? else {
-            return Ok(None);
-        };
-        let message = postcard::from_bytes(&frame).map_err(io::Error::other)?;
-        Ok(Some(message))
+    /// The next message; none at the end of the stream.
+    async fn receive<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
+        loop {
+            if let Some(frame) = self.codec.decode(&mut self.input)? {
+                let message = postcard::from_bytes(&frame).map_err(io::Error::other)?;
+                return Ok(Some(message));
+            }
+            self.input.reserve(READ_SIZE);
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
     }
 }
--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -6,7 +6,7 @@
 use crate::direct::front::Stopping;
 use crate::direct::gate::Urgency;
 use crate::direct::pool::Lent;
-use crate::direct::relay::{Ask, Frames, Reply, Request, Start, Told};
+use crate::direct::relay::{Ask, Channel, Reply, Request, Start, Told};
 use crate::direct::session::Shape;
 use crate::direct::statement::{Answer, Code, Message, Order, Query, State};
 use crate::direct::targets::{Target, Targets};
@@ -17,12 +17,9 @@
 use std::fmt;
 use std::io;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::sync::{Notify, watch};
 
-/// Room made for each reading; a usual request fits.
-const READ_SIZE: usize = 1024;
-
 /// How long a stream without a request is kept: three times as long as the other end keeps it, so
 /// that only streams which nobody remembers end here.
 const UNUSED: Span = Span::from_secs(30);
@@ -74,9 +71,7 @@
 /// One stream of another VM.
 struct Session {
     relay: Rc<Relay>,
-    stream: Box<dyn Stream>,
-    frames: Frames,
-    input: BytesMut,
+    channel: Channel,
     open: Option<Open>,
 }
 
@@ -95,9 +90,7 @@
     pub async fn serve_stream(self: Rc<Self>, stream: Box<dyn Stream>) {
         let mut session = Session {
             relay: self,
-            stream,
-            frames: Frames::default(),
-            input: BytesMut::new(),
+            channel: Channel::new(stream),
             open: None,
         };
         let _ = session.talk().await;
@@ -162,7 +155,7 @@
             };
             let request = tokio::select! {
                 biased;
-                request = tokio::time::timeout(limit.into(), self.next()) => request,
+                request = tokio::time::timeout(limit.into(), self.channel.receive()) => request,
                 () = reached(&mut stopping, due) => match due {
                     Stopping::Transactions => {
                         self.roll_back();
@@ -191,8 +184,9 @@
     async fn leave(&mut self) -> io::Result<()> {
         self.tell(&Told::only(Reply::Away)).await?;
         let drained = async {
-            while self.stream.read_buf(&mut self.input).await? > 0 {
-                self.input.clear();
+            let Channel { stream, input, .. } = &mut self.channel;
+            while stream.read_buf(input).await? > 0 {
+                input.clear();
             }
             io::Result::Ok(())
         };
@@ -210,26 +204,8 @@
         idle + IDLE_MARGIN
     }
 
-    /// The next request; none at the end of the stream.
-    async fn next(&mut self) -> io::Result<Option<Request>> {
-        loop {
-            if let Some(request) = self.frames.read(&mut self.input)? {
-                return Ok(Some(request));
-            }
-            self.input.reserve(READ_SIZE);
-            if self.stream.read_buf(&mut self.input).await? == 0 {
-                return Ok(None);
-            }
-        }
-    }
-
     async fn tell(&mut self, told: &Told) -> io::Result<()> {
-        let mut output = BytesMut::new();
-        self.frames.write(told, &mut output)?;
-        let written = async {
-            self.stream.write_all(&output).await?;
-            self.stream.flush().await
-        };
+        let written = self.channel.send(told);
         let written = tokio::time::timeout(SLOW_PEER.into(), written).await;
         written.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
