--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -269,7 +269,8 @@
         (answered, hear)
     }
 
-    fn peers(&self) -> Vec<SocketAddr> {
+    /// Some other VMs, without the steward.
+    pub(super) fn peers(&self) -> Vec<SocketAddr> {
         let state = self.state.borrow();
         let steward = state.post.as_ref().map(|post| post.address);
         let known = state.reading.as_ref();
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod backoff;
 mod change;
+pub mod detour;
 mod duty;
 mod errands;
 pub mod evidence;
@@ -135,6 +136,7 @@
             lost: Notify::new(),
             setup,
         });
+        control.store.set_detour(detour::by_others(&control));
         actix_rt::spawn(watch::run(control.clone()));
         actix_rt::spawn(heartbeat::run(control.clone()));
         actix_rt::spawn(vouch::run(control.clone()));
@@ -162,6 +164,9 @@
                     let vouched = control.setup.shared.look().book.vouches(control.now());
                     Answer::Vouched(control.setup.life, vouched)
                 }
+                Question::Store { ask, within } => {
+                    Answer::Stored(control.store.call_for_another(ask, within).await)
+                }
                 Question::Nudge { address, token } => {
                     control.follow(address, token, control.now());
                     control.nudged.notify_one();
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -2,9 +2,11 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::adapter::Adapter;
+use crate::direct::control::detour::{Detour, Route};
 use crate::direct::control::rows::{Reading, TABLE};
 use crate::direct::table::{Ask, Change, Fault, Row, Told, Version};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::fmt;
 
 /// How long a write's answer is waited for.
 ///
@@ -72,6 +74,9 @@
 /// when this is over, and a configuration has to be in force 3 s after it was accepted.
 const POLL_MARGIN: Span = Span::from_millis(700);
 
+/// How long after a failed call none is made for other VMs.
+const FAILED: Span = Span::from_secs(1);
+
 /// How often the store was asked.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -81,6 +86,8 @@
     pub follows: u64,
     /// Changes asked for.
     pub writes: u64,
+    /// Calls made for other VMs.
+    pub relayed: u64,
     /// Calls that brought no answer.
     pub faults: u64,
 }
@@ -112,12 +119,24 @@
 }
 
 /// The store as the control path asks it.
-#[derive(Debug)]
 pub struct Store {
     adapter: Adapter,
     counts: Cell<Counts>,
     health: RefCell<Health>,
     patience: Cell<Patience>,
+    route: Cell<Route>,
+    /// When a call by the own way failed that none succeeded after.
+    failed: Cell<Option<Time>>,
+    detour: OnceCell<Detour>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("health", &self.health)
+            .field("route", &self.route)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Store {
@@ -128,9 +147,17 @@
             counts: Cell::default(),
             health: RefCell::default(),
             patience: Cell::default(),
+            route: Cell::default(),
+            failed: Cell::default(),
+            detour: OnceCell::new(),
         }
     }
 
+    /// Sets the way by other VMs, once.
+    pub(super) fn set_detour(&self, detour: Detour) {
+        let _ = self.detour.set(detour);
+    }
+
     /// How often it was asked.
     pub fn counts(&self) -> Counts {
         self.counts.get()
@@ -207,7 +234,11 @@
 
     async fn call(&self, ask: Ask, span: Span) -> Result<Told, Fault> {
         let asked = (self.adapter.clock)();
-        let told = (self.adapter.store)(ask, span).await;
+        let told = match ask {
+            // Whoever waits for a change may as well hear of it from the steward.
+            Ask::Follow { .. } => self.call_here(ask, span).await,
+            Ask::Read(_) | Ask::Write(_) => self.call_somehow(ask, span).await,
+        };
         let now = (self.adapter.clock)();
         if told.is_err() {
             self.count(|counts| counts.faults += 1);
@@ -221,6 +252,59 @@
         told
     }
 
+    /// Makes a call by the own way, and by way of other VMs if that fails; the other way round
+    /// while the own way is avoided.
+    async fn call_somehow(&self, ask: Ask, span: Span) -> Result<Told, Fault> {
+        let mut route = self.route.get();
+        if route.avoids_own((self.adapter.clock)()) {
+            if let Some(told) = self.call_by_others(&ask).await {
+                return Ok(told);
+            }
+            route.reset();
+            self.route.set(route);
+            return self.call_here(ask, span).await;
+        }
+        let told = self.call_here(ask.clone(), span).await;
+        if told.is_ok() {
+            route.reset();
+            self.route.set(route);
+            return told;
+        }
+        let Some(other) = self.call_by_others(&ask).await else {
+            return told;
+        };
+        if route == Route::default() {
+            log::info!("the store turns this VM away: its calls go by way of other VMs");
+        }
+        route.failed((self.adapter.clock)());
+        self.route.set(route);
+        Ok(other)
+    }
+
+    async fn call_by_others(&self, ask: &Ask) -> Option<Told> {
+        let detour = self.detour.get()?;
+        detour(ask.clone()).await
+    }
+
+    /// Makes a call by the own way.
+    async fn call_here(&self, ask: Ask, span: Span) -> Result<Told, Fault> {
+        let told = (self.adapter.store)(ask, span).await;
+        let now = (self.adapter.clock)();
+        self.failed.set(told.is_err().then_some(now));
+        told
+    }
+
+    /// Makes a call for another VM, by the own way only. While that fails here too, the call is
+    /// refused at once: in an outage of the store each VM would make the others' calls as well.
+    pub(super) async fn call_for_another(&self, ask: Ask, within: Span) -> Result<Told, Fault> {
+        let now = (self.adapter.clock)();
+        if self.failed.get().is_some_and(|at| now < at + FAILED) {
+            return Err(Fault::Refused("it does not answer here either".into()));
+        }
+        self.count(|counts| counts.relayed += 1);
+        self.call_here(ask, within).await
+    }
+
     fn count(&self, add: impl FnOnce(&mut Counts)) {
         let mut counts = self.counts.get();
         add(&mut counts);
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -26,7 +26,13 @@
                 after = version;
                 backoff.reset();
             }
-            Err(_) => backoff.wait().await,
+            Err(_) => {
+                if !control.hears_steward() {
+                    // Nobody tells this VM of a configuration, and a poll takes the own way only.
+                    after = None;
+                }
+                backoff.wait().await;
+            }
         }
     }
 }
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -36,6 +36,13 @@
     },
     /// Which epochs do you vouch for: asked while the store or the steward is not heard.
     Vouch,
+    /// Make a call of the store for a VM that the store turns away.
+    Store {
+        /// The call.
+        ask: table::Ask,
+        /// How long its answer may take.
+        within: Span,
+    },
     /// There is something new, or a new steward: send it a heartbeat at once.
     Nudge {
         /// Where the steward listens.
@@ -77,6 +84,8 @@
     Vouched(Life, Vec<(GroupId, Epoch)>),
     /// To a hand-over: whether the duty was taken.
     Taken(bool),
+    /// To a call of the store: what it answered the VM that was asked.
+    Stored(Result<table::Told, table::Fault>),
     /// To a nudge.
     Noted,
     /// Made on the asking side, never sent: the connection was refused, so no process listens
--- a/src/direct/table.rs
+++ b/src/direct/table.rs
@@ -2,10 +2,11 @@
 
 use crate::clock::Span;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Which row: its table and key.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RowId {
     /// The table.
     pub table: Box<str>,
@@ -34,7 +35,7 @@
 pub type Version = u64;
 
 /// A row as the store has it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Which one.
     pub id: RowId,
@@ -45,7 +46,7 @@
 }
 
 /// A call of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
     /// All rows of a table.
     Read(Box<str>),
@@ -64,7 +65,7 @@
 }
 
 /// A change under conditions.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// Rows, with the version that each must have.
     pub expect: Vec<(RowId, Version)>,
@@ -75,7 +76,7 @@
 }
 
 /// What the store answers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Told {
     /// Rows, as of the store's version.
     Rows {
@@ -93,7 +94,7 @@
 }
 
 /// Why the store gave no answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Fault {
     /// Nothing was done.
     #[error("the store did not take the call: {0}; ask again later")]
--- a/tests/direct_vms.rs
+++ b/tests/direct_vms.rs
@@ -65,6 +65,34 @@
     });
 }
 
+/// A VM ends and starts again while the store turns it away and serves all others. It registers by
+/// way of another VM, learns from the steward who leads, and serves its callers within two seconds.
+#[test]
+fn vm_starts_while_the_store_turns_it_away() {
+    play(Setup::default(), |scene| async move {
+        let steward = scene.steward();
+        let other = scene.world.running().into_iter().find(|vm| *vm != steward);
+        let other = other.unwrap();
+        scene.until(4_000).await;
+        let down = Fault::Store(Health::Refusing, Some([other.clone()].into()));
+        down.begin(&scene.world);
+        scene.fault(Fault::Kill(other.clone()), 5_000, 5_500).await;
+        scene.until(7_500).await;
+        assert!(scene.world.is_ready(&other));
+        scene.until(15_000).await;
+        down.end(&scene.world);
+        let said = scene.said(8_000, 14_000);
+        let there: Vec<_> = said.iter().filter(|said| said.vm == other).collect();
+        let done = there.iter().filter(|said| said.is_done()).count();
+        assert!(
+            done * 10 > there.len() * 9 && done > 50,
+            "{done} of {}",
+            there.len()
+        );
+        scene.passes().await;
+    });
+}
+
 /// A VM starts while the store is down. It takes no callers, as it can't know who leads by a
 /// reading that is its own, until the store is back.
 #[test]
