Refuse at once what is known not to be served, and wait for a primary that is on its way

Change: a VM whose last attempt to learn who leads failed, and that knows of no replacement under way, refuses at once with when to come back; else a primary is waited for for a fifth of the objective.

--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -44,7 +44,9 @@
     let alarm = control.setup.shared.look().reports.alarm();
     let mut backoff = Backoff::default();
     while !control.state.borrow().stopped {
-        let wait = match control.turn().await {
+        let turned = control.turn().await;
+        control.setup.shared.quietly().blind = turned.is_err();
+        let wait = match turned {
             Ok(wait) => {
                 backoff.reset();
                 wait
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -157,6 +157,15 @@
         })
     }
 
+    /// Whether another primary is on its way, as far as is known: a replacement has begun.
+    pub fn is_changing(&self, group: &GroupId) -> bool {
+        let ended = |of: &BTreeMap<GroupId, Epoch>| of.get(group).copied().unwrap_or_default();
+        let given_up = ended(&self.dropped).max(ended(&self.closed));
+        self.groups
+            .get(group)
+            .is_some_and(|known| known.lead.changing || known.lead.epoch <= given_up)
+    }
+
     /// The epochs that this VM vouches for to others: neither given up, nor closed, nor being
     /// replaced, by a reading of its own that is younger than [`LEASE`]. A VM whose row is gone
     /// has no such reading, so whoever replaces a primary need not know of it.
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -202,6 +202,10 @@
         let group = &job.route.group;
         let Some((lease, target)) = self.targets.primary(group) else {
             self.meter().lease_lapsed(group);
+            let text = "no primary is known";
+            if !self.targets.shared.look().expects_primary(group) {
+                return Then::Answer(self.busy(session, job, NO_PRIMARY_RETRY, text));
+            }
             let came = self.targets.now();
             let left = job.news_until().since(came);
             let news = self
@@ -213,7 +217,6 @@
             if came_news || now < job.news_until() {
                 return Then::Again;
             }
-            let text = "no primary is known";
             return Then::Answer(self.busy(session, job, NO_PRIMARY_RETRY, text));
         };
         let plan = Plan {
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -34,6 +34,8 @@
     pub reports: Reports,
     /// Statements and transactions on primaries that are not over.
     pub work: Work,
+    /// Whether the last attempt to learn who leads failed: neither the steward nor the store answered.
+    pub blind: bool,
     /// Whether a planned stop has begun.
     pub stopping: bool,
 }
@@ -56,6 +58,16 @@
         (lease.born == database.born).then_some((lease, database))
     }
 
+    /// Whether a group that has no usable primary now may have one within moments.
+    ///
+    /// **Pattern answered.** A replacement takes some hundred milliseconds, and the first reading of a
+    /// VM that starts some ten; the store may be away for seconds. **Without it** either each
+    /// replacement is an error to all callers of the group, or callers of a VM that can't serve
+    /// them wait at each try for what is known not to come.
+    pub fn expects_primary(&self, group: &GroupId) -> bool {
+        !self.blind || self.book.is_changing(group)
+    }
+
     /// The databases of a group that are registered.
     pub fn members<'a>(&'a self, group: &'a GroupId) -> impl Iterator<Item = &'a Database> {
         self.databases.values().filter(move |d| d.group == *group)
