Take only the word of VMs that talk to a database themselves

Change: only an answer on this VM's own connection is its word on a database; a relayed one changes placement only. An owner tells that a database is silent, not that it is busy, and queues nobody behind statements that hang. Another database at its address counts as a failure; that a database was full of late as nothing.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -190,6 +190,9 @@
     /// Decides whether an answer may be passed on.
     fn judge(&self, held: Held, asked: Time, answer: Answer) -> Attempt {
         let (targets, target) = (self.targets, &self.plan.target);
+        if let Seat::Own(_) = held.seat {
+            targets.answers(&target.database);
+        }
         if let End::Error { code, .. } = answer.end
             && outcome::may_do_elsewhere(code)
         {
@@ -306,13 +309,13 @@
             Reply::Unreached => {
                 self.job.trace.ended("unreached");
                 lines.give_back(line);
-                targets.failed(&target.database);
+                targets.doubt(&target.database);
                 Passed::Elsewhere(Attempt::Unreached)
             }
             Reply::Lost(why) => {
                 self.job.trace.ended("lost");
                 lines.give_back(line);
-                targets.failed(&target.database);
+                targets.doubt(&target.database);
                 Passed::Attempt(Attempt::Lost(why))
             }
         }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -73,10 +73,18 @@
 ) -> Ran<G> {
     let pool = &target.pool;
     let came = targets.now();
-    let patience = statement.queue_until.since(came);
+    // What hangs at a database that is silent frees no slot: nobody queues behind it.
+    let patience = match targets.is_failing(&target.database) {
+        true => Span::ZERO,
+        false => statement.queue_until.since(came),
+    };
     let entered = pool.gate.enter(statement.urgency, patience).await;
     statement.trace.queued(targets.now().since(came));
     let Ok(permit) = entered else {
+        if targets.is_failing(&target.database) {
+            statement.trace.ended("silent");
+            return Ran::Unreached;
+        }
         statement.trace.ended("queue");
         return Ran::NotRun(Code::Busy);
     };
@@ -101,6 +109,7 @@
         Ok(Ok(None)) => {}
         Ok(Ok(Some(code))) => {
             note_refusal(targets, statement.trace, target, code);
+            targets.answers(&target.database);
             targets.refused(target, None, code == Code::Busy);
             give_back(targets, Box::new(lent), guard);
             return Ran::NotRun(code);
@@ -261,8 +270,18 @@
         _ => log::info!(group:% = database.group, database:% = database.id; "not opened: {closed}"),
     }
     match closed {
+        // Another database is at its address: it is gone.
+        Closed::Refused(code @ Code::OtherDatabase) => {
+            note_refusal(targets, trace, target, *code);
+            targets.failed(database);
+            Ran::NotRun(*code)
+        }
         Closed::Refused(code) => {
             note_refusal(targets, trace, target, *code);
+            // That it is full may have been heard before: the pool asks seldom then.
+            if *code != Code::Full {
+                targets.answers(database);
+            }
             targets.refused(target, None, false);
             Ran::NotRun(*code)
         }
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -358,8 +358,26 @@
         }
     }
 
+    /// A database said something to this VM itself, which is its word on whether it answers.
+    ///
+    /// **Failure answered.** A primary goes dark whose statements most VMs send by way of a few others.
+    /// **Symptom without it.** What those others say of their queues, and answers from a second before,
+    /// count as the word of 67 VMs for the primary, and one group is refused for 9 s. **Why it
+    /// suffices.** Only those that talk to the database have an opinion of it.
+    pub fn answers(&self, database: &Database) {
+        let now = self.now();
+        self.shared.quietly().reports.answered(&database.id, now);
+    }
+
+    /// Whether a database has failed and answered nothing to this VM since.
+    pub fn is_failing(&self, database: &Database) -> bool {
+        let report = self.shared.look().reports.report(&database.id, self.now());
+        report.failing.is_some()
+    }
+
     /// A database answered a statement of another VM that was sent at `asked`.
     pub fn heard(&self, target: &Target, asked: Time, answer: &Answer, urgency: Urgency) {
+        self.answers(&target.database);
         match answer.end {
             End::Error { code, .. } if outcome::may_do_elsewhere(code) => {
                 self.refused(target, answer.position, code == Code::Busy);
@@ -372,7 +390,6 @@
     pub fn answered(&self, target: &Target, asked: Time, answer: &Answer, urgency: Urgency) {
         let now = self.now();
         let database = &target.database;
-        self.shared.quietly().reports.answered(&database.id, now);
         let took = now.since(asked);
         target.pool.gate.answered(took);
         self.shared.meter.answered(&database.id, took);
@@ -390,7 +407,6 @@
     pub fn refused(&self, target: &Target, position: Option<Position>, busy: bool) {
         let now = self.now();
         let database = &target.database;
-        self.shared.quietly().reports.answered(&database.id, now);
         if busy {
             target.pool.gate.refused(now);
         }
@@ -415,6 +431,12 @@
     pub fn failed(&self, database: &Database) {
         let now = self.now();
         self.shared.quietly().reports.failed(&database.id, now);
+        self.doubt(database);
+    }
+
+    /// Another VM could not reach a database, or had no answer of it.
+    pub fn doubt(&self, database: &Database) {
+        let now = self.now();
         if let Some(router) = self.routers.borrow_mut().get_mut(&database.group) {
             router.failed(now, &database.id);
         }
--- a/src/direct/transaction.rs
+++ b/src/direct/transaction.rs
@@ -66,6 +66,9 @@
             Err((code, text)) => return self.fail(targets, code, text),
         };
         job.trace.ended("answered");
+        if let Seat::Own(_) = self.held.seat {
+            targets.answers(&self.held.target.database);
+        }
         let code = match &answer.end {
             End::Done(_) => None,
             End::Error { code, .. } => Some(*code),
--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -157,3 +157,18 @@
         });
     }
 }
+
+/// A primary that most VMs reach by way of others goes dark. What those say of their queues is no
+/// word of the primary: it is replaced about as soon as where every VM has its own connections,
+/// and callers are told meanwhile that it does not serve.
+#[test]
+fn a_dark_primary_behind_owners_is_replaced() {
+    play(crowded(), |scene| async move {
+        let dark = Fault::Dark(Node::Database(db("db0a")));
+        scene.fault(dark, 5_000, 16_000).await;
+        scene.passes().await;
+        assert_ne!(scene.leader(), db("db0a"));
+        let gap = scene.gap(5_000);
+        assert!(gap < Duration::from_millis(3_500), "{gap:?}");
+    });
+}
