--- a/tests/direct_vm.rs
+++ b/tests/direct_vm.rs
@@ -7,7 +7,6 @@
 use lentilspoke::net::http;
 use ports::free;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
 use std::process::{Child, Command};
 
 /// A process, with what it writes; killed when the test ends.
