Draw what a VM leaves to chance from its life

Ruled out: hash maps (none on this path). Change: each control path has a generator seeded by its life, and its selects have an order.

--- a/src/direct/control/backoff.rs
+++ b/src/direct/control/backoff.rs
@@ -32,9 +32,9 @@
         wait.percent(75 + (chance * 50.0) as u64)
     }
 
-    /// Waits.
-    pub async fn wait(&mut self) {
-        let wait = self.step(rand::random::<f64>());
+    /// Waits; `chance` lies between 0 and 1.
+    pub async fn wait(&mut self, chance: f64) {
+        let wait = self.step(chance);
         tokio::time::sleep(Duration::from(wait)).await;
     }
 }
--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -227,7 +227,7 @@
                 let members = members.map(|(id, (member, _))| (id, member)).collect();
                 return (members, reading.answered);
             }
-            backoff.wait().await;
+            backoff.wait(self.chance()).await;
         }
     }
 
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -250,7 +250,7 @@
                 },
                 // Its condition holds as long as nothing was done: it may be asked again at once.
                 Err(Fault::Unknown(_)) if self.now() >= asked + WAITED => {}
-                Err(_) => backoff.wait().await,
+                Err(_) => backoff.wait(self.chance()).await,
             }
         }
     }
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -68,7 +68,7 @@
             control.hand_over("the store does not answer here").await;
             offered = control.now();
         }
-        backoff.wait().await;
+        backoff.wait(control.chance()).await;
     }
 }
 
@@ -81,6 +81,7 @@
         let now = control.now();
         let again = again.map_or(Span::from_secs(60), |again| again.since(now));
         tokio::select! {
+            biased;
             () = control.wake.notified() => {}
             () = tokio::time::sleep(Duration::from(again)) => {}
         }
--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -55,6 +55,7 @@
         };
         tokio::time::sleep(Duration::from(PAUSE.min(wait))).await;
         tokio::select! {
+            biased;
             () = tokio::time::sleep(Duration::from(Span(wait.0.saturating_sub(PAUSE.0)))) => {}
             () = alarm.notified() => {}
             () = control.nudged.notified() => {}
@@ -74,7 +75,7 @@
     /// What a VM does after a reading that failed: it asks others what they know, for as long as it
     /// pauses. Returns what is left of the pause.
     async fn rest(&self, backoff: &mut Backoff) -> Span {
-        let pause = backoff.step(rand::random());
+        let pause = backoff.step(self.chance());
         if self.is_member() {
             self.ask_peers().await;
             return pause;
@@ -303,8 +304,8 @@
         peers.sort();
         peers.dedup();
         peers.retain(|address| *address != self.setup.address && Some(*address) != steward);
-        let start = rand::random::<u32>() as usize % peers.len().max(1);
-        peers.rotate_left(start);
+        let start = self.chance() * peers.len() as f64;
+        peers.rotate_left(start as usize);
         peers.truncate(PEERS);
         peers
     }
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -43,6 +43,8 @@
 use crate::direct::mesh::{Answer, Call, Question};
 use crate::direct::view::Shared;
 use crate::types::{DatabaseId, Domain, GroupId, Life, VmId};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -110,6 +112,9 @@
     dampers: RefCell<BTreeMap<GroupId, Damper>>,
     /// Whether the newest reading known here, or at the steward, shows this VM's row.
     member: Cell<bool>,
+    /// What this VM draws by chance. Seeded by its life, so that a world whose lives come from a seed
+    /// plays the same again.
+    chance: RefCell<ChaCha8Rng>,
     /// One renewal of the duty at a time: each needs the version that the one before left.
     writing: Mutex<()>,
     /// Something for the steward to look at.
@@ -130,6 +135,7 @@
             links: RefCell::default(),
             dampers: RefCell::default(),
             member: Cell::new(false),
+            chance: RefCell::new(ChaCha8Rng::seed_from_u64(setup.life.0)),
             writing: Mutex::new(()),
             wake: Notify::new(),
             nudged: Notify::new(),
@@ -248,6 +254,11 @@
         self.member.get()
     }
 
+    /// A number from 0 to below 1, by chance.
+    fn chance(&self) -> f64 {
+        self.chance.borrow_mut().random()
+    }
+
     fn now(&self) -> Time {
         (self.setup.adapter.clock)()
     }
--- a/src/direct/control/order.rs
+++ b/src/direct/control/order.rs
@@ -104,7 +104,7 @@
                 Promoted::Unknown if self.is_over(id).await => return Ok(false),
                 Promoted::Unknown => unknown = true,
             }
-            backoff.wait().await;
+            backoff.wait(self.chance()).await;
         }
     }
 
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -31,7 +31,7 @@
                     // Nobody tells this VM of a configuration, and a poll takes the own way only.
                     after = None;
                 }
-                backoff.wait().await;
+                backoff.wait(control.chance()).await;
             }
         }
     }
@@ -46,6 +46,7 @@
     };
     let wait = if control.hears_steward() { LONG } else { SHORT };
     let polled = tokio::select! {
+        biased;
         polled = control.store.follow(&id.table, after, wait) => polled?,
         // The steward is not heard any more: a poll that may be dead is no second way.
         () = control.lost.notified(), if wait == LONG => return Ok(Some(after)),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -43,6 +43,8 @@
     let report = play(plan(&kinds, |_| ())).unwrap();
     assert_eq!(found(&report), [""; 0]);
     insta::assert_snapshot!(report);
+    let again = play(plan(&kinds, |_| ())).unwrap();
+    assert_eq!(report.to_string(), again.to_string());
 }
 
 /// Databases take a third of a second for a statement, so that most callers are turned away all
