--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -296,6 +296,12 @@
                 lines.leave(line.owner());
                 Passed::Away
             }
+            Reply::Unknown => {
+                // It may have started a moment ago: that is no word of the database.
+                self.job.trace.ended("unknown");
+                lines.give_back(line);
+                Passed::Away
+            }
             Reply::NotRun(code) => {
                 lines.give_back(line);
                 exchange::note_refusal(targets, self.job.trace, target, code);
--- a/src/direct/relay/mod.rs
+++ b/src/direct/relay/mod.rs
@@ -111,6 +111,8 @@
     NotRun(Code),
     /// It has not run: the database was not reached.
     Unreached,
+    /// It has not run: the owner knows of no such database.
+    Unknown,
     /// It has not run: the owner is about to stop.
     Away,
     /// It may have run.
--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -237,7 +237,7 @@
         }
         let targets = self.relay.targets.clone();
         let Some(target) = targets.find(&start.database) else {
-            return Told::only(Reply::NotRun(Code::OtherDatabase));
+            return Told::only(Reply::Unknown);
         };
         if self.is_behind(&target, start.after) {
             return self.of(Reply::NotRun(Code::Behind), &target, start.ask.urgency);
--- a/src/direct/transaction.rs
+++ b/src/direct/transaction.rs
@@ -194,7 +194,7 @@
             job.trace.ended("queue");
             Err(Failed::Busy)
         }
-        Reply::NotRun(_) | Reply::Unreached | Reply::Away => Err(Failed::Broken),
+        Reply::NotRun(_) | Reply::Unreached | Reply::Unknown | Reply::Away => Err(Failed::Broken),
         Reply::Lost(why) => {
             job.trace.ended("lost");
             Err(Failed::Lost(why))
--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -2,12 +2,26 @@
 
 mod scene;
 
-use lentilspoke::clock::Span;
+use bytes::Bytes;
+use lentilspoke::clock::{Span, Time};
+use lentilspoke::direct::adapter::{Adapter, Documents, Stream};
+use lentilspoke::direct::front::Place;
+use lentilspoke::direct::gate::Urgency;
+use lentilspoke::direct::relay::line::Lines;
+use lentilspoke::direct::relay::serve::Relay;
+use lentilspoke::direct::relay::{Ask, Reply, Request, Start};
+use lentilspoke::direct::session::Values;
+use lentilspoke::direct::table::RowId;
+use lentilspoke::direct::targets::Targets;
 use lentilspoke::standin::direct::fault::Fault;
 use lentilspoke::standin::direct::network::Node;
 use lentilspoke::standin::direct::setup::Setup;
+use lentilspoke::standin::direct::wire;
 use lentilspoke::types::VmId;
 use scene::{Scene, db, play, vm};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Six VMs before databases that take eleven connections each: three of them own each database.
@@ -172,3 +186,53 @@
         assert!(gap < Duration::from_millis(3_500), "{gap:?}");
     });
 }
+
+/// An owner that has just started is asked for a database that it has not heard of. It says so, and not
+/// that the database refused: whoever asked goes on to another owner, or connects by itself.
+#[actix_rt::test]
+async fn an_owner_does_not_know_the_database_yet() {
+    let (near, far) = tokio::io::duplex(4_096);
+    let near = Rc::new(RefCell::new(Some(near)));
+    let adapter = Adapter {
+        wire: wire::wire(),
+        documents: Documents {
+            config: RowId::new("operator", "config"),
+            register: "register".into(),
+            read_config: |_| Err("none".into()),
+            read_database: |_, _| Err("none".into()),
+        },
+        store: Rc::new(|_, _| Box::pin(std::future::pending())),
+        promote: Rc::new(|_| Box::pin(std::future::pending())),
+        connect: Rc::new(move |_, _| {
+            let stream: Box<dyn Stream> = Box::new(near.borrow_mut().take().unwrap());
+            Box::pin(std::future::ready(Ok(stream)))
+        }),
+        clock: Rc::new(|| Time(1_000_000)),
+    };
+    let place = Place {
+        domain: "d1".parse().unwrap(),
+        relay: None,
+        regions: BTreeMap::new(),
+    };
+    let owner = Targets::new(adapter.clone(), Rc::default(), place);
+    let relay = Relay::new(owner);
+    actix_rt::spawn(relay.serve_stream(Box::new(far)));
+    let lines = Lines::new(adapter);
+    let mut line = lines.take("10.1.0.1:7000".parse().unwrap()).await.unwrap();
+    let ask = Ask {
+        query: Bytes::from_static(b"QUERY q1 READ i1\r\n"),
+        shape: None,
+        values: Values::default(),
+        urgency: Urgency::MAX,
+        patience: Span::from_secs(1),
+        within: Span::from_secs(1),
+    };
+    let request = Request::Start(Start {
+        database: db("db0a"),
+        begin: None,
+        after: None,
+        ask,
+    });
+    let told = lines.ask(&mut line, &request, Span::from_secs(10)).await;
+    assert_eq!(told.unwrap().reply, Reply::Unknown);
+}
