Keep the connection to a VM whose answer is late

Cause: a question that was not answered in time closed its connection, and the next one opened a new one, which costs a steward that is late more than an answer: whatever makes it late keeps it late.

--- a/tests/direct_mesh.rs
+++ b/tests/direct_mesh.rs
@@ -3,9 +3,11 @@
 use lentilspoke::clock::Span;
 use lentilspoke::direct::mesh::{Answer, Question};
 use lentilspoke::net::{mesh, system};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 const WITHIN: Span = Span::from_secs(10);
 
@@ -77,3 +79,95 @@
         Some(Answer::Taken(false))
     );
 }
+
+/// Connections to a VM, passed on until they are to go silent.
+struct Path {
+    address: SocketAddr,
+    opened: Rc<Cell<u32>>,
+    silence: Rc<Notify>,
+}
+
+impl Path {
+    fn to(vm: SocketAddr) -> Self {
+        let listener: TcpListener = system::listen(anywhere()).unwrap();
+        let path = Self {
+            address: listener.local_addr().unwrap(),
+            opened: Rc::default(),
+            silence: Rc::default(),
+        };
+        let (opened, silence) = (path.opened.clone(), path.silence.clone());
+        actix_rt::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                opened.set(opened.get() + 1);
+                let far = TcpStream::connect(vm).await.unwrap();
+                actix_rt::spawn(pass(near, far, silence.clone()));
+            }
+        });
+        path
+    }
+}
+
+/// Passes bytes on until it is to be silent; then both ends stay open, and nothing comes through.
+async fn pass(mut near: TcpStream, mut far: TcpStream, silence: Rc<Notify>) {
+    let silenced = {
+        let copied = tokio::io::copy_bidirectional(&mut near, &mut far);
+        tokio::select! {
+            _ = copied => false,
+            () = silence.notified() => true,
+        }
+    };
+    if silenced {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// How long a question that gets no answer in time is waited for.
+const SHORT: Span = Span::from_millis(40);
+
+/// A steward answers a heartbeat after whoever asked has given up. Its connection works, so that the next
+/// question goes there too: a new connection for each late answer is more work for a steward that is
+/// late already, and of hundreds of VMs at once.
+#[actix_rt::test]
+async fn a_late_answer_costs_no_connection() {
+    let call = mesh::call();
+    let listener: TcpListener = system::listen(anywhere()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let gate = Rc::new(Notify::new());
+    let opens = gate.clone();
+    let answerer: mesh::Answerer = Rc::new(move |question| {
+        let gate = gate.clone();
+        Box::pin(async move {
+            if question == Question::Vouch {
+                gate.notified().await;
+            }
+            Answer::Noted
+        })
+    });
+    let _vm = actix_rt::spawn(mesh::serve(listener, answerer));
+    let path = Path::to(address);
+    let asked = call(path.address, question(1), WITHIN).await;
+    assert_eq!(asked, Some(Answer::Noted));
+    for _ in 0..3 {
+        assert_eq!(call(path.address, Question::Vouch, SHORT).await, None);
+        opens.notify_one();
+        let asked = call(path.address, question(1), WITHIN).await;
+        assert_eq!(asked, Some(Answer::Noted));
+    }
+    assert_eq!(path.opened.get(), 1);
+}
+
+/// A kept connection goes silent for good, and new ones work. One question is missed; the next one is
+/// answered, on a new connection.
+#[actix_rt::test]
+async fn a_silent_connection_is_left_after_one_question() {
+    let call = mesh::call();
+    let (address, _vm) = vm(anywhere());
+    let path = Path::to(address);
+    let asked = call(path.address, question(2), WITHIN).await;
+    assert_eq!(asked, Some(Answer::Taken(true)));
+    path.silence.notify_waiters();
+    assert_eq!(call(path.address, question(2), SHORT).await, None);
+    let asked = call(path.address, question(2), Span::from_secs(4)).await;
+    assert_eq!(asked, Some(Answer::Taken(true)));
+    assert_eq!(path.opened.get(), 2);
+}
