Have VMs near by write the rows of a VM that starts again

Ruled out: the register (read with the rows), the duty (no lease needs it). Change: a VM whose row is in the store asks the two VMs that would read for it, the second after 150 ms, and writes its row itself after 0.6 s; one that is not named asks the seeds. A request to be registered that is asked again is not written again.

--- a/src/direct/control/backoff.rs
+++ b/src/direct/control/backoff.rs
@@ -11,15 +11,21 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Backoff {
     next: Span,
+    last: Span,
 }
 
 impl Default for Backoff {
     fn default() -> Self {
-        Self { next: FIRST }
+        Self::up_to(LAST)
     }
 }
 
 impl Backoff {
+    /// Waits that double to `last`.
+    pub fn up_to(last: Span) -> Self {
+        Self { next: FIRST, last }
+    }
+
     /// A call was answered.
     pub fn reset(&mut self) {
         self.next = FIRST;
@@ -28,7 +34,7 @@
     /// How long to wait now; `chance` lies between 0 and 1.
     pub fn step(&mut self, chance: f64) -> Span {
         let wait = self.next;
-        self.next = LAST.min(wait.percent(200));
+        self.next = self.last.min(wait.percent(200));
         wait.percent(75 + (chance * 50.0) as u64)
     }
 
--- a/src/direct/control/enroll.rs
+++ b/src/direct/control/enroll.rs
@@ -16,7 +16,7 @@
 
 use crate::clock::Span;
 use crate::direct::control::Control;
-use crate::direct::control::rows::{Member, MemberId, encode, member_row};
+use crate::direct::control::rows::{Member, MemberId, Reading, encode, member_row};
 use crate::direct::table::{Change, Fault, Row, Version};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -33,6 +33,9 @@
 /// How often the rows are written that are left once others were not as expected.
 const TRIES: usize = 3;
 
+/// A reading this young is a lease for whoever it shows.
+const YOUNG: Span = Span::from_secs(1);
+
 /// A VM that wants its row written.
 #[derive(Debug)]
 pub(super) struct Applicant {
@@ -55,6 +58,9 @@
     /// Writes a VM's row, with those of others that want the same now, and reads the rows after that.
     /// Only that reading tells whether the row is there.
     pub(super) async fn enroll(self: &Rc<Self>, applicant: Applicant) -> Result<(), Fault> {
+        if self.is_written(&applicant) {
+            return Ok(());
+        }
         let (done, told) = oneshot::channel();
         let first = {
             let waiting = &mut self.state.borrow_mut().waiting;
@@ -69,6 +75,15 @@
         told.await.map_err(stopped)?
     }
 
+    /// Whether a VM asks again whose answer was late: the newest reading shows its row.
+    fn is_written(&self, applicant: &Applicant) -> bool {
+        let state = self.state.borrow();
+        let reading = state.reading.as_ref();
+        let shown = |reading: &&Reading| reading.is_lease_for(&applicant.id, applicant.member.life);
+        let young = |reading: &Reading| self.now() < reading.asked + YOUNG;
+        reading.filter(shown).is_some_and(young)
+    }
+
     async fn enroll_all(self: Rc<Self>) {
         tokio::time::sleep(Duration::from(GATHER)).await;
         let mut round = std::mem::take(&mut self.state.borrow_mut().waiting);
@@ -79,7 +94,10 @@
                 Ok(()) => self.read_all().await,
                 Err(fault) => Err(fault),
             };
-            log::info!(vms = round.len(), outcome:? = read; "rows of VMs were written");
+            let first = round
+                .first()
+                .map(|waiting| waiting.applicant.id.to_string());
+            log::info!(vms = round.len(), first:?, outcome:? = read; "rows of VMs were written");
             for waiting in round {
                 // Whoever asked may have given up.
                 let _ = waiting.done.send(read.clone());
@@ -88,18 +106,25 @@
         }
     }
 
-    /// Reads the rows, and the register if it is not known yet.
+    /// Reads the rows, and the register and the configuration if they are not known yet.
     async fn read_all(self: &Rc<Self>) -> Result<(), Fault> {
-        let known = self.state.borrow().register.asked().is_some();
+        let lacks_register = self.state.borrow().register.asked().is_none();
+        let lacks_config = self.setup.shared.look().config.is_none();
         let register = async {
-            match known {
-                true => Ok(()),
-                false => self.read_register().await,
+            match lacks_register {
+                true => self.read_register().await,
+                false => Ok(()),
+            }
+        };
+        let config = async {
+            match lacks_config {
+                true => self.read_config().await,
+                false => Ok(()),
             }
         };
-        let (reading, register) = tokio::join!(self.store.reading(), register);
+        let (reading, register, config) = tokio::join!(self.store.reading(), register, config);
         self.learn(reading?);
-        register
+        register.and(config)
     }
 
     /// Writes rows in one change; those that are not as expected are left as they are.
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -30,6 +30,12 @@
 /// The pause between two such offers.
 const OFFER_EVERY: Span = Span::from_secs(2);
 
+/// The longest pause of a steward between readings that fail.
+///
+/// **Pattern answered.** The store is away for 6 s. **Without it** the steward reads again up to a second after
+/// it is back, and a VM that hears of it half a second later has lost the lease of its last reading by then.
+const STORE_AWAY: Span = Span::from_millis(300);
+
 /// How long a silent VM may take to answer.
 const CALL: Span = Span::from_millis(500);
 
@@ -48,7 +54,7 @@
 }
 
 async fn read(control: Rc<Control>, token: u64) {
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::up_to(STORE_AWAY);
     let mut offered = Time::default();
     while holds(&control, token) {
         let began = control.now();
--- a/src/direct/control/join.rs
+++ b/src/direct/control/join.rs
@@ -1,20 +1,35 @@
 //! How a VM that starts gets its first lease, and how it is told what others have read.
 
 use crate::clock::Span;
+use crate::direct::control::rows::Reading;
 use crate::direct::control::{Control, reader};
 use crate::direct::mesh::{Answer, Listed, Question};
 use crate::direct::table::Version;
+use crate::direct::view::Fellow;
+use futures_util::FutureExt;
 use futures_util::future::join_all;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a VM that starts tries to be registered by one of the seeds: VMs that start together do so
-/// within 0.3 s of each other, and a seed may be the last of them.
+/// How long a VM that finds no rows tries to be registered by one of the seeds: VMs that start
+/// together do so within 0.3 s of each other, and a seed may be the last of them.
 const JOIN: Span = Span::from_millis(700);
 
-/// How long a seed's answer is waited for: two calls of the store, between regions.
-const SEED: Span = Span::from_millis(300);
+/// How long one VM is waited for before the next one is asked too: a machine without power answers
+/// nothing. Two answers change nothing: both write the same under one condition.
+const LATE: Span = Span::from_millis(150);
+
+/// How long a VM waits for others until it writes its row itself: while all start, a dozen VMs write
+/// some rows each, one after another, and 160 more writes would make all of them late.
+const OWN: Span = Span::from_millis(600);
+
+/// How long a seed's answer is waited for: two round trips between regions, and a slow VM's turn.
+const SEED: Span = Span::from_millis(150);
+
+/// How long it is waited for until a row is written: two calls of the store, and those of others before.
+const ENROLL: Span = Span::from_millis(400);
 
 /// The pause before the next seed is asked where nobody listened yet, or nothing was known.
 const AGAIN: Span = Span::from_millis(30);
@@ -48,41 +63,101 @@
         told.is_some_and(|at| self.now() < at + TOLD)
     }
 
-    /// Has a seed write this VM's row, and takes over what the seed knows; whether that came to be. A
-    /// seed itself reads the store, as somebody has to.
+    /// Gets this VM's row written, and takes over what is known then; whether that came to be.
+    ///
+    /// **Pattern answered.** All VMs come back after a loss of power, the seeds last. **Without it** they
+    /// wait 0.5 s for the seeds, or write their rows one by one. **Why it suffices.** The rows still name
+    /// the VMs of before, which listen where they did. A VM that is not named asks a seed.
     pub(super) async fn join(self: &Rc<Self>) -> bool {
+        let joined = match self.store.reading().await {
+            Ok(reading) if reading.members.contains_key(&self.id) => {
+                self.learn(reading.clone());
+                self.join_near(&reading).await
+            }
+            // The store may turn this VM away, and not the seeds.
+            Ok(_) | Err(_) => self.join_seeds().await,
+        };
+        self.joined.notify_one();
+        joined
+    }
+
+    /// Has a seed write this VM's row. A seed itself reads the store, as somebody has to.
+    async fn join_seeds(&self) -> bool {
         let seeds = &self.setup.seeds;
         if seeds.is_empty() || seeds.contains(&self.setup.address) {
             return false;
         }
         let until = self.now() + JOIN;
-        let mut turn = (self.chance() * seeds.len() as f64) as usize;
-        let joined = loop {
-            let seed = seeds[turn % seeds.len()];
-            turn += 1;
-            if self.join_by(seed).await {
-                break true;
+        let turn = (self.chance() * seeds.len() as f64) as usize;
+        for seed in seeds.iter().cycle().skip(turn) {
+            if self.join_by(*seed).await {
+                return true;
             }
             if self.now() >= until {
-                log::info!(vm:% = self.id; "no seed registers this VM: it does so itself");
-                break false;
+                break;
             }
-            let pause = AGAIN.percent(50 + (self.chance() * 100.0) as u64);
-            tokio::time::sleep(Duration::from(pause)).await;
+            self.pause().await;
+        }
+        false
+    }
+
+    /// Has the VMs write this VM's row that would read for it, or writes it itself if these are late.
+    async fn join_near(self: &Rc<Self>, reading: &Reading) -> bool {
+        let mut fellows = reading.fellows();
+        let own = self.setup.address;
+        fellows.retain(|fellow| fellow.address != own);
+        fellows.push(Fellow {
+            address: own,
+            relay: self.setup.relay,
+            domain: self.setup.domain.clone(),
+        });
+        let expect = reading.members.get(&self.id).map_or(0, |member| member.1);
+        let mut readers = match reader::reads(&fellows, own) {
+            true => Vec::new(),
+            false => reader::near(&fellows, own),
         };
-        self.joined.notify_one();
-        joined
+        let turn = (self.chance() * readers.len() as f64) as usize;
+        readers.rotate_left(turn);
+        let began = self.now();
+        let last = async {
+            let wait = if readers.is_empty() { Span::ZERO } else { OWN };
+            tokio::time::sleep(Duration::from(wait)).await;
+            self.register_self(reading).await.is_ok() && self.is_member()
+        };
+        let others = readers.iter().enumerate().map(async |(turn, reader)| {
+            tokio::time::sleep(Duration::from(Span(LATE.0 * turn as u64))).await;
+            while self.now() < began + OWN {
+                if self.enroll_by(*reader, expect).await {
+                    return true;
+                }
+                self.pause().await;
+            }
+            false
+        });
+        let tries = others.map(FutureExt::boxed_local);
+        let mut tries: FuturesUnordered<_> = tries.chain([last.boxed_local()]).collect();
+        while let Some(joined) = tries.next().await {
+            if joined {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Waits a little, by chance.
+    async fn pause(&self) {
+        let pause = AGAIN.percent(50 + (self.chance() * 100.0) as u64);
+        tokio::time::sleep(Duration::from(pause)).await;
     }
 
     /// Asks a seed for the version of this VM's row, and to have it written under that version.
-    async fn join_by(self: &Rc<Self>, seed: SocketAddr) -> bool {
+    async fn join_by(&self, seed: SocketAddr) -> bool {
         let question = Question::Beat(self.beat());
-        match self.hear(seed, question, SEED).await {
-            Some(Told {
-                listed: Some(listed),
-                ..
-            }) => self.enroll_by(seed, listed.version).await,
-            _ => false,
+        let told = self.hear(seed, question, SEED).await;
+        let listed = told.and_then(|told| told.listed);
+        match listed {
+            Some(listed) => self.enroll_by(seed, listed.version).await,
+            None => false,
         }
     }
 
@@ -94,10 +169,12 @@
             domain: self.setup.domain.clone(),
             expect,
         };
-        let told = self.hear(address, question, SEED).await;
+        let told = self.hear(address, question, ENROLL).await;
         let is_member = told.is_some_and(|told| told.member);
         if is_member {
             self.member.set(true);
+            let now = self.now();
+            self.state.borrow_mut().enrolled = Some(now);
             log::info!(vm:% = self.id, life:% = self.setup.life, by:% = address; "this VM was registered by another one");
         }
         is_member
@@ -117,7 +194,7 @@
         let turn = (self.chance() * far.len() as f64) as usize;
         let some = far.iter().cycle().skip(turn).take(FAR.min(far.len()));
         let mut found = Source::Unreached;
-        for (readers, within) in [(near, NEAR), (some.copied().collect(), SEED)] {
+        for (readers, within) in [(near, NEAR), (some.copied().collect(), ENROLL)] {
             found = found.max(self.ask_some(readers, within).await);
             if found == Source::Fresh {
                 break;
@@ -135,7 +212,9 @@
         let read = answers
             .iter()
             .filter_map(|(reader, told)| Some((reader, (*told)?)));
-        let mut fresh = read.filter(|(_, told)| told.is_fresh());
+        let enrolled = self.state.borrow().enrolled;
+        let since = enrolled.map_or(FRESH, |at| self.now().since(at).min(FRESH));
+        let mut fresh = read.filter(|(_, told)| told.listed.is_some_and(|l| l.age < since));
         let Some((reader, told)) = fresh.next() else {
             let reached = answers.iter().any(|(_, told)| told.is_some());
             return if reached {
@@ -207,9 +286,3 @@
     member: bool,
     listed: Option<Listed>,
 }
-
-impl Told {
-    fn is_fresh(&self) -> bool {
-        self.listed.is_some_and(|listed| listed.age < FRESH)
-    }
-}
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -97,7 +97,7 @@
     }
 
     /// Writes this VM's row: before any reading that it may act on.
-    async fn register_self(self: &Rc<Self>, reading: &Reading) -> Result<(), Fault> {
+    pub(super) async fn register_self(self: &Rc<Self>, reading: &Reading) -> Result<(), Fault> {
         let known = reading.members.get(&self.id);
         let member = Member {
             life: self.setup.life,
@@ -114,7 +114,10 @@
             member,
             expect: known.map_or(0, |(_, version)| *version),
         };
-        self.enroll(applicant).await
+        self.enroll(applicant).await?;
+        let now = self.now();
+        self.state.borrow_mut().enrolled = Some(now);
+        Ok(())
     }
 
     /// Removes this VM's row.
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -20,6 +20,8 @@
     pub reading: Option<Reading>,
     /// VMs whose rows are to be written together.
     pub waiting: Vec<Waiting>,
+    /// When this VM's row was last written, by whomever: readings from before say nothing of it.
+    pub enrolled: Option<Time>,
     /// When the steward, or a VM that reads for others, last told this one who leads.
     pub told: Option<Time>,
     /// The newest configuration that another VM said there is.
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -70,6 +70,13 @@
 /// without an answer notices by this, and offers the duty to others.
 const READ_PATIENCE: Span = Span::from_millis(800);
 
+/// How long every other reading is waited for once one has brought nothing.
+///
+/// **Pattern answered.** A store that says nothing for 6 s is back. **Without it** whoever asked just before
+/// waits 0.8 s for nothing, asks others in vain, pauses, and the leases of 8 s are over by then. **Why every
+/// other one.** A store that takes between this and [`READ_PATIENCE`] is still heard.
+const AWAY: Span = Span::from_millis(300);
+
 /// What a poll may take beyond its wait: a connection that fell silent for good is noticed only
 /// when this is over, and a configuration has to be in force 3 s after it was accepted.
 const POLL_MARGIN: Span = Span::from_millis(700);
@@ -168,10 +175,19 @@
         *self.health.borrow()
     }
 
+    fn read_patience(&self) -> Span {
+        let away = self.health.borrow().down.is_some();
+        let odd = self.counts.get().faults % 2 == 1;
+        if away && odd { AWAY } else { READ_PATIENCE }
+    }
+
     /// Reads a table.
     pub async fn read(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
         self.count(|counts| counts.reads += 1);
-        match self.call(Ask::Read(table.into()), READ_PATIENCE).await? {
+        match self
+            .call(Ask::Read(table.into()), self.read_patience())
+            .await?
+        {
             Told::Rows { rows, version } => Ok((rows, version)),
             _ => Err(unexpected()),
         }
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -74,10 +74,7 @@
             }
             control.ask_readers().await;
             if control.lacks_config() {
-                let id = &control.setup.adapter.documents.config;
-                if let Ok((rows, _)) = control.store.read(&id.table).await {
-                    learn(&control, &rows);
-                }
+                let _ = control.read_config().await;
             }
         }
     }
@@ -89,15 +86,22 @@
         self.is_steward() || self.reads() || !self.is_told()
     }
 
-    /// Waits until another VM has told what it knows; not where the store has to be read anyhow.
+    /// Waits until another VM has told what it knows, or none does; not where others ask this one.
     async fn wait_for_first_word(&self) {
-        let seeds = &self.setup.seeds;
-        if seeds.is_empty() || seeds.contains(&self.setup.address) {
+        if self.setup.seeds.contains(&self.setup.address) {
             return;
         }
         let _ = tokio::time::timeout(Duration::from(START), self.joined.notified()).await;
     }
 
+    /// Reads the configuration.
+    pub(super) async fn read_config(&self) -> Result<(), Fault> {
+        let id = &self.setup.adapter.documents.config;
+        let (rows, _) = self.store.read(&id.table).await?;
+        learn(self, &rows);
+        Ok(())
+    }
+
     fn config_version(&self) -> ConfigVersion {
         let view = self.setup.shared.look();
         let config = view.config.as_ref();
