Take back that a busy primary's position is believed

Change: taken back. Conclusion: reverted; it would need a measurement of its own, and the model's word for positions of refusals.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -198,9 +198,6 @@
         {
             exchange::note_refusal(targets, self.job.trace, target, code);
             targets.refused(target, answer.position, code == Code::Busy);
-            if code == Code::Busy {
-                self.learn_refused(asked, answer.position);
-            }
             held.release(targets);
             return Attempt::NotRun(code);
         }
@@ -222,22 +219,6 @@
         Attempt::Answered(answer, Box::new(held))
     }
 
-    /// A primary that is busy has said how far it is.
-    ///
-    /// **Pattern answered.** All VMs have started again, none knows how far a primary is, and every read
-    /// goes there. **Without it** a primary under twice its load refuses reads that its replicas could run,
-    /// until some VM was served there and has told. **Why it suffices.** The position is of an answer to
-    /// what was asked at `asked`, and the lease still holds.
-    fn learn_refused(&self, asked: Time, position: Option<Position>) {
-        let (Some(lease), Some(position)) = (&self.plan.lease, position) else {
-            return;
-        };
-        let (targets, target) = (self.targets, &self.plan.target);
-        if self.holds() && !targets.has_lost_log(target, lease.epoch, asked, position) {
-            targets.learn(&self.job.route.group, lease.epoch, asked, position);
-        }
-    }
-
     /// Asks the owners in turn; none if none of them took the statement.
     async fn through(&self, owners: &[SocketAddr]) -> Option<Attempt> {
         let lines = &self.targets.lines;
