Name the first VM whose row is written in the line that tells of it

Cause: 'rows of VMs were written' with vms=1 did not say whose, which the search for VMs that asked again needed. Change: first=ID.

--- a/src/direct/control/enroll.rs
+++ b/src/direct/control/enroll.rs
@@ -94,10 +94,12 @@
                 Ok(()) => self.read_all().await,
                 Err(fault) => Err(fault),
             };
-            let first = round
-                .first()
-                .map(|waiting| waiting.applicant.id.to_string());
-            log::info!(vms = round.len(), first:?, outcome:? = read; "rows of VMs were written");
+            if let Some(first) = round.first() {
+                log::info!(
+                    vms = round.len(), first:% = first.applicant.id, outcome:? = read;
+                    "rows of VMs were written"
+                );
+            }
             for waiting in round {
                 // Whoever asked may have given up.
                 let _ = waiting.done.send(read.clone());
