--- a/src/direct/adapter.rs
+++ b/src/direct/adapter.rs
@@ -4,7 +4,7 @@
 use crate::direct::config::{Config, Database};
 use crate::direct::statement::{Answer, Message, Order, Query, Standing};
 use crate::direct::table::{Ask, Fault, RowId, Told};
-use crate::types::{DatabaseId, GroupId, Position, VmId};
+use crate::types::{DatabaseId, GroupId, OrganisationId, Position, VmId};
 use bytes::BytesMut;
 use futures_util::future::LocalBoxFuture;
 use std::fmt;
@@ -35,8 +35,14 @@
     pub read_message: fn(input: &mut BytesMut) -> Result<Option<Message>, Garbled>,
     /// Writes an answer to a caller; without `query` it answers the start of the session.
     pub write_answer: fn(output: &mut BytesMut, answer: &Answer, started: bool),
-    /// Writes the start of a session at a database of this group, which must have this id.
-    pub write_start: fn(output: &mut BytesMut, group: &GroupId, database: &DatabaseId),
+    /// Writes the start of a session at a database of this group, which must have this id, on behalf
+    /// of an organisation or of nobody in particular.
+    pub write_start: fn(
+        output: &mut BytesMut,
+        group: &GroupId,
+        database: &DatabaseId,
+        organisation: Option<&OrganisationId>,
+    ),
     /// Writes a caller's statement; `name` takes the place of a prepared statement's name, and the
     /// log must have `after`.
     pub write_query:
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -119,7 +119,7 @@
         job,
         plan,
     };
-    if let Way::Through(owners) = &*targets.way(&plan.target.database)
+    if let Way::Through(owners) = &*targets.way(&plan.target.database, job.organisation)
         && let Some(attempt) = one.through(owners).await
     {
         return attempt;
@@ -318,6 +318,11 @@
                 targets.doubt(&target.database);
                 Passed::Elsewhere(Attempt::Unreached)
             }
+            Reply::Granted(_) => {
+                // No reply to a statement: the stream is of no use any more.
+                self.job.trace.ended("owner");
+                Passed::Attempt(Attempt::Lost(Why::Broken))
+            }
             Reply::Lost(why) => {
                 self.job.trace.ended("lost");
                 lines.give_back(line);
@@ -347,6 +352,7 @@
         query: query.freeze(),
         shape: job.shape.map(|shape| (**shape).clone()),
         values: session.values.clone(),
+        organisation: job.organisation.cloned(),
         urgency: job.urgency(),
         patience: job.queue_until().since(now),
         within: Span(left.0.saturating_sub(OWNER_MARGIN.0)),
--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -4,6 +4,7 @@
 use crate::direct::adapter::{Garbled, Stream};
 use crate::direct::config::{Config, Route};
 use crate::direct::front::{Front, Stopping};
+use crate::direct::identity::{Identity, Key, identify};
 use crate::direct::job::{Job, Part};
 use crate::direct::line::{self, Ended};
 use crate::direct::session::{Begun, Phase, Session, Shape, Step, error};
@@ -54,6 +55,8 @@
     Unread,
     /// A planned stop closes it.
     Stopped,
+    /// Nobody holds its key any more.
+    Barred,
 }
 
 impl From<std::io::Error> for Gone {
@@ -70,8 +73,14 @@
     session: Session,
     transaction: Option<Transaction>,
     database: Box<str>,
+    /// The key that it showed.
+    key: Option<Key>,
     /// The route of `database` in a configuration.
     routed: Option<(Rc<Config>, Rc<Route>)>,
+    /// Whose it is, by a configuration.
+    known: Option<(Rc<Config>, Identity)>,
+    /// Changes with each configuration.
+    configs: watch::Receiver<()>,
     stopping: watch::Receiver<Stopping>,
     /// When it was last sent anything.
     told: Time,
@@ -91,6 +100,7 @@
         stream: Box<dyn Stream>,
         stopping: watch::Receiver<Stopping>,
     ) -> Self {
+        let configs = front.shared.configs();
         Self {
             front,
             stream,
@@ -98,7 +108,10 @@
             session: Session::default(),
             transaction: None,
             database: Box::default(),
+            key: None,
             routed: None,
+            known: None,
+            configs,
             stopping,
             told: Time::default(),
             operation: Operation::default(),
@@ -110,7 +123,7 @@
         let gone = self.talk().await;
         self.tell_end(&gone);
         self.roll_back();
-        if let Ok(()) | Err(Gone::Stopped) = gone {
+        if let Ok(()) | Err(Gone::Stopped | Gone::Barred) = gone {
             let _ = tokio::time::timeout(FAREWELL.into(), self.stream.shutdown()).await;
         }
     }
@@ -121,6 +134,7 @@
         let why = match gone {
             Err(Gone::Unread) => "an answer was not taken by its caller",
             Err(Gone::Stopped) => "a planned stop closes an idle session",
+            Err(Gone::Barred) => "nobody holds a session's key any more",
             Ok(()) | Err(Gone::Left) if open => "a caller left in the middle of a transaction",
             Ok(()) | Err(Gone::Left) => return,
         };
@@ -134,6 +148,9 @@
                 Ok(Message::Query(query)) => {
                     let answer = self.answer(&query).await;
                     self.write(&answer).await?;
+                    if is_barred(&answer) {
+                        return Err(Gone::Barred);
+                    }
                 }
                 Ok(Message::Bye) => return Ok(()),
                 Ok(Message::Start { .. }) | Err(Garbled::Long(_)) => {
@@ -151,25 +168,70 @@
 
     async fn greet(&mut self) -> Result<(), Gone> {
         let first = tokio::time::timeout(GREETING.into(), self.next()).await;
-        let Ok(Ok(Message::Start { database, .. })) = first.map_err(|_| Gone::Left)? else {
+        let Ok(Ok(Message::Start { database, key })) = first.map_err(|_| Gone::Left)? else {
             return Err(Gone::Left);
         };
         self.database = database;
+        self.key = Some(key);
         self.wait_for_config().await;
-        let known = self.route().is_some();
-        let end = match known {
-            true => End::Done(None),
-            false => error(Code::NoDatabase, "no route has that name"),
-        };
-        let answer = self.session.answer(end);
+        let end = self.admit().await;
+        let answer = self.session.answer(end.clone());
         let mut output = BytesMut::new();
         (self.front.adapter.wire.write_answer)(&mut output, &answer, false);
         self.send(&output).await?;
-        if !known {
-            line::no_route(&self.front, &self.database);
-            return Err(Gone::Left);
+        match end {
+            End::Done(_) => Ok(()),
+            End::Error {
+                code: Code::NoKey, ..
+            } => {
+                line::no_key(&self.front, &self.database, self.key.as_ref());
+                Err(Gone::Left)
+            }
+            End::Error { .. } => {
+                line::no_route(&self.front, &self.database);
+                Err(Gone::Left)
+            }
+        }
+    }
+
+    /// How a session that begins is answered.
+    async fn admit(&mut self) -> End {
+        let no_route = || error(Code::NoDatabase, "no route has that name");
+        let Some(route) = self.route() else {
+            return no_route();
+        };
+        if self.identity(&route) != Identity::Unknown {
+            return End::Done(None);
+        }
+        self.front.wait_for_newer_config().await;
+        let Some(route) = self.route() else {
+            return no_route();
+        };
+        match self.identity(&route) {
+            Identity::Unknown => no_key(),
+            Identity::Anyone | Identity::Of(_) => End::Done(None),
+        }
+    }
+
+    /// Whose the session is, by the configuration in force.
+    fn identity(&mut self, route: &Route) -> Identity {
+        let (Some(config), Some(key)) = (self.front.config(), &self.key) else {
+            return Identity::Unknown;
+        };
+        if let Some((known, identity)) = &self.known
+            && Rc::ptr_eq(known, &config)
+        {
+            return identity.clone();
         }
-        Ok(())
+        let identity = identify(&config, route, key);
+        self.known = Some((config, identity.clone()));
+        identity
+    }
+
+    /// Whether nobody holds the session's key any more.
+    fn is_unknown(&mut self) -> bool {
+        let route = self.route();
+        route.is_some_and(|route| self.identity(&route) == Identity::Unknown)
     }
 
     async fn wait_for_config(&self) {
@@ -217,6 +279,13 @@
                 _ => Ok(()),
             },
             _ = self.stopping.changed() => Ok(()),
+            _ = self.configs.changed() => {
+                // A close at rest costs its caller nothing; a transaction ends with its next statement.
+                match self.session.phase == Phase::Idle && self.is_unknown() {
+                    true => Err(Gone::Barred),
+                    false => Ok(()),
+                }
+            }
             () = tokio::time::sleep(rest.into()), if limit.is_some() => {
                 if idle.is_some() {
                     self.break_off("the transaction was idle for too long");
@@ -292,11 +361,21 @@
             return answer;
         };
         let trace = Trace::default();
-        let answer = self.step(query, &route, now, &trace).await;
+        let answer = match self.identity(&route) {
+            Identity::Unknown => self.bar(),
+            Identity::Anyone | Identity::Of(_) => self.step(query, &route, now, &trace).await,
+        };
         self.tell(Some(&route), trace, &answer);
         answer
     }
 
+    /// Ends the session of a caller whose key nobody holds any more, and what it has open.
+    fn bar(&mut self) -> Answer {
+        self.roll_back();
+        self.session.phase = Phase::Idle;
+        self.session.answer(no_key())
+    }
+
     /// Counts a request that was answered, and writes its line if it gets one.
     fn tell(&mut self, route: Option<&Route>, trace: Trace, answer: &Answer) {
         let steps = trace.into_steps();
@@ -388,6 +467,8 @@
         commit: bool,
     ) -> Answer {
         let now = self.operation.came;
+        let known = self.known.as_ref();
+        let organisation = known.and_then(|(_, identity)| identity.organisation().cloned());
         let open = self.transaction.take();
         let (part, since) = match &self.session.phase {
             Phase::Begun(Begun { read, at, .. }) => (Part::First { read: *read }, *at),
@@ -397,6 +478,7 @@
         let job = Job {
             route,
             query,
+            organisation: organisation.as_ref(),
             shape: shape.as_ref(),
             writes,
             commit,
@@ -408,7 +490,7 @@
         let runner = &self.front.runner;
         let (answer, transaction) = match open {
             Some(open) => runner.next(&mut self.session, open, &job).await,
-            None => runner.start(&mut self.session, &job).await,
+            None => runner.spend_and_start(&mut self.session, &job).await,
         };
         self.transaction = transaction;
         answer
@@ -433,3 +515,11 @@
         }
     }
 }
+
+fn no_key() -> End {
+    error(Code::NoKey, "nobody holds this key")
+}
+
+fn is_barred(answer: &Answer) -> bool {
+    matches!(answer.end, End::Error { code, .. } if code == Code::NoKey)
+}
--- a/src/direct/config.rs
+++ b/src/direct/config.rs
@@ -1,6 +1,7 @@
 //! The configuration and the register of databases, checked.
 
 use crate::clock::Span;
+use crate::direct::identity::Organisations;
 use crate::types::{Birth, DatabaseId, Domain, GroupId, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -17,6 +18,8 @@
     pub groups: BTreeMap<GroupId, Group>,
     /// A transaction that stays idle for this long may be ended.
     pub idle: Span,
+    /// The organisations, if callers need a key.
+    pub organisations: Option<Organisations>,
 }
 
 /// What callers of one name get.
@@ -32,6 +35,8 @@
     pub objective: Span,
     /// 0 is served first.
     pub priority: u8,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// How fresh reads have to be.
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -5,7 +5,7 @@
 use crate::direct::config::Database;
 use crate::direct::session::{Shape, Values};
 use crate::direct::statement::{Answer, Code, End, Order, Query, State};
-use crate::types::Position;
+use crate::types::{OrganisationId, Position};
 use bytes::BytesMut;
 use futures_util::FutureExt;
 use std::collections::BTreeMap;
@@ -47,6 +47,8 @@
 /// A connection to a database.
 pub struct Connection {
     wire: Wire,
+    /// On whose behalf it was opened: it serves nobody else.
+    organisation: Option<OrganisationId>,
     stream: Box<dyn Stream>,
     input: BytesMut,
     values: Values,
@@ -71,20 +73,31 @@
 
 impl Connection {
     /// Opens a session at a database within `span`.
-    pub async fn open(adapter: &Adapter, database: &Database, span: Span) -> Result<Self, Closed> {
-        let started = Self::start(adapter, database, span);
+    pub async fn open(
+        adapter: &Adapter,
+        database: &Database,
+        organisation: Option<&OrganisationId>,
+        span: Span,
+    ) -> Result<Self, Closed> {
+        let started = Self::start(adapter, database, organisation, span);
         match tokio::time::timeout(span.into(), started).await {
             Ok(result) => result,
             Err(_) => Err(Lost::Silent.into()),
         }
     }
 
-    async fn start(adapter: &Adapter, database: &Database, span: Span) -> Result<Self, Closed> {
+    async fn start(
+        adapter: &Adapter,
+        database: &Database,
+        organisation: Option<&OrganisationId>,
+        span: Span,
+    ) -> Result<Self, Closed> {
         let connect = (adapter.connect)(database.address, span);
         let stream = connect.await.map_err(Lost::from)?;
         let now = (adapter.clock)();
         let mut connection = Self {
             wire: adapter.wire,
+            organisation: organisation.cloned(),
             stream,
             input: BytesMut::new(),
             values: BTreeMap::new(),
@@ -95,7 +108,8 @@
             used: now,
         };
         let mut output = BytesMut::new();
-        (adapter.wire.write_start)(&mut output, &database.group, &database.id);
+        let (group, id) = (&database.group, &database.id);
+        (adapter.wire.write_start)(&mut output, group, id, organisation);
         connection.write(&output).await?;
         let answer = connection.read(true).await?;
         match answer.end {
@@ -125,6 +139,11 @@
         nothing_came && self.is_clean()
     }
 
+    /// On whose behalf it was opened.
+    pub fn organisation(&self) -> Option<&OrganisationId> {
+        self.organisation.as_ref()
+    }
+
     /// How many of a session's values it has, or none if it has one that the session lacks.
     pub fn fit(&self, wanted: &Values) -> Option<usize> {
         let fits = |name| wanted.contains_key(name);
--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -63,6 +63,7 @@
             () = tokio::time::sleep(Duration::from(Span(wait.0.saturating_sub(PAUSE.0)))) => {}
             () = alarm.notified() => {}
             () = control.nudged.notified() => {}
+            () = control.setup.shared.wants_config.notified() => {}
         }
     }
 }
--- a/src/direct/control/probe.rs
+++ b/src/direct/control/probe.rs
@@ -77,7 +77,7 @@
         wire: adapter.wire,
     };
     let mut output = BytesMut::new();
-    (adapter.wire.write_start)(&mut output, &database.group, &database.id);
+    (adapter.wire.write_start)(&mut output, &database.group, &database.id, None);
     link.stream.write_all(&output).await?;
     let answer = link.read(true).await?;
     Ok(match answer.end {
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -171,5 +171,5 @@
         groups = config.groups.len(), source;
         "a configuration is in force"
     );
-    shared.change(|view| view.config = Some(Rc::new(config)));
+    shared.configure(config);
 }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -6,12 +6,12 @@
 use crate::direct::gate::Urgency;
 use crate::direct::meter::code_name;
 use crate::direct::outcome::Why;
-use crate::direct::pool::Lent;
+use crate::direct::pool::{Lent, Wanted};
 use crate::direct::session::{Shape, Values};
 use crate::direct::statement::{Answer, Code, End, Order, Query, State};
 use crate::direct::targets::{Target, Targets};
 use crate::direct::trace::{Shown, Trace};
-use crate::types::Position;
+use crate::types::{OrganisationId, Position};
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -34,6 +34,8 @@
     pub shape: Option<&'a Rc<Shape>>,
     /// The session's values.
     pub values: &'a Values,
+    /// On whose behalf it is asked.
+    pub organisation: Option<&'a OrganisationId>,
     /// The transaction that it opens.
     pub begin: Option<&'a Order>,
     /// A position that the log must have.
@@ -48,6 +50,16 @@
     pub trace: &'a Trace,
 }
 
+impl<'a> Statement<'a> {
+    /// What its connection should be like.
+    fn wanted(&self) -> Wanted<'a> {
+        Wanted {
+            organisation: self.organisation,
+            values: self.values,
+        }
+    }
+}
+
 /// How a first statement ended.
 #[derive(Debug)]
 pub enum Ran<G> {
@@ -89,7 +101,7 @@
         return Ran::NotRun(Code::Busy);
     };
     targets.shared.meter.queue_wait(targets.now().since(came));
-    let taken = pool.take(&targets.adapter, &target.database, statement.values);
+    let taken = pool.take(&targets.adapter, &target.database, statement.wanted());
     let mut lent = match taken.await {
         Ok(lent) => lent,
         Err(closed) => return not_opened(targets, statement.trace, target, &closed),
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -21,6 +21,13 @@
 /// What is left of a stop's grace for the last answers to go out.
 const LAST_ANSWERS: Span = Span::from_millis(400);
 
+/// How long a caller whose key is not known waits for a newer configuration: a heartbeat's round trip
+/// between regions, and a long configuration had from a VM near by.
+const CONFIG_WAIT: Span = Span::from_millis(250);
+
+/// How often one is asked for on behalf of such callers.
+const CONFIG_WANTED_EVERY: Span = Span::from_secs(1);
+
 /// Where this VM stands.
 #[derive(Debug, Clone)]
 pub struct Place {
@@ -70,6 +77,8 @@
     stopping: watch::Sender<Stopping>,
     sessions: Cell<u32>,
     ended: Notify,
+    /// When a newer configuration was last asked for.
+    config_wanted: Cell<Time>,
 }
 
 impl fmt::Debug for Front {
@@ -86,6 +95,7 @@
             adapter,
             shared,
             stopping: watch::Sender::new(Stopping::No),
+            config_wanted: Cell::default(),
             sessions: Cell::new(0),
             ended: Notify::new(),
         })
@@ -124,6 +134,29 @@
         tokio::time::timeout(span.into(), all_ended).await.is_ok()
     }
 
+    /// Waits for a newer configuration, if one may be there: a caller's key is not known.
+    ///
+    /// **Pattern answered.** A key is used as soon as the operator has given it out, at a VM that is told
+    /// of it half a second later; and floods of keys that nobody holds. **Without it** the first is refused,
+    /// or each of the second asks the steward. One question a second serves all that wait.
+    pub async fn wait_for_newer_config(&self) {
+        let mut configs = self.shared.configs();
+        let now = self.now();
+        let asked = self.config_wanted.get();
+        let since = match asked > Time::default() && now < asked + CONFIG_WANTED_EVERY {
+            true => asked,
+            false => {
+                self.config_wanted.set(now);
+                self.shared.wants_config.notify_one();
+                now
+            }
+        };
+        let left = (since + CONFIG_WAIT).since(now);
+        if left > Span::ZERO {
+            let _ = tokio::time::timeout(left.into(), configs.changed()).await;
+        }
+    }
+
     /// The time.
     pub fn now(&self) -> Time {
         (self.adapter.clock)()
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -7,6 +7,7 @@
 use crate::direct::session::{Shape, Values};
 use crate::direct::statement::Query;
 use crate::direct::trace::Trace;
+use crate::types::OrganisationId;
 use std::rc::Rc;
 
 /// The part of a route's timeout that a statement waits for a primary at most. A planned change
@@ -46,6 +47,8 @@
     pub route: &'a Rc<Route>,
     /// The statement.
     pub query: &'a Query,
+    /// On whose behalf it is asked.
+    pub organisation: Option<&'a OrganisationId>,
     /// The prepared statement that it runs.
     pub shape: Option<&'a Rc<Shape>>,
     /// Whether it writes.
@@ -69,6 +72,7 @@
             query: self.query,
             shape: self.shape,
             values,
+            organisation: self.organisation,
             begin: None,
             after: None,
             urgency: self.urgency(),
--- a/src/direct/line.rs
+++ b/src/direct/line.rs
@@ -3,6 +3,7 @@
 use crate::clock::Span;
 use crate::direct::config::Route;
 use crate::direct::front::Front;
+use crate::direct::identity::Key;
 use crate::direct::lead::Epoch;
 use crate::direct::statement::{Answer, End};
 use crate::direct::trace::{Operation, Reason, Shown, Steps, clip};
@@ -124,6 +125,15 @@
     );
 }
 
+/// Writes the line of a caller whose key nobody holds, or holds any more.
+pub fn no_key(front: &Front, host: &str, key: Option<&Key>) {
+    let version = front.config().map(|config| config.version.0);
+    log::info!(
+        route:% = clip(host), key:% = Shown(key), version:% = Shown(version), outcome = "NoKey";
+        "a session is refused: nobody holds its key"
+    );
+}
+
 /// Writes the line of a session that ends otherwise than by its caller's wish.
 pub fn session_ends(front: &Front, why: &str, host: &str, operation: &Operation) {
     if operation.request.is_empty() {
--- a/src/direct/meter.rs
+++ b/src/direct/meter.rs
@@ -90,6 +90,8 @@
     answered: Family<OfDatabase, Histogram, fn() -> Histogram>,
     database_refused: Family<OfRefusal, Counter>,
     queue_wait: Histogram,
+    allowance_asked: Counter,
+    allowance_refused: Counter,
     lapsed: Family<OfGroup, Counter>,
     promoted: Family<OfGroup, Counter>,
     promotion_time: Family<OfGroup, Counter>,
@@ -109,7 +111,7 @@
 }
 
 /// The codes with which a database says that it ran nothing.
-const REFUSALS: [Code; 9] = [
+const REFUSALS: [Code; 10] = [
     Code::Busy,
     Code::RolledBack,
     Code::Behind,
@@ -118,6 +120,7 @@
     Code::Full,
     Code::NoStatement,
     Code::NoDatabase,
+    Code::NoKey,
     Code::Malformed,
 ];
 
@@ -132,6 +135,7 @@
         Code::Full => "full",
         Code::NoStatement => "no_statement",
         Code::NoDatabase => "no_database",
+        Code::NoKey => "no_key",
         Code::Malformed => "malformed",
         Code::Failed => "failed",
         Code::Late => "late",
@@ -179,6 +183,8 @@
             answered: Family::new_with_constructor(coarse_histogram),
             database_refused: Family::default(),
             queue_wait: histogram(),
+            allowance_asked: Counter::default(),
+            allowance_refused: Counter::default(),
             lapsed: Family::default(),
             promoted: Family::default(),
             promotion_time: Family::default(),
@@ -246,6 +252,16 @@
             "Times that a request found no lease on its group's primary",
             self.lapsed.clone(),
         );
+        registry.register(
+            "allowance_asked",
+            "Questions to VMs that keep organisations' allowances",
+            self.allowance_asked.clone(),
+        );
+        registry.register(
+            "allowance_refused",
+            "Operations refused as their organisation's allowance was used",
+            self.allowance_refused.clone(),
+        );
         registry.register(
             "promotions",
             "Changes of primary made by this VM as steward",
@@ -289,6 +305,16 @@
         self.queue_wait.observe(seconds(took));
     }
 
+    /// A keeper was asked for a part of an organisation's allowance.
+    pub fn allowance_asked(&self) {
+        self.allowance_asked.inc();
+    }
+
+    /// An operation was refused, as its organisation's allowance was used or nobody kept it.
+    pub fn allowance_refused(&self) {
+        self.allowance_refused.inc();
+    }
+
     /// A connection to a database was opened.
     pub fn connection_opened(&self, database: &DatabaseId) {
         let labels = OfDatabase {
--- a/src/direct/outcome.rs
+++ b/src/direct/outcome.rs
@@ -49,6 +49,7 @@
         | Code::NoStatement => true,
         Code::RolledBack
         | Code::NoDatabase
+        | Code::NoKey
         | Code::Malformed
         | Code::Failed
         | Code::Late
--- a/src/direct/owner.rs
+++ b/src/direct/owner.rs
@@ -9,8 +9,9 @@
 //! statements through one of them. Two VMs that know of other VMs may both own a database, or neither:
 //! that costs a connection, never correctness, since an owner believes nothing and only passes on.
 
+use crate::direct::hash;
 use crate::direct::view::Fellow;
-use crate::types::{DatabaseId, Domain};
+use crate::types::{DatabaseId, Domain, OrganisationId};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -23,24 +24,18 @@
 /// once, which is what few callers need.
 const OWN_SHARE: usize = 2;
 
+/// The part of a VM's share of a database's connections that it keeps open between statements.
+const KEPT_PERCENT: u32 = 66;
+
 /// How a VM reaches a database.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Way {
     /// By connections of its own.
     Own,
-    /// Through one of these VMs, the first one first.
+    /// Through one of these VMs, the first one first, and then by connections of its own.
     Through(Vec<SocketAddr>),
 }
 
-/// The VM that wants to reach a database, and what it knows.
-#[derive(Debug, Clone, Copy)]
-pub struct Seeker<'a> {
-    /// Where it relays itself, if it does.
-    pub relay: Option<SocketAddr>,
-    /// The VMs that are registered.
-    pub fellows: &'a [Fellow],
-}
-
 /// A database that is to be reached.
 #[derive(Debug, Clone, Copy)]
 pub struct Goal<'a> {
@@ -50,18 +45,82 @@
     pub connections: u32,
 }
 
-/// How `seeker` reaches `goal`; `is_near` tells which failure domains are near that.
-pub fn way(seeker: Seeker<'_>, goal: Goal<'_>, is_near: impl Fn(&Domain) -> bool) -> Way {
-    let enough = seeker.fellows.len() * OWN_SHARE <= goal.connections as usize;
-    let owners = match enough {
-        true => Vec::new(),
-        false => owners(seeker.fellows, goal.id, is_near),
-    };
-    let own = seeker.relay.is_some_and(|relay| owners.contains(&relay));
-    if owners.is_empty() || own {
-        return Way::Own;
+/// Which VMs connect to a database.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Access {
+    /// All of them.
+    All,
+    /// These.
+    Owners(Vec<SocketAddr>),
+}
+
+/// Which VMs connect to `goal`; `is_near` tells which failure domains are near that.
+pub fn access(fellows: &[Fellow], goal: Goal<'_>, is_near: impl Fn(&Domain) -> bool) -> Access {
+    if fellows.len() * OWN_SHARE <= goal.connections as usize {
+        return Access::All;
+    }
+    match owners(fellows, goal.id, is_near) {
+        owners if owners.is_empty() => Access::All,
+        owners => Access::Owners(owners),
+    }
+}
+
+impl Access {
+    /// How many of a database's `connections` one VM may keep open of `vms`.
+    ///
+    /// **Pattern answered.** Connections that are kept for the next statement of an organisation take
+    /// all that a database has. **Without it** transactions find it full, and after a loss of power the
+    /// VMs that start again find no place beside those of the dead, which count for some seconds.
+    pub fn places(&self, connections: u32, vms: usize) -> u32 {
+        let sharers = match self {
+            Self::All => vms.max(1),
+            Self::Owners(owners) => owners.len(),
+        };
+        let share = connections / u32::try_from(sharers).unwrap_or(u32::MAX);
+        share * KEPT_PERCENT / 100
+    }
+
+    /// How a VM that relays at `relay` reaches the database `id`, for anybody.
+    pub fn way(&self, relay: Option<SocketAddr>, id: &DatabaseId) -> Way {
+        let Self::Owners(owners) = self else {
+            return Way::Own;
+        };
+        if relay.is_some_and(|relay| owners.contains(&relay)) {
+            return Way::Own;
+        }
+        Way::Through(spread(owners.clone(), relay, id))
+    }
+
+    /// The same on behalf of an organisation.
+    ///
+    /// **Pattern answered.** A connection serves one organisation, there are more organisations than
+    /// connections, and opening one takes as much of a slot as a short statement. **Without it** an
+    /// organisation's statements come to any owner and find no connection of theirs there. **Why it
+    /// suffices.** All VMs send an organisation's statements to the same owner first, its neighbours' to
+    /// others; the rest are its spares.
+    pub fn way_for(
+        &self,
+        relay: Option<SocketAddr>,
+        id: &DatabaseId,
+        organisation: &OrganisationId,
+    ) -> Way {
+        let Self::Owners(owners) = self else {
+            return Way::Own;
+        };
+        let seed = xxh3_64_with_seed(
+            organisation.as_str().as_bytes(),
+            xxh3_64(id.as_str().as_bytes()),
+        );
+        let mut owners = owners.clone();
+        owners.sort_by_cached_key(|owner| Reverse(weight(*owner, seed)));
+        if let Some(own) = owners.iter().position(|owner| Some(*owner) == relay) {
+            owners.truncate(own);
+        }
+        match owners.is_empty() {
+            true => Way::Own,
+            false => Way::Through(owners),
+        }
     }
-    Way::Through(spread(owners, seeker.relay, goal.id))
 }
 
 /// The owners of a database: of the VMs near it, or of all where there are too few, those that
@@ -101,5 +160,5 @@
 }
 
 fn weight(address: SocketAddr, seed: u64) -> u64 {
-    xxh3_64_with_seed(address.to_string().as_bytes(), seed)
+    xxh3_64_with_seed(&hash::bytes(address), seed)
 }
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -15,7 +15,7 @@
 use crate::direct::gate::{Gate, Urgency};
 use crate::direct::session::Values;
 use crate::direct::statement::Code;
-use crate::types::Position;
+use crate::types::{OrganisationId, Position};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -43,12 +43,32 @@
 /// The longest such pause: a database drops connections of a VM that is gone after some seconds.
 const LONGEST_FULL_PAUSE: Span = Span::from_millis(320);
 
+/// How long an organisation's connection stays idle while there are places for it: the next statement
+/// of a small organisation is seconds away.
+const KEPT: Span = Span::from_secs(10);
+
+/// The least pause between two looks for connections to close.
+const LEAST_REST: Span = Span::from_millis(50);
+
+/// What a connection should be like.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// On whose behalf it is used.
+    pub organisation: Option<&'a OrganisationId>,
+    /// The session's values.
+    pub values: &'a Values,
+}
+
 /// The connections to one database.
 #[derive(Debug)]
 pub struct Pool {
     /// Statements in flight.
     pub gate: Gate,
     idle: RefCell<Vec<Connection>>,
+    /// Connections that are in use.
+    lent: Cell<u32>,
+    /// How many connections are kept, those in use among them.
+    places: Cell<u32>,
     full_until: Cell<Time>,
     full_pause: Cell<Span>,
     returned: Notify,
@@ -68,17 +88,33 @@
     opened: bool,
 }
 
-/// Tells those that wait for a connection that there may be one.
+/// Counts a connection in use, and tells those that wait for one when it is free.
 #[derive(Debug)]
 struct Seat(Rc<Pool>);
 
+impl Seat {
+    fn new(pool: &Rc<Pool>) -> Self {
+        pool.lent.set(pool.lent.get() + 1);
+        Self(pool.clone())
+    }
+}
+
 impl Drop for Seat {
     fn drop(&mut self) {
+        self.0.lent.set(self.0.lent.get() - 1);
         self.0.returned.notify_one();
     }
 }
 
 impl Lent {
+    fn new(connection: Connection, seat: Seat, opened: bool) -> Self {
+        Self {
+            connection,
+            seat,
+            opened,
+        }
+    }
+
     /// The connection.
     pub fn connection(&mut self) -> &mut Connection {
         &mut self.connection
@@ -113,6 +149,8 @@
         Rc::new(Self {
             gate: Gate::new(slots),
             idle: RefCell::default(),
+            lent: Cell::new(0),
+            places: Cell::new(0),
             full_until: Cell::default(),
             full_pause: Cell::new(FULL_PAUSE),
             returned: Notify::new(),
@@ -128,18 +166,22 @@
         self: &Rc<Self>,
         adapter: &Adapter,
         database: &Database,
-        wanted: &Values,
+        wanted: Wanted<'_>,
     ) -> Result<Lent, Closed> {
         if let Some(connection) = self.reuse(wanted) {
-            return Ok(self.lend(connection, false));
+            return Ok(Lent::new(connection, Seat::new(self), false));
         }
         if (adapter.clock)() < self.full_until.get() {
             return Err(Closed::Refused(Code::Full));
         }
-        match Connection::open(adapter, database, OPENING).await {
+        let seat = Seat::new(self);
+        if wanted.organisation.is_some() {
+            self.make_room();
+        }
+        match Connection::open(adapter, database, wanted.organisation, OPENING).await {
             Ok(connection) => {
                 self.full_pause.set(FULL_PAUSE);
-                Ok(self.lend(connection, true))
+                Ok(Lent::new(connection, seat, true))
             }
             Err(closed) => {
                 if let Closed::Refused(Code::Full) = closed {
@@ -150,11 +192,30 @@
         }
     }
 
-    fn lend(self: &Rc<Self>, connection: Connection, opened: bool) -> Lent {
-        Lent {
-            connection,
-            seat: Seat(self.clone()),
-            opened,
+    /// How many connections may be kept.
+    pub fn resize(&self, places: u32) {
+        self.places.set(places);
+    }
+
+    /// Closes the connection that was idle longest, if as many are kept as may be.
+    fn make_room(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let held = idle.len() + self.lent.get() as usize;
+        if held <= self.places.get() as usize {
+            return;
+        }
+        let oldest = idle.iter().enumerate().min_by_key(|(_, one)| one.used);
+        if let Some((index, _)) = oldest {
+            idle.remove(index);
+        }
+    }
+
+    /// How long a connection stays idle before it is closed.
+    fn keeps(&self, connection: &Connection) -> Span {
+        let held = self.idle.borrow().len() + self.lent.get() as usize;
+        match connection.organisation() {
+            Some(_) if held <= self.places.get() as usize => KEPT,
+            _ => IDLE,
         }
     }
 
@@ -220,7 +281,7 @@
     }
 
     /// The idle connection whose values fit a session best, most recent first.
-    fn reuse(&self, wanted: &Values) -> Option<Connection> {
+    fn reuse(&self, wanted: Wanted<'_>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         loop {
             let best = best_fit(&idle, wanted)?;
@@ -239,25 +300,38 @@
         let pool = self.clone();
         let clock = adapter.clock.clone();
         actix_rt::spawn(async move {
-            while let Some(oldest) = pool.oldest() {
-                let due = (oldest + IDLE).since(clock());
-                tokio::time::sleep(due.into()).await;
-                let now = clock();
-                pool.distrust(now - IDLE + Span(1));
+            while let Some(due) = pool.due() {
+                let rest = due.since(clock()).max(LEAST_REST);
+                tokio::time::sleep(rest.into()).await;
+                pool.close_unused(clock());
             }
             pool.sweeping.set(false);
         });
     }
 
-    fn oldest(&self) -> Option<Time> {
-        self.idle.borrow().iter().map(|idle| idle.used).min()
+    /// When the next idle connection is to be closed, as it looks now.
+    fn due(&self) -> Option<Time> {
+        let idle = self.idle.borrow();
+        idle.iter().map(|one| one.used + self.keeps(one)).min()
+    }
+
+    fn close_unused(&self, now: Time) {
+        let idle = self.idle.borrow();
+        let kept = idle.iter().map(|one| now < one.used + self.keeps(one));
+        let mut kept: Vec<bool> = kept.collect();
+        drop(idle);
+        let mut kept = kept.drain(..);
+        self.idle
+            .borrow_mut()
+            .retain(|_| kept.next().unwrap_or(true));
     }
 }
 
 /// Which idle connection to use: values that differ cost a round trip, those that the session
 /// lacks cost all that was prepared.
-fn best_fit(idle: &[Connection], wanted: &Values) -> Option<usize> {
+fn best_fit(idle: &[Connection], wanted: Wanted<'_>) -> Option<usize> {
     let fits = idle.iter().enumerate();
-    let best = fits.max_by_key(|(index, connection)| (connection.fit(wanted), *index));
+    let own = fits.filter(|(_, connection)| connection.organisation() == wanted.organisation);
+    let best = own.max_by_key(|(index, connection)| (connection.fit(wanted.values), *index));
     best.map(|(index, _)| index)
 }
--- a/src/direct/relay/line.rs
+++ b/src/direct/relay/line.rs
@@ -108,7 +108,8 @@
         })
     }
 
-    fn now(&self) -> Time {
+    /// The time.
+    pub fn now(&self) -> Time {
         (self.adapter.clock)()
     }
 
--- a/src/direct/relay/mod.rs
+++ b/src/direct/relay/mod.rs
@@ -16,9 +16,10 @@
 use crate::direct::adapter::Stream;
 use crate::direct::gate::Urgency;
 use crate::direct::outcome::Why;
+use crate::direct::quota::bucket::Grant;
 use crate::direct::session::{Shape, Values};
 use crate::direct::statement::{Answer, Code};
-use crate::types::{DatabaseId, Position};
+use crate::types::{DatabaseId, OrganisationId, Position};
 use bytes::{Bytes, BytesMut};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -41,6 +42,19 @@
     Next(Ask),
     /// Roll back the transaction that is open.
     End,
+    /// Grant a part of an organisation's allowance.
+    Spend(Spend),
+}
+
+/// What is asked of a keeper of allowances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spend {
+    /// Whose allowance.
+    pub organisation: OrganisationId,
+    /// Operations that wait for it.
+    pub need: u32,
+    /// Operations that are likely to come soon.
+    pub spare: u32,
 }
 
 /// A first statement.
@@ -72,6 +86,8 @@
     pub shape: Option<Shape>,
     /// The session's values.
     pub values: Values,
+    /// On whose behalf it is asked.
+    pub organisation: Option<OrganisationId>,
     /// Its place among others that wait.
     pub urgency: Urgency,
     /// How long it may wait for a busy database.
@@ -117,6 +133,8 @@
     Away,
     /// It may have run.
     Lost(Why),
+    /// To a request for a part of an allowance.
+    Granted(Grant),
 }
 
 /// One end of a stream of messages, each after its length.
--- a/src/direct/relay/serve.rs
+++ b/src/direct/relay/serve.rs
@@ -218,6 +218,10 @@
                 self.roll_back();
                 Told::only(Reply::NotRun(Code::RolledBack))
             }
+            Request::Spend(spend) => {
+                let grant = self.relay.targets.quotas.grant(&spend);
+                Told::only(Reply::Granted(grant))
+            }
         }
     }
 
@@ -356,6 +360,7 @@
             query,
             shape,
             values: &ask.values,
+            organisation: ask.organisation.as_ref(),
             begin: None,
             after: None,
             urgency: ask.urgency,
--- a/src/direct/run.rs
+++ b/src/direct/run.rs
@@ -15,9 +15,11 @@
 use crate::direct::attempt::{self, Attempt, Held, Plan};
 use crate::direct::config::Kind;
 use crate::direct::front::Place;
+use crate::direct::identity::Allowance;
 use crate::direct::job::{Job, Part};
 use crate::direct::meter::Meter;
 use crate::direct::outcome::{self, Why};
+use crate::direct::quota::Refusal;
 use crate::direct::session::{Phase, Session, error};
 use crate::direct::statement::{Answer, Code, End, State};
 use crate::direct::targets::Targets;
@@ -90,6 +92,41 @@
         transaction.roll_back(&self.targets);
     }
 
+    /// Runs a statement that stands alone, or the first one of a transaction, if its organisation may
+    /// ask for one more operation.
+    pub async fn spend_and_start(&self, session: &mut Session, job: &Job<'_>) -> Ran {
+        let Some(organisation) = job.organisation else {
+            return self.start(session, job).await;
+        };
+        let quotas = &self.targets.quotas;
+        let token = match quotas.spend(organisation).await {
+            Ok(token) => token,
+            Err(refusal) => return self.over(session, job, &refusal),
+        };
+        let ran = self.start(session, job).await;
+        if let (Some(token), true) = (token, never_ran(&ran.0)) {
+            quotas.put_back(organisation, token);
+        }
+        ran
+    }
+
+    /// An answer that says that the organisation may not ask for more now.
+    fn over(&self, session: &mut Session, job: &Job<'_>, refusal: &Refusal) -> Ran {
+        match refusal {
+            Refusal::Spent { allowance, retry } => {
+                job.trace.ended("allowance");
+                let Allowance { rate, burst } = allowance;
+                let text = format!("over its allowance of {rate} and {burst} at once");
+                self.busy(session, job, *retry, &text)
+            }
+            Refusal::Unkept { retry } => {
+                job.trace.ended("no keeper");
+                let text = "no VM that keeps its allowance answers";
+                self.busy(session, job, *retry, text)
+            }
+        }
+    }
+
     /// Runs a statement that stands alone, or the first one of a transaction, which is left open.
     pub async fn start(&self, session: &mut Session, job: &Job<'_>) -> Ran {
         self.budget.borrow_mut().deposit(self.targets.now());
@@ -336,3 +373,8 @@
         (session.answer(error(code, text)), None)
     }
 }
+
+/// Whether an answer says that no database has run anything.
+fn never_ran(answer: &Answer) -> bool {
+    matches!(answer.end, End::Error { code, .. } if outcome::may_do_elsewhere(code))
+}
--- a/src/direct/statement.rs
+++ b/src/direct/statement.rs
@@ -2,6 +2,7 @@
 //!
 //! A statement keeps its text as it came: a database has to be sent the same bytes.
 
+use crate::direct::identity::Key;
 use crate::types::Position;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -13,8 +14,8 @@
     Start {
         /// The database that the caller names; a route's host.
         database: Box<str>,
-        /// Who it says it is.
-        caller: Box<str>,
+        /// The key that it shows.
+        key: Key,
     },
     /// Asks for a statement to be run.
     Query(Query),
@@ -112,6 +113,8 @@
     NoStatement,
     /// Not run: no route has that name.
     NoDatabase,
+    /// Not run: nobody holds the caller's key.
+    NoKey,
     /// Not run: not understood, or not allowed in this state.
     Malformed,
     /// Ran and failed.
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -9,12 +9,13 @@
 use crate::direct::gate::Urgency;
 use crate::direct::lead::{Epoch, Lease};
 use crate::direct::outcome;
-use crate::direct::owner::{self, Goal, Seeker, Way};
+use crate::direct::owner::{self, Access, Goal, Way};
 use crate::direct::pool::Pool;
+use crate::direct::quota::Quotas;
 use crate::direct::relay::line::Lines;
 use crate::direct::statement::{Answer, Code, End};
 use crate::direct::view::Shared;
-use crate::types::{Birth, DatabaseId, GroupId, Position};
+use crate::types::{Birth, DatabaseId, GroupId, OrganisationId, Position};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -78,6 +79,8 @@
     pub shared: Rc<Shared>,
     /// Streams to owners of databases.
     pub lines: Rc<Lines>,
+    /// What organisations may ask for.
+    pub quotas: Rc<Quotas>,
     place: Place,
     pools: RefCell<BTreeMap<DatabaseId, Opened>>,
     routers: RefCell<BTreeMap<GroupId, Router>>,
@@ -97,9 +100,13 @@
 /// How a database is reached, and what that was found from.
 #[derive(Debug, Clone)]
 struct Known {
+    access: Rc<Access>,
+    /// For whoever asks on nobody's behalf.
     way: Rc<Way>,
     fellows: u64,
     connections: u32,
+    /// Connections that this VM may keep open there.
+    places: u32,
 }
 
 impl fmt::Debug for Targets {
@@ -111,8 +118,10 @@
 impl Targets {
     /// Nothing is open.
     pub fn new(adapter: Adapter, shared: Rc<Shared>, place: Place) -> Rc<Self> {
+        let lines = Lines::new(adapter.clone());
         Rc::new(Self {
-            lines: Lines::new(adapter.clone()),
+            quotas: Quotas::new(shared.clone(), lines.clone(), place.clone()),
+            lines,
             adapter,
             shared,
             place,
@@ -198,8 +207,18 @@
         Some(self.target(Rc::new(database)))
     }
 
-    /// How a database is reached: found anew when the VMs or its connections have changed.
-    pub fn way(&self, database: &Database) -> Rc<Way> {
+    /// How a database is reached on behalf of an organisation, or of nobody in particular.
+    pub fn way(&self, database: &Database, organisation: Option<&OrganisationId>) -> Rc<Way> {
+        let known = self.access(database);
+        let Some(organisation) = organisation else {
+            return known.way;
+        };
+        let relay = self.place.relay;
+        Rc::new(known.access.way_for(relay, &database.id, organisation))
+    }
+
+    /// Who connects to a database: found anew when the VMs or its connections have changed.
+    fn access(&self, database: &Database) -> Known {
         let view = self.shared.look();
         let config = view.config.as_ref();
         let group = config.and_then(|config| config.groups.get(&database.group));
@@ -209,26 +228,25 @@
         if let Some(known) = ways.get(&database.id)
             && (known.fellows, known.connections) == (fellows, connections)
         {
-            return known.way.clone();
+            return known.clone();
         }
-        let seeker = Seeker {
-            relay: self.place.relay,
-            fellows: view.fellows.list(),
-        };
+        let list = view.fellows.list();
         let goal = Goal {
             id: &database.id,
             connections,
         };
         let is_near = |domain: &_| self.place.are_near(domain, &database.domain);
-        let way = Rc::new(owner::way(seeker, goal, is_near));
+        let access = owner::access(list, goal, is_near);
         let known = Known {
-            way: way.clone(),
+            way: Rc::new(access.way(self.place.relay, &database.id)),
+            places: access.places(connections, list.len()),
+            access: Rc::new(access),
             fellows,
             connections,
         };
         ways.retain(|id, _| view.databases.contains_key(id));
-        ways.insert(database.id.clone(), known);
-        way
+        ways.insert(database.id.clone(), known.clone());
+        known
     }
 
     /// The least position that holds all commits acknowledged before `since`.
@@ -444,6 +462,7 @@
 
     fn target(&self, database: Rc<Database>) -> Target {
         let pool = self.pool(&database);
+        pool.resize(self.access(&database).places);
         Target { database, pool }
     }
 
--- a/src/direct/transaction.rs
+++ b/src/direct/transaction.rs
@@ -195,6 +195,7 @@
             Err(Failed::Busy)
         }
         Reply::NotRun(_) | Reply::Unreached | Reply::Unknown | Reply::Away => Err(Failed::Broken),
+        Reply::Granted(_) => Err(Failed::Lost(Why::Broken)),
         Reply::Lost(why) => {
             job.trace.ended("lost");
             Err(Failed::Lost(why))
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// What is known at one moment.
@@ -79,8 +79,11 @@
 pub struct Shared {
     /// What is counted for the scraper.
     pub meter: Meter,
+    /// A caller shows a key that this VM's configuration does not know: a newer one may.
+    pub wants_config: Notify,
     view: RefCell<View>,
     changed: Notify,
+    configured: watch::Sender<()>,
 }
 
 impl Shared {
@@ -101,6 +104,17 @@
         result
     }
 
+    /// A configuration is in force.
+    pub fn configure(&self, config: Config) {
+        self.change(|view| view.config = Some(Rc::new(config)));
+        self.configured.send_replace(());
+    }
+
+    /// Changes with each configuration.
+    pub fn configs(&self) -> watch::Receiver<()> {
+        self.configured.subscribe()
+    }
+
     /// Completes with the next change after this call.
     pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
         self.changed.notified()
@@ -123,6 +137,7 @@
 pub struct Fellows {
     list: Rc<[Fellow]>,
     digest: u64,
+    since: Time,
 }
 
 impl Fellows {
@@ -136,8 +151,13 @@
         self.digest
     }
 
+    /// Since when this very list is known.
+    pub fn since(&self) -> Time {
+        self.since
+    }
+
     /// Takes over a list; returns whether it differs from the one known.
-    pub fn learn(&mut self, mut list: Vec<Fellow>) -> bool {
+    pub fn learn(&mut self, mut list: Vec<Fellow>, now: Time) -> bool {
         list.sort();
         if *list == *self.list {
             return false;
@@ -145,6 +165,7 @@
         // Plain structs of names and numbers always have an encoding.
         self.digest = xxh3_64(&postcard::to_stdvec(&list).unwrap_or_default());
         self.list = list.into();
+        self.since = now;
         true
     }
 }
--- a/src/soak/profile.rs
+++ b/src/soak/profile.rs
@@ -138,6 +138,7 @@
             groups: self.groups,
             slots: self.slots,
             connections: self.connections,
+            organisations: None,
             promotion: self.promotion.into(),
             work: self.work.into(),
             lag: self.lag.into(),
--- a/src/standin/direct/caller.rs
+++ b/src/standin/direct/caller.rs
@@ -36,6 +36,7 @@
     record: Record,
     number: u64,
     vm: VmId,
+    organisation: Box<str>,
     route: Box<str>,
     kind: Kind,
     values: BTreeMap<Box<str>, Box<str>>,
@@ -55,23 +56,38 @@
 pub struct Closed;
 
 impl Session {
-    /// Opens a session of a caller in a failure domain at a VM.
+    /// Opens a session of a caller in a failure domain at a VM, with the key of that domain's callers.
     pub async fn open(
         world: &Rc<World>,
         record: &Record,
         domain: usize,
         vm: &VmId,
         route: &str,
+    ) -> Result<Self, Closed> {
+        Self::open_with(world, record, domain, vm, route, None).await
+    }
+
+    /// The same with a key.
+    pub async fn open_with(
+        world: &Rc<World>,
+        record: &Record,
+        domain: usize,
+        vm: &VmId,
+        route: &str,
+        key: Option<&str>,
     ) -> Result<Self, Closed> {
         let kind = world.kind_of(route).ok_or(Closed)?;
         let stream = world.call_on(domain, vm).await.ok_or(Closed)?;
         let number = world.journal.borrow_mut().number();
+        let own = format!("key{domain}");
+        let key = key.unwrap_or(&own);
         let mut session = Self {
             stream,
             input: BytesMut::new(),
             record: record.clone(),
             number,
             vm: vm.clone(),
+            organisation: world.holder_of(key),
             route: route.into(),
             kind,
             values: BTreeMap::new(),
@@ -79,7 +95,7 @@
             operation: None,
         };
         let mut output = BytesMut::new();
-        wire::write_caller_start(&mut output, route, &format!("u{number}"));
+        wire::write_caller_start(&mut output, route, key);
         session.write(&output).await?;
         let answer = timeout(START, session.answer(true)).await;
         let answer = answer.map_err(|_| Closed)??;
@@ -146,6 +162,7 @@
             operation: operation.map_or(number, |operation| operation.number),
             transaction: operation.is_some(),
             vm: self.vm.clone(),
+            organisation: self.organisation.clone(),
             route: self.route.clone(),
             kind: self.kind,
             values: self.values.clone(),
--- a/src/standin/direct/check.rs
+++ b/src/standin/direct/check.rs
@@ -191,6 +191,9 @@
             if !same_text(said, run) {
                 self.breaks("another text or shape", said, Some(run));
             }
+            if said.organisation != run.organisation {
+                self.breaks("on another's behalf", said, Some(run));
+            }
             if said.values != run.values {
                 self.breaks("other session values", said, Some(run));
             }
--- a/src/standin/direct/journal.rs
+++ b/src/standin/direct/journal.rs
@@ -20,6 +20,8 @@
     pub group: GroupId,
     /// On which connection.
     pub connection: u64,
+    /// On whose behalf that was opened.
+    pub organisation: Box<str>,
     /// In which transaction of all; none outside one.
     pub transaction: Option<u64>,
     /// The session's values.
--- a/src/standin/direct/said.rs
+++ b/src/standin/direct/said.rs
@@ -26,6 +26,8 @@
     pub transaction: bool,
     /// The VM that the session is at.
     pub vm: VmId,
+    /// The organisation that holds the session's key; `-` for none.
+    pub organisation: Box<str>,
     /// The route.
     pub route: Box<str>,
     /// How fresh its reads have to be.
--- a/src/standin/direct/session.rs
+++ b/src/standin/direct/session.rs
@@ -20,6 +20,8 @@
     group: Rc<Group>,
     database: Rc<Database>,
     connection: u64,
+    /// On whose behalf it was opened.
+    organisation: Box<str>,
     transaction: Option<Transaction>,
     values: BTreeMap<Box<str>, Box<str>>,
     prepared: BTreeMap<Box<str>, (bool, Box<str>)>,
@@ -70,6 +72,7 @@
         group,
         database: database.clone(),
         connection,
+        organisation: OWN.into(),
         transaction: None,
         values: BTreeMap::new(),
         prepared: BTreeMap::new(),
@@ -101,6 +104,9 @@
         let Some(start) = next(&mut stream, &mut input).await else {
             return;
         };
+        if let Request::Start { organisation, .. } = &start {
+            self.organisation = organisation.clone();
+        }
         let answer = self.start(start, full).await;
         let ends = matches!(answer.end, End::Error { .. });
         wire::write_answer(&mut output, &answer, false);
@@ -130,11 +136,9 @@
 
     async fn start(&self, start: Request, full: bool) -> Answer {
         let make = &self.database.make;
-        let meant = Request::Start {
-            group: make.group.as_str().into(),
-            database: make.id.as_str().into(),
-        };
-        if start != meant {
+        let meant = (make.group.as_str(), make.id.as_str());
+        let is_meant = matches!(&start, Request::Start { group, database, .. } if (&**group, &**database) == meant);
+        if !is_meant {
             return refused(Code::OtherDatabase);
         }
         if full {
@@ -385,6 +389,7 @@
             database: self.database.make.id.clone(),
             group: self.group.id.clone(),
             connection: self.connection,
+            organisation: self.organisation.clone(),
             transaction: self.transaction.as_ref().map(|t| t.number),
             values: self.values.clone(),
             shape,
--- a/src/standin/direct/setup.rs
+++ b/src/standin/direct/setup.rs
@@ -2,12 +2,13 @@
 
 use crate::clock::Span;
 use crate::direct::config::{self, Config, Kind, Route};
+use crate::direct::identity::{Allowance, Key, Organisations};
 use crate::standin::deployment::{Deployment, GROUPS};
 use crate::standin::direct::database::{Database, Make};
 use crate::standin::direct::group::Group;
 use crate::standin::direct::log::Log;
 use crate::standin::direct::network::Network;
-use crate::types::{Domain, Invalid, Version};
+use crate::types::{Domain, Invalid, OrganisationId, Version};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -65,6 +66,8 @@
     pub slots: u32,
     /// Connections that a database takes.
     pub connections: u32,
+    /// The organisations, if callers need a key.
+    pub organisations: Option<Organisations>,
     /// How long a promotion takes.
     pub promotion: Duration,
     /// How long a statement takes at a database.
@@ -102,6 +105,7 @@
             groups: 1,
             slots: DEPLOYMENT.slots(),
             connections: DEPLOYMENT.connections(),
+            organisations: None,
             promotion: Duration::from_millis(1_000),
             work: Duration::from_millis(6),
             lag: Duration::from_millis(8),
@@ -132,6 +136,18 @@
     }
 }
 
+/// Organisations `org0`, `org1` and so on, which hold `key0`, `key1` and so on, each with this allowance.
+pub fn organisations(count: usize, allowance: Allowance) -> Result<Organisations, Invalid> {
+    let mut organisations = Organisations::default();
+    for number in 0..count {
+        let id: OrganisationId = format!("org{number}").parse()?;
+        let key = Key::of(&format!("key{number}"));
+        organisations.keys.insert(key, id.clone());
+        organisations.allowances.insert(id, allowance);
+    }
+    Ok(organisations)
+}
+
 /// Where a host of a failure domain listens.
 pub fn address(domain: usize, host: usize, port: u16) -> SocketAddr {
     let octet = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
@@ -151,6 +167,7 @@
                 timeout: manner.timeout,
                 objective: manner.objective,
                 priority: priority as u8,
+                public: false,
             };
             routes.insert(format!("{}{number}", manner.name).into(), route);
         }
@@ -165,6 +182,7 @@
         routes,
         groups: limited,
         idle: Span::from_secs(10),
+        organisations: setup.organisations.clone(),
     }
 }
 
--- a/src/standin/direct/wire.rs
+++ b/src/standin/direct/wire.rs
@@ -1,17 +1,18 @@
 //! A manner of speaking of the stand-ins' own: a line of words for each part of a message.
 //!
 //! ```text
-//! start ROUTE CALLER            start GROUP DATABASE
+//! start ROUTE KEY               start GROUP DATABASE ORGANISATION|-
 //! ask ID [after T/N] TEXT       bye
 //! row TEXT                      done SIGNATURE|-
 //! error CODE TEXT               state idle|open|failed T/N|-
 //! ```
 
 use crate::direct::adapter::{Garbled, Wire};
+use crate::direct::identity::Key;
 use crate::direct::statement::{
     Answer, Code, End, Message, Order, Query, Standing, State, Statement,
 };
-use crate::types::{DatabaseId, GroupId, Position};
+use crate::types::{DatabaseId, GroupId, OrganisationId, Position};
 use bytes::{Bytes, BytesMut};
 use std::fmt::Write;
 
@@ -21,7 +22,7 @@
 /// The id under which the proxy's own statements travel.
 pub const OWN: &str = "-";
 
-const CODES: [(Code, &str); 12] = [
+const CODES: [(Code, &str); 13] = [
     (Code::Busy, "busy"),
     (Code::RolledBack, "rolled-back"),
     (Code::Behind, "behind"),
@@ -30,6 +31,7 @@
     (Code::Full, "full"),
     (Code::NoStatement, "no-statement"),
     (Code::NoDatabase, "no-database"),
+    (Code::NoKey, "no-key"),
     (Code::Malformed, "malformed"),
     (Code::Failed, "failed"),
     (Code::Late, "late"),
@@ -51,6 +53,8 @@
         group: Box<str>,
         /// The id that the database must have.
         database: Box<str>,
+        /// On whose behalf; [`OWN`] for nobody in particular.
+        organisation: Box<str>,
     },
     /// A statement.
     Ask {
@@ -117,7 +121,7 @@
     match word {
         "start" if !first.is_empty() => Ok(Some(Message::Start {
             database: first.into(),
-            caller: rest.into(),
+            key: Key::of(rest),
         })),
         "ask" if !rest.is_empty() => Ok(Some(Message::Query(Query {
             id: first.into(),
@@ -207,8 +211,14 @@
     found.map(|(value, _)| *value).ok_or_else(|| unclear(text))
 }
 
-fn write_start(output: &mut BytesMut, group: &GroupId, database: &DatabaseId) {
-    put(output, format_args!("start {group} {database}"));
+fn write_start(
+    output: &mut BytesMut,
+    group: &GroupId,
+    database: &DatabaseId,
+    organisation: Option<&OrganisationId>,
+) {
+    let caller = organisation.map_or(OWN, OrganisationId::as_str);
+    put(output, format_args!("start {group} {database} {caller}"));
 }
 
 fn write_query(output: &mut BytesMut, query: &Query, name: Option<&str>, after: Option<Position>) {
@@ -326,10 +336,14 @@
     let (word, rest) = split(&line);
     let (first, rest) = split(rest);
     match word {
-        "start" => Ok(Some(Request::Start {
-            group: first.into(),
-            database: rest.into(),
-        })),
+        "start" => {
+            let (database, organisation) = split(rest);
+            Ok(Some(Request::Start {
+                group: first.into(),
+                database: database.into(),
+                organisation: organisation.into(),
+            }))
+        }
         "ask" => {
             let (after, text) = read_after(rest)?;
             Ok(Some(Request::Ask {
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -3,6 +3,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::adapter::{Adapter, Clock, Documents};
 use crate::direct::config::{Config, Kind};
+use crate::direct::identity::Key;
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::RowId;
 use crate::standin::direct::database::Database;
@@ -152,6 +153,20 @@
         configs.push((Instant::now(), config));
     }
 
+    /// Who holds a key, or held it last.
+    pub fn holder_of(&self, key: &str) -> Box<str> {
+        let key = Key::of(key);
+        let configs = self.configs.borrow();
+        let known = configs
+            .iter()
+            .rev()
+            .filter_map(|(_, config)| config.organisations.as_ref());
+        let holder = known
+            .filter_map(|organisations| organisations.keys.get(&key))
+            .next();
+        holder.map_or(wire::OWN, |holder| holder.as_str()).into()
+    }
+
     /// Puts a configuration in force that has a new route and not the last new one.
     pub fn reconfigure(&self) {
         let last = self
--- a/src/types.rs
+++ b/src/types.rs
@@ -131,6 +131,10 @@
     /// A caller, known by the user name of its connection.
     CallerId
 );
+name!(
+    /// An organisation, whose callers share an allowance.
+    OrganisationId
+);
 name!(
     /// A session that may roam between proxies and be alive on several.
     SessionId
--- a/tests/adapter/documents.rs
+++ b/tests/adapter/documents.rs
@@ -40,6 +40,7 @@
                     500000,
                 ),
                 priority: 2,
+                public: false,
             },
             "lepu270": Route {
                 group: GroupId(
@@ -53,6 +54,7 @@
                     300000,
                 ),
                 priority: 1,
+                public: false,
             },
         },
         groups: {
@@ -66,6 +68,7 @@
         idle: Span(
             3000000,
         ),
+        organisations: None,
     }
     "#);
     let edits = [
@@ -92,6 +95,55 @@
     "#);
 }
 
+/// A manifest with organisations, and with tenants that are not understood: what is said of them shows
+/// no key.
+#[test]
+fn tenants_are_read_and_their_keys_never_shown() {
+    let read = |tenants: &str| {
+        let manifest = MANIFEST.trim_end();
+        let open = manifest.strip_suffix('}').unwrap();
+        (documents().read_config)(format!("{open},\"tenants\":{tenants}}}").as_bytes())
+    };
+    let config = read(
+        r#"[{"name":"halls","api_keys":["copper","zinc"],"rate_per_s":2.5,"burst":10,"priority":1},
+            {"name":"ports","api_keys":[]}]"#,
+    );
+    let organisations = config.unwrap().organisations.unwrap();
+    insta::assert_debug_snapshot!(organisations, @r#"
+    Organisations {
+        keys: {
+            Key(d16f06fe): OrganisationId(
+                "halls",
+            ),
+            Key(f78ea752): OrganisationId(
+                "halls",
+            ),
+        },
+        allowances: {
+            OrganisationId(
+                "halls",
+            ): Allowance {
+                rate: Rate(
+                    2500,
+                ),
+                burst: 10,
+            },
+        },
+    }
+    "#);
+    for tenants in [
+        r#""copper""#,
+        r#"[{"name":"halls","api_keys":"copper"}]"#,
+        r#"["copper"]"#,
+        r#"[{"api_keys":["copper"]}]"#,
+    ] {
+        let refused = read(tenants).unwrap_err();
+        assert!(!refused.contains("copper"), "{refused}");
+    }
+    assert!(read(r#"[{"name":"halls","rate_per_s":-1}]"#).is_err());
+    assert!(read("[]").unwrap().organisations.is_some());
+}
+
 #[test]
 fn an_entry_is_read() {
     let read = documents().read_database;
--- a/tests/adapter/wire.rs
+++ b/tests/adapter/wire.rs
@@ -96,7 +96,7 @@
         let codes = [
             Code::Busy, Code::RolledBack, Code::Behind, Code::NotPrimary, Code::OtherDatabase,
             Code::Full, Code::NoStatement, Code::NoDatabase, Code::Malformed, Code::Failed,
-            Code::Late, Code::Unknown,
+            Code::Late, Code::Unknown, Code::NoKey,
         ];
         let end = match codes.get(usize::from(code)) {
             Some(code) => End::Error { code: *code, text: "why it is so".into() },
@@ -203,7 +203,7 @@
     }
     writeln!(seen, "left: {input:?}").unwrap();
     insta::assert_snapshot!(seen, @r#"
-    Ok(Start { database: "lepu270", caller: "u3f1" })
+    Ok(Start { database: "lepu270", key: Key(32fe8620) })
     Err(Unclear("fields are missing"))
     Err(Unclear("fields are missing"))
     Err(Unclear("fields are missing"))
@@ -315,6 +315,7 @@
         &mut output,
         &"huvo11a".parse().unwrap(),
         &"i-7f3a".parse().unwrap(),
+        Some(&"miny420".parse().unwrap()),
     );
     (WIRE.write_query)(&mut output, &query("READ 1a4"), None, after);
     (WIRE.write_query)(&mut output, &query("EXEC s1 1a4 x y"), Some("w7"), None);
@@ -362,7 +363,7 @@
     };
     (WIRE.write_answer)(&mut output, &answer, false);
     insta::assert_snapshot!(String::from_utf8_lossy(&output).replace("\r\n", "|\n"), @r#"
-    START huvo11a lentilspoke i-7f3a|
+    START huvo11a miny420 i-7f3a|
     QUERY 5c0e AFTER 3.1207 READ 1a4|
     QUERY 5c0e EXEC w7 1a4 x y|
     QUERY 5c0e PREPARE w7 WRITE q2c|
--- a/tests/direct_control.rs
+++ b/tests/direct_control.rs
@@ -340,6 +340,7 @@
         routes: BTreeMap::new(),
         groups: groups.collect(),
         idle: ms(3_000),
+        organisations: None,
     }
 }
 
--- a/tests/direct_owner.rs
+++ b/tests/direct_owner.rs
@@ -1,6 +1,6 @@
 //! Which VMs own connections to a database, and through whom the others reach it.
 
-use lentilspoke::direct::owner::{Goal, OWNERS, Seeker, Way, owners, way};
+use lentilspoke::direct::owner::{Goal, OWNERS, Way, access, owners};
 use lentilspoke::direct::view::Fellow;
 use lentilspoke::types::{DatabaseId, Domain};
 use std::collections::BTreeMap;
@@ -34,11 +34,7 @@
 }
 
 fn way_of(vm: usize, fellows: &[Fellow], id: &DatabaseId, connections: u32) -> Way {
-    let seeker = Seeker {
-        relay: Some(relay(vm)),
-        fellows,
-    };
-    way(seeker, Goal { id, connections }, is_near)
+    access(fellows, Goal { id, connections }, is_near).way(Some(relay(vm)), id)
 }
 
 #[test]
--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -223,6 +223,7 @@
         query: Bytes::from_static(b"QUERY q1 READ i1\r\n"),
         shape: None,
         values: Values::default(),
+        organisation: None,
         urgency: Urgency::MAX,
         patience: Span::from_secs(1),
         within: Span::from_secs(1),
--- a/tests/direct_standin.rs
+++ b/tests/direct_standin.rs
@@ -66,7 +66,7 @@
             input: BytesMut::new(),
         };
         let mut output = BytesMut::new();
-        (machine.adapter.wire.write_start)(&mut output, &group.id, &id);
+        (machine.adapter.wire.write_start)(&mut output, &group.id, &id, None);
         let answer = session.send(output, true).await;
         (session, answer)
     }
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -132,6 +132,18 @@
         session.is_ok()
     }
 
+    /// A session with a key.
+    pub async fn session(&self, route: &str, vm: &VmId, key: &str) -> Session {
+        let opened = Session::open_with(&self.world, &self.record, 0, vm, route, Some(key));
+        opened.await.unwrap()
+    }
+
+    /// Whether a VM opens a session for a caller with a key.
+    pub async fn opens_with(&self, route: &str, vm: &VmId, key: &str) -> bool {
+        let opened = Session::open_with(&self.world, &self.record, 0, vm, route, Some(key));
+        opened.await.is_ok()
+    }
+
     /// The VM that last wrote to the store.
     pub fn steward(&self) -> VmId {
         let log = self.world.store.log();
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -81,6 +81,7 @@
         timeout: Span::from_millis(800),
         objective: Span::from_millis(400),
         priority: 1,
+        public: false,
     }
 }
 
@@ -100,6 +101,7 @@
         routes: routes.map(|(name, route)| (name.into(), route)).into(),
         groups: [(group(), settings)].into(),
         idle: Span::from_secs(3),
+        organisations: None,
     }
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -79,6 +79,7 @@
         session: 1,
         operation: number,
         transaction: false,
+        organisation: "-".into(),
         vm: "vm1".parse().unwrap(),
         route: "primary0".into(),
         kind: Kind::Primary,
