Read long tables by the own way, and bound bulk and replacements at once

The busiest VM had 8,577 connections and went over 512 MB, and hundreds of replacements were begun.

Change: in fleets of over 128 VMs configuration and register are read by the own way alone, 3 s a page; calls by way of others leave the steward out; all of what is long is told to four VMs a second at most; 32 replacements at once.

--- a/src/direct/control/detour.rs
+++ b/src/direct/control/detour.rs
@@ -12,6 +12,7 @@
 use crate::clock::{Span, Time};
 use crate::direct::adapter::Later;
 use crate::direct::control::Control;
+use crate::direct::control::rows::TABLE;
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::{Ask, Told};
 use std::net::SocketAddr;
@@ -84,6 +85,13 @@
 impl Control {
     /// Has other VMs make a call in turn, until the store answers one of them.
     async fn ask_others(&self, ask: Ask) -> Option<Told> {
+        if let Ask::Read(table) = &ask
+            && self.is_large()
+            && **table != *TABLE
+        {
+            // Long: VMs that read for others tell it in their own time.
+            return None;
+        }
         let mut refusals = 0;
         for address in self.helpers() {
             let question = Question::Store {
@@ -104,12 +112,13 @@
     }
 
     /// The VMs to ask: first the steward, which the store answered a second ago as a rule, then those that
-    /// read for others: they know by then whether it answers them.
+    /// read for others: they know by then whether it answers them. The steward of many VMs is left alone.
     fn helpers(&self) -> Vec<SocketAddr> {
         let steward = {
             let state = self.state.borrow();
             let post = state.post.as_ref();
             post.filter(|post| post.hearing.missed == 0 && post.hearing.ended.is_none())
+                .filter(|_| !self.is_large())
                 .map(|post| post.address)
         };
         let mut helpers: Vec<_> = steward.into_iter().chain(self.other_readers()).collect();
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -45,6 +45,10 @@
 /// entries that it may hold.
 const MOST_LEADS: usize = 48;
 
+/// Replacements at once: each asks every VM to give an epoch up, so that with 300 VMs these are some 10,000
+/// questions within a second.
+const MOST_CHANGES: usize = 32;
+
 /// With more databases than this no session is kept open to each of them: these take a connection of
 /// every database, and a descriptor and memory each here.
 const MOST_LINKS: usize = 512;
@@ -164,6 +168,15 @@
         self.state.borrow_mut().heard.insert(self.id.clone(), own);
     }
 
+    fn changes_under_way(&self) -> usize {
+        let state = self.state.borrow();
+        let groups = state
+            .busy
+            .iter()
+            .filter(|topic| matches!(topic, Topic::Group(_)));
+        groups.count()
+    }
+
     /// Writes new groups' first lead rows, many in a call: of hundreds that come at once, written one by one,
     /// the last would be led seconds later, and each write is news for all VMs.
     fn begin_leads(self: &Rc<Self>, errands: &[Errand], token: u64) {
@@ -196,6 +209,12 @@
     /// Does an errand in a task of its own, unless one about the same is under way.
     fn begin(self: &Rc<Self>, errand: Errand, token: u64) {
         let topic = errand.topic();
+        if let Errand::Change(..) = errand
+            && self.changes_under_way() >= MOST_CHANGES
+        {
+            // The next survey finds it again, as each change that ends wakes this VM.
+            return;
+        }
         if !self.state.borrow_mut().busy.insert(topic.clone()) {
             return;
         }
--- a/src/direct/control/join.rs
+++ b/src/direct/control/join.rs
@@ -37,6 +37,9 @@
 /// How long a VM of the same failure domain is waited for, which may have to read the store first.
 const NEAR: Span = Span::from_millis(200);
 
+/// How long it is waited for by one that asks for a long configuration: 400 KB over a small link.
+const WHOLE: Span = Span::from_millis(1_500);
+
 /// How many VMs of other failure domains are asked where those near by have read nothing: the store
 /// may turn both of them away, as it does a third of the VMs at times.
 const FAR: usize = 3;
@@ -199,7 +202,11 @@
         let turn = (self.chance() * far.len() as f64) as usize;
         let some = far.iter().cycle().skip(turn).take(FAR.min(far.len()));
         let mut found = Source::Unreached;
-        for (readers, within) in [(near, NEAR), (some.copied().collect(), ENROLL)] {
+        let (short, long) = match whole && self.is_large() {
+            true => (WHOLE, WHOLE),
+            false => (NEAR, ENROLL),
+        };
+        for (readers, within) in [(near, short), (some.copied().collect(), long)] {
             found = found.max(self.ask_some(readers, within, whole).await);
             if found == Source::Fresh {
                 break;
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -62,6 +62,10 @@
 /// How often it is looked whether work on a primary is over, while something waits for that.
 const WORK_ENDS: Duration = Duration::from_millis(10);
 
+/// From this many VMs on, bulk is read from the store by each, and calls of the store go by way of readers
+/// alone: a dozen readers serve ten VMs each.
+const LARGE: usize = 128;
+
 /// What the control path is made from.
 pub struct Setup {
     /// The platform.
@@ -296,6 +300,17 @@
         self.store.counts()
     }
 
+    /// Whether there are so many VMs that what each of them does by way of a few is too much for these.
+    fn is_large(&self) -> bool {
+        let read = self
+            .state
+            .borrow()
+            .reading
+            .as_ref()
+            .map_or(0, |r| r.members.len());
+        read.max(self.setup.shared.look().fellows.list().len()) > LARGE
+    }
+
     /// Whether this VM's row is there, as far as is known.
     fn is_member(&self) -> bool {
         self.member.get()
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -17,6 +17,12 @@
 /// What was told this long ago at the latest has been heard by all that beat: two beats.
 const NEWS: Span = Span::from_secs(1);
 
+/// With more routes, keys and databases than this, no more than so many VMs a second are told all of them:
+/// 60 KB each and more, over a link that carries 1.2 MB.
+const LONG: usize = 512;
+const TOLD_MOST: u32 = 4;
+const TOLD_EVERY: Span = Span::from_secs(1);
+
 /// How many words on how far primaries are a heartbeat's answer has, times the VMs that ask: 25 bytes
 /// each, twice a second, are 200 KB a second. Without it VMs times groups of them go out: 300 VMs
 /// and 700 groups are 10 MB a second, of 1.2 that the link of a small VM carries. A VM that is not told
@@ -87,6 +93,7 @@
         if steward {
             self.note_beat(&id, &beat, now);
         }
+        let whole = beat.whole && self.may_tell_all(now);
         let state = self.state.borrow();
         let read = state.reading.as_ref();
         let listed = read.map(|reading| Listed {
@@ -98,7 +105,7 @@
         let newest = config.as_ref().map_or_else(Default::default, |c| c.version);
         let newer = config
             .filter(|config| config.version > beat.config)
-            .filter(|config| beat.whole || config.entries() <= SHORT_CONFIG);
+            .filter(|config| whole || config.entries() <= SHORT_CONFIG);
         News {
             life: self.setup.life,
             steward,
@@ -110,8 +117,24 @@
             fellows: reading.and_then(|_| self.fellows_news(beat.fellows)),
             newest,
             config: newer.map(|config| (*config).clone()),
-            register: self.register_news(beat.register, beat.whole, now),
+            register: self.register_news(beat.register, whole, now),
+        }
+    }
+
+    /// Whether one more VM may be told all of what is long. Those beyond the bound are told that there is
+    /// something newer, and ask again: their heartbeats are answered in time meanwhile.
+    fn may_tell_all(&self, now: Time) -> bool {
+        let config = self.setup.shared.look().config.clone();
+        let entries = config.map_or(0, |config| config.entries());
+        let mut state = self.state.borrow_mut();
+        if entries + state.register.databases().len() <= LONG {
+            return true;
+        }
+        if now.since(state.told_all.0) >= TOLD_EVERY {
+            state.told_all = (now, 0);
         }
+        state.told_all.1 += 1;
+        state.told_all.1 <= TOLD_MOST
     }
 
     /// How far primaries have come, as far as that was not told before.
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -155,7 +155,7 @@
     pub(super) async fn read_register(&self) -> Result<(), Fault> {
         let asked = self.now();
         let documents = &self.setup.adapter.documents;
-        let (rows, _) = self.store.read(&documents.register).await?;
+        let (rows, _) = self.read_table(&documents.register).await?;
         let mut found = BTreeMap::new();
         let mut unread = BTreeMap::new();
         for row in &rows {
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -24,6 +24,8 @@
     pub leads: Shown,
     /// Whether another VM has a register that this one was not told.
     pub lacks_register: bool,
+    /// How many VMs were told all of what is long, since when.
+    pub told_all: (Time, u32),
     /// VMs whose rows are to be written together.
     pub waiting: Vec<Waiting>,
     /// When this VM's row was last written, by whomever: readings from before say nothing of it.
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -70,6 +70,9 @@
 /// without an answer notices by this, and offers the duty to others.
 const READ_PATIENCE: Span = Span::from_millis(800);
 
+/// How long a page of a long table is waited for: 700 KB take 0.6 s on a link of 10 Mbit/s alone.
+const LONG_PATIENCE: Span = Span::from_secs(3);
+
 /// How long every other reading is waited for once one has brought nothing.
 ///
 /// **Pattern answered.** A store that says nothing for 6 s is back. **Without it** whoever asked just before
@@ -193,6 +196,22 @@
         }
     }
 
+    /// Reads a table that may be long, by the own way only.
+    ///
+    /// **Pattern answered.** A configuration of some hundred KB is half a second on a small VM's link.
+    /// **Without it** its reading is given up as lost, and asked for by way of other VMs, each of which reads it
+    /// too: of 300 VMs all ask a few for 700 KB each, which end at their memory's limit.
+    pub async fn read_long(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
+        self.count(|counts| counts.reads += 1);
+        match self
+            .call_here(Ask::Read(table.into()), LONG_PATIENCE)
+            .await?
+        {
+            Told::Rows { rows, version } => Ok((rows, version)),
+            _ => Err(unexpected()),
+        }
+    }
+
     /// Reads the rows of the control path.
     pub(super) async fn reading(&self) -> Result<Reading, Fault> {
         let asked = (self.adapter.clock)();
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -105,11 +105,19 @@
     /// Reads the configuration.
     pub(super) async fn read_config(&self) -> Result<(), Fault> {
         let id = &self.setup.adapter.documents.config;
-        let (rows, _) = self.store.read(&id.table).await?;
+        let (rows, _) = self.read_table(&id.table).await?;
         learn(self, &rows);
         Ok(())
     }
 
+    /// Reads the configuration or the register, which are long where the fleet is large.
+    pub(super) async fn read_table(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
+        match self.is_large() {
+            true => self.store.read_long(table).await,
+            false => self.store.read(table).await,
+        }
+    }
+
     fn config_version(&self) -> ConfigVersion {
         let view = self.setup.shared.look();
         let config = view.config.as_ref();
@@ -162,7 +170,7 @@
 async fn step(control: &Control, after: Option<Version>) -> Result<Option<Version>, Fault> {
     let id = &control.setup.adapter.documents.config;
     let Some(after) = after else {
-        let (rows, version) = control.store.read(&id.table).await?;
+        let (rows, version) = control.read_table(&id.table).await?;
         learn(control, &rows);
         return Ok(Some(version));
     };
