--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -1,10 +1,13 @@
-//! One caller's session: reads its messages, and answers each before the next.
+//! One caller's session: reads its messages, and answers each before the next. Whether it may begin, and go
+//! on, is in `admission`.
+
+mod admission;
 
 use crate::clock::{Span, Time};
 use crate::direct::adapter::{Garbled, Stream};
 use crate::direct::config::{Config, Route};
 use crate::direct::front::{Front, Stopping};
-use crate::direct::identity::{Identity, Key, identify};
+use crate::direct::identity::{Identity, Key};
 use crate::direct::job::{Job, Part};
 use crate::direct::line::{self, Ended};
 use crate::direct::session::{Begun, Phase, Session, Shape, Step, error};
@@ -24,9 +27,6 @@
 /// How long a new session may take to say what it wants.
 const GREETING: Span = Span::from_secs(5);
 
-/// How long a new session waits for the first configuration: callers give up after 2 s.
-const CONFIGURED: Span = Span::from_millis(1_500);
-
 /// How long the end of a session may take to be sent.
 const FAREWELL: Span = Span::from_millis(200);
 
@@ -148,7 +148,7 @@
                 Ok(Message::Query(query)) => {
                     let answer = self.answer(&query).await;
                     self.write(&answer).await?;
-                    if is_barred(&answer) {
+                    if admission::is_barred(&answer) {
                         return Err(Gone::Barred);
                     }
                 }
@@ -181,84 +181,13 @@
         self.send(&output).await?;
         match end {
             End::Done(_) => Ok(()),
-            End::Error {
-                code: Code::NoKey, ..
-            } => {
-                line::no_key(&self.front, &self.database, self.key.as_ref());
+            End::Error { code, .. } => {
+                self.tell_refusal(code);
                 Err(Gone::Left)
             }
-            End::Error {
-                code: Code::Busy, ..
-            } => {
-                line::no_config(&self.database);
-                Err(Gone::Left)
-            }
-            End::Error { .. } => {
-                line::no_route(&self.front, &self.database);
-                Err(Gone::Left)
-            }
-        }
-    }
-
-    /// How a session that begins is answered.
-    async fn admit(&mut self) -> End {
-        let no_route = || error(Code::NoDatabase, "no route has that name");
-        if self.front.config().is_none() {
-            // Whoever were told that there is no such route would not come back.
-            let text = "no configuration is known here yet; retry_ms=500";
-            return error(Code::Busy, text);
-        }
-        let Some(route) = self.route() else {
-            return no_route();
-        };
-        if self.identity(&route) != Identity::Unknown {
-            return End::Done(None);
-        }
-        self.front.wait_for_newer_config().await;
-        let Some(route) = self.route() else {
-            return no_route();
-        };
-        match self.identity(&route) {
-            Identity::Unknown => no_key(),
-            Identity::Anyone | Identity::Of(_) => End::Done(None),
         }
     }
 
-    /// Whose the session is, by the configuration in force.
-    fn identity(&mut self, route: &Route) -> Identity {
-        let (Some(config), Some(key)) = (self.front.config(), &self.key) else {
-            return Identity::Unknown;
-        };
-        if let Some((known, identity)) = &self.known
-            && Rc::ptr_eq(known, &config)
-        {
-            return identity.clone();
-        }
-        let identity = identify(&config, route, key);
-        self.known = Some((config, identity.clone()));
-        identity
-    }
-
-    /// Whether nobody holds the session's key any more.
-    fn is_unknown(&mut self) -> bool {
-        let route = self.route();
-        route.is_some_and(|route| self.identity(&route) == Identity::Unknown)
-    }
-
-    async fn wait_for_config(&self) {
-        let shared = &self.front.shared;
-        let configured = async {
-            loop {
-                let changed = shared.changed();
-                if shared.look().config.is_some() {
-                    return;
-                }
-                changed.await;
-            }
-        };
-        let _ = tokio::time::timeout(CONFIGURED.into(), configured).await;
-    }
-
     /// The caller's next message.
     async fn next(&mut self) -> Result<Result<Message, Garbled>, Gone> {
         loop {
@@ -380,13 +309,6 @@
         answer
     }
 
-    /// Ends the session of a caller whose key nobody holds any more, and what it has open.
-    fn bar(&mut self) -> Answer {
-        self.roll_back();
-        self.session.phase = Phase::Idle;
-        self.session.answer(no_key())
-    }
-
     /// Counts a request that was answered, and writes its line if it gets one.
     fn tell(&mut self, route: Option<&Route>, trace: Trace, answer: &Answer) {
         let steps = trace.into_steps();
@@ -526,11 +448,3 @@
         }
     }
 }
-
-fn no_key() -> End {
-    error(Code::NoKey, "nobody holds this key")
-}
-
-fn is_barred(answer: &Answer) -> bool {
-    matches!(answer.end, End::Error { code, .. } if code == Code::NoKey)
-}
--- a/tests/direct_owner.rs
+++ b/tests/direct_owner.rs
@@ -1,6 +1,6 @@
 //! Which VMs own connections to a database, and through whom the others reach it.
 
-use lentilspoke::direct::owner::{Goal, OWNERS, Way, access, owners};
+use lentilspoke::direct::owner::{Access, Goal, OWNERS, Way, access, owners};
 use lentilspoke::direct::view::Fellow;
 use lentilspoke::types::{Cores, DatabaseId, Domain};
 use std::collections::BTreeMap;
@@ -116,19 +116,18 @@
     assert_eq!(way_of(1, &fellows, &database(1), 32), Way::Own);
 }
 
+/// Who connects to a database of 48 connections.
+fn shared(fellows: &[Fellow], id: &DatabaseId) -> Access {
+    let connections = 48;
+    access(fellows, Goal { id, connections }, is_near)
+}
+
 /// A database of 48 connections before 85 VMs. All VMs send an organisation's statements to one of its three
 /// owners first, an owner that is not that one too; organisations are dealt to all three alike.
 #[test]
 fn an_organisation_meets_its_connections() {
     let (id, fellows) = (database(1), fellows(85));
-    let access = access(
-        &fellows,
-        Goal {
-            id: &id,
-            connections: 48,
-        },
-        is_near,
-    );
+    let access = shared(&fellows, &id);
     let mut firsts = BTreeMap::<SocketAddr, usize>::new();
     for number in 0..90 {
         let organisation = format!("o{number}").parse().unwrap();
@@ -152,13 +151,6 @@
 #[test]
 fn owners_keep_a_part_of_the_connections() {
     let (id, fellows) = (database(1), fellows(85));
-    let access = access(
-        &fellows,
-        Goal {
-            id: &id,
-            connections: 48,
-        },
-        is_near,
-    );
+    let access = shared(&fellows, &id);
     assert_eq!(access.places(48, 85) * OWNERS as u32, 30);
 }
--- a/tests/direct_serve.rs
+++ b/tests/direct_serve.rs
@@ -354,6 +354,22 @@
     .unwrap();
 }
 
+/// A VM starts while nobody can tell it a configuration, and a caller comes. It is told that nothing was run
+/// and when to come back, and not that its route does not exist: it would believe that.
+#[test]
+fn before_the_first_configuration_callers_may_come_back() {
+    play(async {
+        let world = World::new();
+        world.shared.change(|view| view.config = None);
+        let told = world.refusal("newest").await;
+        assert!(
+            told.starts_with("error busy no configuration is known here yet; retry_ms="),
+            "{told}"
+        );
+    })
+    .unwrap();
+}
+
 /// The route goes while a transaction is open. The change applies from the next transaction on.
 #[test]
 fn a_transaction_keeps_its_route() {
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -164,8 +164,13 @@
     /// A caller whose session is refused.
     #[allow(dead_code)]
     pub async fn refused_caller(&self, route: &str) {
-        let mut caller = self.connect(route).await;
-        assert!(caller.answer().await.starts_with("error no-database"));
+        assert!(self.refusal(route).await.starts_with("error no-database"));
+    }
+
+    /// What a caller is told whose session is refused.
+    #[allow(dead_code)]
+    pub async fn refusal(&self, route: &str) -> String {
+        self.connect(route).await.answer().await
     }
 
     /// A caller of a route whose session has begun.
