Wake nobody for a connection that was not opened

Cause: read in the diff: since connections in use are counted, one that could not be opened told those that wait that a connection is free, its own statement among them, which tried again at once. Change: a seat without a connection wakes nobody, as before it was counted.

--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -90,19 +90,28 @@
 
 /// Counts a connection in use, and tells those that wait for one when it is free.
 #[derive(Debug)]
-struct Seat(Rc<Pool>);
+struct Seat {
+    pool: Rc<Pool>,
+    /// Whether it has a connection: one that was not opened leaves nothing to those that wait.
+    taken: bool,
+}
 
 impl Seat {
     fn new(pool: &Rc<Pool>) -> Self {
         pool.lent.set(pool.lent.get() + 1);
-        Self(pool.clone())
+        Self {
+            pool: pool.clone(),
+            taken: true,
+        }
     }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.0.lent.set(self.0.lent.get() - 1);
-        self.0.returned.notify_one();
+        self.pool.lent.set(self.pool.lent.get() - 1);
+        if self.taken {
+            self.pool.returned.notify_one();
+        }
     }
 }
 
@@ -133,7 +142,7 @@
             opened: _,
         } = self;
         let now = (adapter.clock)();
-        let pool = seat.0.clone();
+        let pool = seat.pool.clone();
         if !connection.is_clean() || pool.leaves_to_others(now) {
             return;
         }
@@ -174,7 +183,7 @@
         if (adapter.clock)() < self.full_until.get() {
             return Err(Closed::Refused(Code::Full));
         }
-        let seat = Seat::new(self);
+        let mut seat = Seat::new(self);
         if wanted.organisation.is_some() {
             self.make_room();
         }
@@ -184,6 +193,7 @@
                 Ok(Lent::new(connection, seat, true))
             }
             Err(closed) => {
+                seat.taken = false;
                 if let Closed::Refused(Code::Full) = closed {
                     self.pause((adapter.clock)());
                 }
