Bound the places of a database whose connections are not known

Cause: a VM that starts has no configuration yet, takes the number of a database's connections for unbounded, and multiplies it: an overflow, which a checked build ends the task with and a release build wraps to a number without meaning. Seen in a world of 60 VMs and 700 groups after a loss of power. Change: the product saturates. Tests: places_of_an_unbounded_database, which panics without it.

--- a/src/direct/owner.rs
+++ b/src/direct/owner.rs
@@ -77,7 +77,8 @@
             Self::Owners(owners) => owners.len(),
         };
         let share = connections / u32::try_from(sharers).unwrap_or(u32::MAX);
-        share * KEPT_PERCENT / 100
+        // Without a configuration the number of connections is not bounded.
+        share.saturating_mul(KEPT_PERCENT) / 100
     }
 
     /// How a VM that relays at `relay` reaches the database `id`, for anybody.
--- a/tests/direct_owner.rs
+++ b/tests/direct_owner.rs
@@ -154,3 +154,9 @@
     let access = shared(&fellows, &id);
     assert_eq!(access.places(48, 85) * OWNERS as u32, 30);
 }
+
+/// Guards against an overflow at a VM that starts and does not know yet how many connections there are.
+#[test]
+fn places_of_an_unbounded_database() {
+    assert!(Access::All.places(u32::MAX, 1) > 0);
+}
