Have keepers in doubt hand out half, and their successors the other half

A keeper among them went on by their word for up to 8 s after its last reading, while its successor, empty at first, filled by the whole rate from the moment of the eviction. Ruled out: a successor's bucket that begins full (it begins empty); tokens at hand (2 s, and they count against the burst). Change: `direct::tenure`. A keeper hands out all for 2.5 s after a proof: a reading that shows it, or the word of a steward that most VMs have beaten to within a second. From there to 8 s after the reading it hands out half. A successor of an evicted VM hands out nothing for 3.5 s, then half, and all from 9 s on; with most VMs evicted nothing until then. A VM that keeps by itself waits for nothing. A bucket does not outlive a gap in the tenure, nor a list of VMs by which another VM keeps. `Fellow` shows that a VM is evicted in place of hiding where it relays; the tests' doubles name the field.

--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -96,6 +96,10 @@
         if self.is_steward() {
             // Its own reports are looked at by its own tasks.
             self.wake.notify_one();
+            let now = self.now();
+            if self.hears_most(now) {
+                self.setup.shared.quietly().tenure.heard(now);
+            }
             return Ok(EVERY);
         }
         let post = self.state.borrow().post.clone();
--- a/src/direct/control/join.rs
+++ b/src/direct/control/join.rs
@@ -114,6 +114,7 @@
             relay: self.setup.relay,
             domain: self.setup.domain.clone(),
             cores: self.setup.cores,
+            evicted: false,
         });
         let expect = reading.members.get(&self.id).map_or(0, |member| member.1);
         let mut readers = match reader::reads(&fellows, own) {
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -23,6 +23,9 @@
 const TOLD_MOST: u32 = 4;
 const TOLD_EVERY: Span = Span::from_secs(1);
 
+/// How often the VMs are counted that are heard: a heartbeat's answer must not cost more with more of them.
+const COUNT_EVERY: Span = Span::from_millis(250);
+
 /// How many words on how far primaries are a heartbeat's answer has, times the VMs that ask: 25 bytes
 /// each, twice a second, are 200 KB a second. Without it VMs times groups of them go out: 300 VMs
 /// and 700 groups are 10 MB a second, of 1.2 that the link of a small VM carries. A VM that is not told
@@ -93,6 +96,7 @@
         if steward {
             self.note_beat(&id, &beat, now);
         }
+        let hears_most = steward && self.hears_most(now);
         let whole = beat.whole && self.may_tell_all(now);
         let state = self.state.borrow();
         let read = state.reading.as_ref();
@@ -109,6 +113,7 @@
         News {
             life: self.setup.life,
             steward,
+            hears_most,
             duty: self.duty_heard(now),
             member: reading.is_some(),
             listed,
@@ -191,6 +196,18 @@
         })
     }
 
+    /// Whether more than half of the registered VMs have sent this one a heartbeat within [`HEARD`].
+    pub(super) fn hears_most(&self, now: Time) -> bool {
+        let mut state = self.state.borrow_mut();
+        let (at, hears) = state.hears_most;
+        if now < at + COUNT_EVERY {
+            return hears;
+        }
+        let hears = state.count_heard(&self.id, now + COUNT_EVERY);
+        state.hears_most = (now, hears);
+        hears
+    }
+
     fn note_beat(&self, id: &MemberId, beat: &Beat, now: Time) {
         let mut state = self.state.borrow_mut();
         let failing = beat
@@ -235,11 +252,25 @@
             let now = self.now();
             self.setup.shared.quietly().fellows.hear(fellows, now);
         }
+        if news.hears_most {
+            self.setup.shared.quietly().tenure.heard(asked);
+        }
         if let Some(leads) = news.leads {
+            let read = asked - leads.age;
+            self.prolong_tenure(read);
             self.take_leads(leads, asked);
         }
     }
 
+    /// A reading asked at `asked` shows this VM as registered.
+    pub(super) fn prolong_tenure(&self, asked: Time) {
+        let now = self.now();
+        let begins = self.setup.shared.quietly().tenure.read(asked, now);
+        if begins {
+            log::info!(vm:% = self.id; "this VM may hand out what it keeps, from now on");
+        }
+    }
+
     /// Takes over the register, or what changed of it. One that is only said to differ is read from the
     /// store.
     fn take_register(&self, news: RegisterNews, asked: Time) {
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -27,6 +27,7 @@
         let lease = reading.is_lease_for(&self.id, self.setup.life);
         self.member.set(lease);
         if lease {
+            self.prolong_tenure(reading.asked);
             self.learn_fellows(reading.fellows());
             for (group, (lead, _)) in &reading.leads {
                 self.learn_lead(group, lead.clone(), reading.asked);
--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -140,9 +140,10 @@
         let members = self.members.values();
         let fellow = |(member, _): &(Member, Version)| Fellow {
             address: member.address,
-            relay: member.relay.filter(|_| !member.evicted),
+            relay: member.relay,
             domain: member.domain.clone(),
             cores: member.cores,
+            evicted: member.evicted,
         };
         members.map(fellow).collect()
     }
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -10,6 +10,7 @@
 use crate::direct::history::History;
 use crate::direct::lead::{self, Lead};
 use crate::direct::table::{RowId, Version};
+use crate::direct::tenure::HEARD;
 use crate::direct::view::Report;
 use crate::types::{DatabaseId, GroupId, Life, Version as ConfigVersion};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +53,8 @@
     pub held: Option<Held>,
     /// When all VMs were asked to beat.
     pub nudge: Nudge,
+    /// Whether most of the VMs were heard, as counted last.
+    pub hears_most: (Time, bool),
     /// What VMs told the steward.
     pub heard: BTreeMap<MemberId, Beaten>,
     /// VMs that a reading showed as evicted: the row's version, and when that was seen first.
@@ -184,6 +187,21 @@
         }
     }
 
+    /// Whether this VM and those that have sent it a heartbeat within [`HEARD`] of `until` are more than half of
+    /// those that are registered.
+    pub fn count_heard(&self, own: &MemberId, until: Time) -> bool {
+        let Some(reading) = &self.reading else {
+            return false;
+        };
+        let beaten = |id: &MemberId| {
+            let beaten = self.heard.get(id);
+            beaten.is_some_and(|beaten| until < beaten.at + HEARD)
+        };
+        let members = reading.members.keys();
+        let heard = members.filter(|id| *id == own || beaten(id)).count();
+        heard * 2 > reading.members.len()
+    }
+
     /// A row of a group that was written here.
     pub fn note_written(&mut self, group: &GroupId, lead: Lead, version: Version) {
         if let Some(reading) = &mut self.reading {
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -164,11 +164,6 @@
         })
     }
 
-    /// Whether this VM is known to be registered: some reading that shows it still counts.
-    pub fn is_current(&self, now: Time) -> bool {
-        self.groups.values().any(|known| now < known.until())
-    }
-
     /// Whether another primary is on its way, as far as is known: a replacement has begun.
     pub fn is_changing(&self, group: &GroupId) -> bool {
         let ended = |of: &BTreeMap<GroupId, Epoch>| of.get(group).copied().unwrap_or_default();
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -117,6 +117,8 @@
     pub life: Life,
     /// Whether it is the steward.
     pub steward: bool,
+    /// Whether it is the steward, and hears most of the VMs that are registered.
+    pub hears_most: bool,
     /// Which steward it follows, if it knows one.
     pub duty: Option<Heard>,
     /// Whether the reading shows the asking VM's row. If not, no leads are told, and it has to
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -38,6 +38,7 @@
 pub mod statement;
 pub mod table;
 pub mod targets;
+pub mod tenure;
 pub mod trace;
 pub mod transaction;
 pub mod view;
--- a/src/direct/owner.rs
+++ b/src/direct/owner.rs
@@ -134,7 +134,7 @@
 ) -> Vec<SocketAddr> {
     let seed = xxh3_64(id.as_str().as_bytes());
     let relays = fellows.iter().filter_map(|fellow| {
-        let relay = fellow.relay?;
+        let relay = fellow.serves()?;
         let far = !is_near(&fellow.domain);
         Some((far, Reverse(weight(relay, seed)), relay))
     });
--- a/src/direct/quota/bucket.rs
+++ b/src/direct/quota/bucket.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::identity::{Allowance, Rate};
+use crate::direct::tenure::Part;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -46,6 +47,17 @@
         }
     }
 
+    /// So much of it.
+    pub fn part(self, part: Part) -> Self {
+        match part {
+            Part::Whole => self,
+            Part::Half => Self {
+                rate: Rate(self.rate.0 / 2),
+                burst: self.burst / 2,
+            },
+        }
+    }
+
     /// What comes in within a span.
     fn income(&self, span: Span) -> u64 {
         self.rate.0.saturating_mul(span.0)
--- a/src/direct/quota/keeper.rs
+++ b/src/direct/quota/keeper.rs
@@ -19,7 +19,7 @@
 /// `most` is no more than the operations that may come at once, as a share of less than one hands
 /// nothing out.
 pub fn keepers<'a>(
-    fellows: &'a [Fellow],
+    fellows: impl IntoIterator<Item = &'a Fellow>,
     organisation: &OrganisationId,
     most: usize,
     region: impl Fn(&'a Fellow) -> &'a str,
--- a/src/direct/quota/spend.rs
+++ b/src/direct/quota/spend.rs
@@ -1,6 +1,6 @@
 //! Spends and keeps allowances: asks keepers on behalf of this VM's callers, and answers other VMs.
 
-use crate::clock::Span;
+use crate::clock::{Span, Time};
 use crate::direct::front::Place;
 use crate::direct::identity::Allowance;
 use crate::direct::quota::bucket::{Bucket, Grant, Share};
@@ -8,9 +8,10 @@
 use crate::direct::quota::purse::{Purse, Token};
 use crate::direct::relay::line::Lines;
 use crate::direct::relay::{Reply, Request, Spend};
+use crate::direct::tenure::Entry;
 use crate::direct::view::{Fellow, Shared, View};
 use crate::types::OrganisationId;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -49,8 +50,18 @@
     lines: Rc<Lines>,
     place: Place,
     purses: RefCell<BTreeMap<OrganisationId, Purse>>,
-    buckets: RefCell<BTreeMap<OrganisationId, Bucket>>,
+    buckets: RefCell<BTreeMap<OrganisationId, Kept>>,
     keepers: RefCell<Known>,
+    /// The list of VMs by which places were last looked at.
+    checked: Cell<u64>,
+}
+
+/// A bucket, and the beginning of the tenure in which it was made.
+#[derive(Debug)]
+struct Kept {
+    since: Time,
+    entry: Entry,
+    bucket: Bucket,
 }
 
 /// The keepers of organisations, as found from one list of VMs.
@@ -76,6 +87,7 @@
             purses: RefCell::default(),
             buckets: RefCell::default(),
             keepers: RefCell::default(),
+            checked: Cell::default(),
         })
     }
 
@@ -131,36 +143,81 @@
 
     /// Grants what another VM asks for, if this one keeps the allowance and may.
     ///
-    /// **Failure answered.** A VM that is cut off, or was paused, goes on to hand out what another one
-    /// keeps in its place meanwhile. **Symptom without it.** The allowance is used twice. **Why it
-    /// suffices.** It takes a reading that shows this VM as registered, a few seconds old at most; who takes
-    /// its place has a bucket that was empty when the list of VMs last changed.
+    /// A bucket that is older than this VM's tenure is another keeper's by now, and starts empty again.
     pub fn grant(&self, spend: &Spend) -> Grant {
         let now = self.lines.now();
         let organisation = &spend.organisation;
-        let (allowance, since) = {
+        let (tenure, allowance) = {
             let view = self.shared.look();
-            if !view.book.is_current(now) {
-                return Grant::nothing(NOT_HERE);
-            }
-            let Some(allowance) = allowance(&view, organisation) else {
-                return Grant::nothing(NOT_HERE);
-            };
-            (allowance, view.fellows.since())
+            (view.tenure, allowance(&view, organisation))
+        };
+        let (Some(since), Some(allowance)) = (tenure.since(now), allowance) else {
+            return Grant::nothing(NOT_HERE);
         };
         let keepers = self.keepers(organisation, allowance);
-        let own = self.place.relay;
-        if !keepers.iter().any(|keeper| Some(*keeper) == own) {
-            self.buckets.borrow_mut().remove(organisation);
+        self.leave_lost_places();
+        if !self.is_among(&keepers) {
             return Grant::nothing(NOT_HERE);
         }
         let share = Share::of(allowance, keepers.len());
         let mut buckets = self.buckets.borrow_mut();
-        let bucket = buckets
-            .entry(organisation.clone())
-            .or_insert_with(|| Bucket::new(share, since));
-        bucket.resize(share, now);
-        bucket.grant(spend.need, spend.spare, now)
+        if buckets
+            .get(organisation)
+            .is_some_and(|kept| kept.since < since)
+        {
+            buckets.remove(organisation);
+        }
+        let kept = buckets.entry(organisation.clone()).or_insert_with(|| {
+            let entry = self.entry(organisation, allowance);
+            let bucket = Bucket::new(share, entry.begins.max(since));
+            Kept {
+                since,
+                entry,
+                bucket,
+            }
+        });
+        let Some(part) = kept.entry.part(&tenure, now) else {
+            return Grant::nothing(NOT_HERE);
+        };
+        kept.bucket.resize(share.part(part), now);
+        kept.bucket.grant(spend.need, spend.spare, now)
+    }
+
+    /// Forgets the buckets of organisations that others keep by now, with each list of VMs: one that is kept
+    /// again later begins empty.
+    fn leave_lost_places(&self) {
+        let fellows = self.shared.look().fellows.digest();
+        if self.checked.replace(fellows) == fellows {
+            return;
+        }
+        let kept: Vec<OrganisationId> = self.buckets.borrow().keys().cloned().collect();
+        for organisation in kept {
+            let allowance = allowance(&self.shared.look(), &organisation);
+            let stays = allowance
+                .is_some_and(|allowance| self.is_among(&self.keepers(&organisation, allowance)));
+            if !stays {
+                self.buckets.borrow_mut().remove(&organisation);
+            }
+        }
+    }
+
+    /// When this VM, which finds itself a keeper, may hand out: it is one by itself, or in place of a VM that
+    /// is evicted.
+    fn entry(&self, organisation: &OrganisationId, allowance: Allowance) -> Entry {
+        let view = self.shared.look();
+        let (fellows, since) = (view.fellows.list(), view.fellows.since());
+        let region = |fellow| self.region(fellow);
+        let keepers = keeper::keepers(fellows.iter(), organisation, most(allowance), region);
+        if self.is_among(&keepers) {
+            return Entry::of_first(since);
+        }
+        let evicted = fellows.iter().filter(|fellow| fellow.evicted).count();
+        Entry::of_successor(since, evicted, fellows.len())
+    }
+
+    fn is_among(&self, keepers: &[SocketAddr]) -> bool {
+        let own = self.place.relay;
+        keepers.iter().any(|keeper| Some(*keeper) == own)
     }
 
     fn purse<T>(&self, organisation: &OrganisationId, with: impl FnOnce(&mut Purse) -> T) -> T {
@@ -219,8 +276,7 @@
     }
 
     fn keepers(&self, organisation: &OrganisationId, allowance: Allowance) -> Rc<[SocketAddr]> {
-        let most = usize::try_from(allowance.burst).unwrap_or(KEEPERS);
-        let most = most.clamp(1, KEEPERS);
+        let most = most(allowance);
         let view = self.shared.look();
         let mut known = self.keepers.borrow_mut();
         let fellows = view.fellows.digest();
@@ -231,7 +287,8 @@
         let key = (organisation.clone(), most);
         let found = known.of.entry(key).or_insert_with(|| {
             let region = |fellow| self.region(fellow);
-            keeper::keepers(view.fellows.list(), organisation, most, region).into()
+            let fellows = view.fellows.list().iter().filter(|one| !one.evicted);
+            keeper::keepers(fellows, organisation, most, region).into()
         });
         found.clone()
     }
@@ -242,6 +299,12 @@
     }
 }
 
+/// How many VMs keep an allowance at most.
+fn most(allowance: Allowance) -> usize {
+    let most = usize::try_from(allowance.burst).unwrap_or(KEEPERS);
+    most.clamp(1, KEEPERS)
+}
+
 fn allowance(view: &View, organisation: &OrganisationId) -> Option<Allowance> {
     let organisations = view.config.as_ref()?.organisations.as_ref()?;
     organisations.allowances.get(organisation).copied()
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -7,6 +7,7 @@
 use crate::direct::lead::{Book, Epoch, Lease};
 use crate::direct::meter::Meter;
 use crate::direct::reached::Reached;
+use crate::direct::tenure::Tenure;
 use crate::types::{Cores, DatabaseId, Domain, GroupId};
 use serde::{Deserialize, Serialize};
 use std::cell::{Ref, RefCell, RefMut};
@@ -27,6 +28,8 @@
     pub book: Book,
     /// The VMs that are registered, this one among them.
     pub fellows: Fellows,
+    /// How long this VM may hand out what it keeps for others.
+    pub tenure: Tenure,
     /// How far primaries have come.
     pub fresh: Fresh,
     /// How far primaries are known to have come at least.
@@ -133,6 +136,15 @@
     pub domain: Domain,
     /// The processor that it has.
     pub cores: Cores,
+    /// Whether a steward that does not hear it has marked it.
+    pub evicted: bool,
+}
+
+impl Fellow {
+    /// Where it relays, unless it is evicted.
+    pub fn serves(&self) -> Option<SocketAddr> {
+        self.relay.filter(|_| !self.evicted)
+    }
 }
 
 /// The VMs, or what changed of them.
--- a/tests/direct_fleet.rs
+++ b/tests/direct_fleet.rs
@@ -260,6 +260,7 @@
         relay: None,
         domain: format!("domain{domain}").parse().unwrap(),
         cores: Cores::default(),
+        evicted: false,
     };
     let fellows = (0..domains).flat_map(|domain| (0..each).map(move |host| fellow(domain, host)));
     fellows.collect()
--- a/tests/direct_history.rs
+++ b/tests/direct_history.rs
@@ -18,6 +18,7 @@
         relay: None,
         domain: "d".parse().unwrap(),
         cores: Cores::default(),
+        evicted: false,
     }
 }
 
--- a/tests/direct_owner.rs
+++ b/tests/direct_owner.rs
@@ -21,6 +21,7 @@
         relay: Some(relay(number)),
         domain: format!("d{}", number % 6).parse().unwrap(),
         cores: Cores::default(),
+        evicted: false,
     };
     (0..count).map(fellow).collect()
 }
--- a/tests/direct_quota.rs
+++ b/tests/direct_quota.rs
@@ -43,6 +43,7 @@
             relay: Some(address(7_001)),
             domain: format!("d{}", number % 6).parse().unwrap(),
             cores: Cores::default(),
+            evicted: false,
         }
     };
     (0..count).map(fellow).collect()
