Count the bytes that are read from the store, by table

Cause: bytes at the store are what binds the fleet, and no VM said what it read. Change: `lentilspoke_store_read_bytes_total{table}`: keys and values of the rows that calls brought.

--- a/src/direct/meter.rs
+++ b/src/direct/meter.rs
@@ -7,7 +7,7 @@
 use crate::clock::Span;
 use crate::direct::config::Kind;
 use crate::direct::statement::Code;
-use crate::direct::table::{Ask, Fault, Told};
+use crate::direct::table::{Ask, Fault, Row, Told};
 use crate::direct::trace::Sampler;
 use crate::types::{DatabaseId, GroupId};
 use levels::Gauges;
@@ -71,6 +71,7 @@
 labels!(OfRefusal: database, code);
 labels!(OfCall: call, outcome);
 labels!(OfKind: kind);
+labels!(OfTable: table);
 labels!(OfRole: by);
 
 type Histograms = Family<OfKind, Histogram, fn() -> Histogram>;
@@ -85,6 +86,7 @@
     served: Histograms,
     reads: Family<OfRole, Counter>,
     store_calls: Family<OfCall, Counter>,
+    store_bytes: Family<OfTable, Counter>,
     opened: Family<OfDatabase, Counter>,
     not_opened: Family<OfDatabase, Counter>,
     answered: Family<OfDatabase, Histogram, fn() -> Histogram>,
@@ -179,6 +181,7 @@
             served: Family::new_with_constructor(histogram),
             reads: Family::default(),
             store_calls: Family::default(),
+            store_bytes: Family::default(),
             opened: Family::default(),
             not_opened: Family::default(),
             answered: Family::new_with_constructor(coarse_histogram),
@@ -248,6 +251,11 @@
             "Calls of the platform's store, by how they ended",
             self.store_calls.clone(),
         );
+        registry.register(
+            "store_read_bytes",
+            "Bytes of keys and values read from the platform's store, by table",
+            self.store_bytes.clone(),
+        );
         registry.register(
             "leases_lapsed",
             "Times that a request found no lease on its group's primary",
@@ -369,6 +377,15 @@
     pub fn store_call(&self, ask: &Ask, answer: &Result<Told, Fault>) {
         let labels = call_labels(ask, answer);
         self.store_calls.get_or_create(&labels).inc();
+        let (Ask::Read(table) | Ask::Range { table, .. } | Ask::Follow { table, .. }) = ask else {
+            return;
+        };
+        if let Ok(Told::Rows { rows, .. }) = answer {
+            let table = Text::Name(table.clone());
+            let bytes = rows.iter().map(Row::size).sum::<usize>();
+            let read = self.store_bytes.get_or_create(&OfTable { table });
+            read.inc_by(bytes as u64);
+        }
     }
 
     /// A request found no lease on its group's primary.
--- a/tests/meter.rs
+++ b/tests/meter.rs
@@ -4,7 +4,7 @@
 use lentilspoke::direct::config::Kind;
 use lentilspoke::direct::meter::{LeadLevel, Levels, Meter};
 use lentilspoke::direct::statement::Code;
-use lentilspoke::direct::table::{Ask, Fault};
+use lentilspoke::direct::table::{Ask, Fault, Row, RowId, Told};
 
 /// Each thing that is counted shows once, under its name and labels.
 #[test]
@@ -27,6 +27,15 @@
         &Ask::Read("lead".into()),
         &Err(Fault::Refused("down".into())),
     );
+    let rows = Told::Rows {
+        rows: vec![Row {
+            id: RowId::new("lead", "a"),
+            value: None,
+            version: 1,
+        }],
+        version: 1,
+    };
+    meter.store_call(&Ask::Read("lead".into()), &Ok(rows));
     meter.lease_lapsed(&group);
     meter.promoted(&group, Span::from_millis(400));
     let levels = Levels {
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -7,7 +7,7 @@
 use lentilspoke::direct::config::Kind;
 use lentilspoke::direct::meter::{LeadLevel, Levels, Meter};
 use lentilspoke::direct::statement::Code;
-use lentilspoke::direct::table::{Ask, Fault};
+use lentilspoke::direct::table::{Ask, Fault, Row, RowId, Told};
 use lentilspoke::net::dialect::REQUESTS_DDL;
 use lentilspoke::net::metrics::{self, Gauges};
 use lentilspoke::settings::{Limits, Settings};
@@ -118,6 +118,15 @@
         &Ask::Read("lead".into()),
         &Err(Fault::Refused("down".into())),
     );
+    let rows = Told::Rows {
+        rows: vec![Row {
+            id: RowId::new("lead", "a"),
+            value: None,
+            version: 1,
+        }],
+        version: 1,
+    };
+    meter.store_call(&Ask::Read("lead".into()), &Ok(rows));
     meter.lease_lapsed(&group);
     meter.promoted(&group, Span::ZERO);
     let lead = LeadLevel {
