Name the tree of long lists in the field's terms, and shorten comments

Cause: read as a newcomer: 'above' and 'sources' for parents of a tree, and comments with figures that belong into commits. Change: names and comments only; `ancestors`, `ask_ancestors`; no behaviour.

--- a/src/direct/control/bulk.rs
+++ b/src/direct/control/bulk.rs
@@ -1,7 +1,7 @@
 //! How a VM has the register and the configuration where these are too long to be told to all.
 //!
 //! A heartbeat's answer says that there is something newer. A VM that reads for others has it from the store;
-//! all others have it from the VM above them in their failure domain ([`reader::sources`]), and from the store
+//! all others have it from their parent in a tree of their failure domain ([`reader::ancestors`]), and from the store
 //! if that takes too long.
 
 use crate::clock::Span;
@@ -23,10 +23,10 @@
 /// a link of 10 Mbit/s.
 const MOST_TOLD: usize = 20_000;
 
-/// How long a VM has a register, or a configuration, from VMs above it before it reads the store. A
+/// How long a VM has a register, or a configuration, from its ancestors before it reads the store. A
 /// configuration has to be in force within some seconds, half of which are left then.
-const REGISTER_ABOVE: Span = Span::from_millis(2_500);
-const CONFIG_ABOVE: Span = Span::from_millis(1_500);
+const REGISTER_WITHIN: Span = Span::from_millis(2_500);
+const CONFIG_WITHIN: Span = Span::from_millis(1_500);
 
 /// The pause before a VM that does not have it either is asked again, half by chance.
 const ASK_AGAIN: Span = Span::from_millis(200);
@@ -53,7 +53,7 @@
         self.pause_of(SPREAD.percent((self.chance() * 100.0) as u64))
             .await;
         let lacks = |control: &Self| control.state.borrow().register.digest() == before;
-        if self.ask_above(REGISTER_ABOVE, lacks).await {
+        if self.ask_ancestors(REGISTER_WITHIN, lacks).await {
             return;
         }
         if self.read_register().await.is_err() {
@@ -83,7 +83,7 @@
             if !self.lacks_config() {
                 break;
             }
-            if self.is_large() && self.ask_above(CONFIG_ABOVE, Self::lacks_config).await {
+            if self.is_large() && self.ask_ancestors(CONFIG_WITHIN, Self::lacks_config).await {
                 break;
             }
             if self.is_config_heavy() && self.read_config().await.is_ok() {
@@ -96,22 +96,22 @@
         }
     }
 
-    /// Asks the VMs above this one for what it lacks, as long as they are reached and `within` is not over;
+    /// Asks the ancestors of this VM for what it lacks, as long as they are reached and `within` is not over;
     /// whether it lacks nothing then.
-    async fn ask_above(&self, within: Span, lacks: impl Fn(&Self) -> bool) -> bool {
+    async fn ask_ancestors(&self, within: Span, lacks: impl Fn(&Self) -> bool) -> bool {
         let began = self.now();
         let until = began + within;
-        let sources = {
+        let ancestors = {
             let view = self.setup.shared.look();
-            reader::sources(view.fellows.list(), self.setup.address)
+            reader::ancestors(view.fellows.list(), self.setup.address)
         };
-        for source in sources {
+        for ancestor in ancestors {
             while self.now() < until {
                 let question = Question::Beat(self.beat_for(true));
-                let told = self.hear(source, question, ANSWER).await;
+                let told = self.hear(ancestor, question, ANSWER).await;
                 if !lacks(self) {
                     let took_ms = self.now().since(began).0 / 1_000;
-                    log::info!(from:% = source, took_ms; "a long list was told by another VM");
+                    log::info!(from:% = ancestor, took_ms; "a long list was told by another VM");
                     return true;
                 }
                 if told.is_none() {
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -351,12 +351,10 @@
         }
     }
 
-    /// Offers the duty to a VM with more processor that is heard; whether there is one.
+    /// Offers the duty to the strongest VM that is heard, if this one is not [`STRONG`]; whether there is one.
     ///
-    /// **Pattern answered.** All strong VMs are lost at once, or start later than others; of a thousand VMs one
-    /// with an eighth of a core holds the duty. **Without it** it answers late, evicts VMs for its own lateness, and
-    /// goes over its memory with answers that its link does not carry. **Why it suffices.** The duty goes to a VM
-    /// with twice the processor at least, so it does not come back and goes on at most some times.
+    /// A weak steward of a large fleet answers late and evicts VMs for its own lateness. The duty does not come
+    /// back: it goes to a VM that never offers it for this reason.
     pub(super) async fn yield_to_stronger(self: &Rc<Self>) -> bool {
         let own = self.setup.cores;
         if own == Cores::default() || own >= STRONG {
--- a/src/direct/control/reader.rs
+++ b/src/direct/control/reader.rs
@@ -25,7 +25,7 @@
 /// With this many VMs or fewer each reads for itself.
 pub const FEW: usize = 16;
 
-/// How many VMs have long lists from the same one.
+/// How many VMs fetch long lists from the same one.
 pub const CHILDREN: usize = 4;
 
 /// Whether the VM that listens at `own` reads for itself and for others. One that is not in the list
@@ -42,27 +42,25 @@
     readers
 }
 
-/// The VMs that `own` has long lists from, the next one first if the one before is not reached; none for a VM
-/// that reads for others, which has them from the store.
+/// The VMs that `own` fetches long lists from, in order of preference: its parent in a tree of its failure
+/// domain, then the parent's parent, up to a reader. Empty for a reader, which fetches from the store.
 ///
-/// **Pattern answered.** Each of a thousand VMs needs the same 300 KB, as all start or the configuration changes.
-/// **Without it** each reads them from the store: 1.2 GB a day, which grow with VMs times groups. Told by the
-/// readers alone, 80 VMs ask each of them at once. **Why it suffices.** The VMs of a failure domain stand in the
-/// order in which they would read; each has [`CHILDREN`] that ask it, so that what one VM sends does not grow
-/// with the fleet, and what is new has passed a domain of 330 VMs after four steps.
-pub fn sources(fellows: &[Fellow], own: SocketAddr) -> Vec<SocketAddr> {
+/// Answers a start of all VMs, and a change of a long configuration. Each VM has at most [`CHILDREN`], so the
+/// load of one VM does not grow with the fleet, and the depth grows with its logarithm.
+pub fn ancestors(fellows: &[Fellow], own: SocketAddr) -> Vec<SocketAddr> {
     if fellows.len() <= FEW {
         return Vec::new();
     }
     let ranked = ranked(of_same_domain(fellows, own));
-    let mut place = ranked.iter().position(|address| *address == own);
-    let mut sources = Vec::new();
-    while let Some(below) = place.and_then(|place| place.checked_sub(EACH)) {
-        let above = below / CHILDREN;
-        sources.push(ranked[above]);
-        place = Some(above);
+    let mut rank = ranked.iter().position(|address| *address == own);
+    let mut ancestors = Vec::new();
+    // The first ranks are the roots; the children of each rank are numbered after them.
+    while let Some(child) = rank.and_then(|rank| rank.checked_sub(EACH)) {
+        let parent = child / CHILDREN;
+        ancestors.push(ranked[parent]);
+        rank = Some(parent);
     }
-    sources
+    ancestors
 }
 
 /// The readers of other failure domains.
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -244,10 +244,8 @@
     /// What a VM reads first: all rows of the control path, or of a long table its own row and those
     /// that follow it.
     ///
-    /// **Pattern answered.** A thousand VMs lose power and start again before a table with a row for each
-    /// VM and group. **Without it** each reads all of it, half a megabyte, to learn the version of one row
-    /// and whom to ask. **Thresholds.** [`FIRST_ROWS`] fill less than a page of the store; [`NEAR_ROWS`] have
-    /// some VMs in them that listen.
+    /// Answers a loss of power of all VMs: each needs the version of its own row and some VMs that may
+    /// write it, not the whole table.
     pub(super) async fn opening(&self, id: &MemberId) -> Result<Opening, Fault> {
         let asked = (self.adapter.clock)();
         let rows = self.read_range(TABLE, "", FIRST_ROWS).await?;
--- a/src/direct/tenure.rs
+++ b/src/direct/tenure.rs
@@ -1,14 +1,11 @@
-//! How much this VM may hand out of what it keeps for others, such as a part of an allowance.
+//! How much this VM may grant of what it keeps for others, such as its share of an allowance.
 //!
-//! **Failure answered.** Some VMs are cut off, from the store as well, and hear each other. **Symptom
-//! without it.** A keeper among them goes on by their word while its successor on the other side does as
-//! well, and both hand out the same. **Why it suffices.** A keeper hands out all for [`TERM`] after a proof
-//! was asked for: a reading that shows this VM as registered, or the word of a steward that hears most of
-//! the VMs. From then on, up to [`LEASE`] after the last such reading, it hands out half. Who evicts a VM
-//! hears most of them as well, and none of them goes back to the steward before, so that word is
-//! [`HEARD`] old at most when a VM is evicted. Its successor knows of the eviction: it hands out nothing for
-//! [`SUCCESSION`], and half until the former keeper's time is over. So both together never hand out more
-//! than one.
+//! In a network partition a keeper and its successor may both be asked. A keeper grants its whole share
+//! for [`TERM`] after a proof was asked for: a reading that shows this VM as registered, or the word of a
+//! steward that hears a majority. From then on, up to [`LEASE`] after the last such reading, it grants
+//! half. Whoever evicts a VM hears a majority too, and no VM returns to an older steward, so that word is
+//! at most [`HEARD`] old at an eviction. A successor knows of the eviction: it grants nothing for
+//! [`SUCCESSION`], and half until the former keeper's time is over.
 
 use crate::clock::{Span, Time};
 use crate::direct::lead::{LEASE, TERM};
--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -50,20 +50,20 @@
 
 /// What one VM sends does not grow with the fleet, nor does what the store sends; the way grows with its logarithm.
 #[test]
-fn nobody_has_many_below() {
+fn no_vm_has_many_children() {
     let shapes = [42, 165, 330].map(|each| {
         let fellows = fellows(6, each);
-        let mut below = BTreeMap::<SocketAddr, usize>::new();
+        let mut children = BTreeMap::<SocketAddr, usize>::new();
         let (mut roots, mut steps) = (0, 0);
         for fellow in &fellows {
-            let sources = reader::sources(&fellows, fellow.address);
-            steps = steps.max(sources.len());
-            match sources.first() {
-                Some(above) => *below.entry(*above).or_default() += 1,
+            let ancestors = reader::ancestors(&fellows, fellow.address);
+            steps = steps.max(ancestors.len());
+            match ancestors.first() {
+                Some(parent) => *children.entry(*parent).or_default() += 1,
                 None => roots += 1,
             }
         }
-        assert!(below.values().all(|count| *count <= CHILDREN));
+        assert!(children.values().all(|count| *count <= CHILDREN));
         format!(
             "{} VMs: {roots} read the store, {steps} steps",
             fellows.len()
@@ -78,11 +78,11 @@
     "#);
 }
 
-/// A VM that is not listed has nobody above it.
+/// A VM that is not listed has no parent.
 #[test]
-fn a_vm_that_is_not_listed_has_no_source() {
+fn a_vm_that_is_not_listed_has_no_ancestors() {
     let own = SocketAddr::from(([10, 9, 0, 1], 7_440));
-    assert!(reader::sources(&fellows(6, 42), own).is_empty());
+    assert!(reader::ancestors(&fellows(6, 42), own).is_empty());
 }
 
 /// Guards against a register and a configuration read from the store by each VM, as all start.
