--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -110,11 +110,8 @@
             if let Some(lead) = decode(row) {
                 self.leads.insert(group, (lead, row.version));
             }
-        } else if let Some(id) = key.strip_prefix(MEMBER)
-            && let Some(member) = decode(row)
-        {
-            self.members
-                .insert(MemberId(id.into()), (member, row.version));
+        } else {
+            self.members.extend(member(row));
         }
     }
 
@@ -155,11 +152,13 @@
 
 /// The VMs among some rows, and the versions of their rows.
 pub fn members(rows: &[Row]) -> BTreeMap<MemberId, (Member, Version)> {
-    let members = rows.iter().filter_map(|row| {
-        let id = row.id.key.strip_prefix(MEMBER)?;
-        Some((MemberId(id.into()), (decode(row)?, row.version)))
-    });
-    members.collect()
+    rows.iter().filter_map(member).collect()
+}
+
+/// The VM that a row is about, if it is about one.
+fn member(row: &Row) -> Option<(MemberId, (Member, Version))> {
+    let id = row.id.key.strip_prefix(MEMBER)?;
+    Some((MemberId(id.into()), (decode(row)?, row.version)))
 }
 
 /// VMs as others know them.
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -250,8 +250,7 @@
         let asked = (self.adapter.clock)();
         let rows = self.read_range(TABLE, "", FIRST_ROWS).await?;
         if rows.len() < FIRST_ROWS as usize {
-            let answered = (self.adapter.clock)();
-            return Ok(Opening::All(Reading::new(&rows, asked, answered)));
+            return Ok(Opening::All(self.take_reading(&rows, asked)));
         }
         let own = member_row(id);
         let rows = self.read_range(TABLE, &own.key, NEAR_ROWS).await?;
@@ -269,11 +268,17 @@
     pub(super) async fn reading(&self) -> Result<Reading, Fault> {
         let asked = (self.adapter.clock)();
         let (rows, _) = self.read(TABLE).await?;
+        Ok(self.take_reading(&rows, asked))
+    }
+
+    /// The reading that these rows are, which were asked for at `asked` and are there now; how long they took
+    /// tells how long a write may take.
+    fn take_reading(&self, rows: &[Row], asked: Time) -> Reading {
         let answered = (self.adapter.clock)();
         let mut patience = self.patience.get();
         patience.read(answered.since(asked));
         self.patience.set(patience);
-        Ok(Reading::new(&rows, asked, answered))
+        Reading::new(rows, asked, answered)
     }
 
     /// Waits for a change of a table after a version; none means that the history is gone.
