Tell what a VM knows of newer configurations, and how it tries to get them

Cause: in the incident on the shifted site neither lines nor metrics tell a VM that was not told of a newer configuration from one that can't get it, and the scraper keeps the first 4 KB of a VM's metrics, in which neither the configuration's version nor the calls of the store stand. Change: lines when a newer configuration is known to be there, and for each try to get it, with its way, end and time; config_known_version, config_tries_total and store_relayed; levels and the control path's counters come before those of requests and databases. Before: what_tells_most_comes_first fails with the former order (config_version comes too late). After: it passes.

--- a/src/direct/control/bulk.rs
+++ b/src/direct/control/bulk.rs
@@ -83,19 +83,46 @@
             if !self.lacks_config() {
                 break;
             }
-            if self.is_large() && self.ask_ancestors(CONFIG_WITHIN, Self::lacks_config).await {
+            if self.is_large()
+                && self
+                    .try_config("ancestors", async {
+                        self.ask_ancestors(CONFIG_WITHIN, Self::lacks_config).await;
+                    })
+                    .await
+            {
                 break;
             }
-            if self.is_config_heavy() && self.read_config().await.is_ok() {
+            if self.is_config_heavy() && self.try_config_at_store().await {
                 continue;
             }
-            self.ask_readers(true).await;
-            if self.lacks_config() {
-                let _ = self.read_config().await;
+            let readers = async {
+                let _ = self.ask_readers(true).await;
+            };
+            if !self.try_config("readers", readers).await {
+                self.try_config_at_store().await;
             }
         }
     }
 
+    async fn try_config_at_store(&self) -> bool {
+        let read = async {
+            let _ = self.read_config().await;
+        };
+        self.try_config("store", read).await
+    }
+
+    /// Tries to get a newer configuration by one way; whether this VM has it then.
+    async fn try_config(&self, way: &'static str, ask: impl Future<Output = ()>) -> bool {
+        let began = self.now();
+        ask.await;
+        let had = !self.lacks_config();
+        self.setup.shared.meter.config_try(way, had);
+        let newest = self.state.borrow().newest;
+        let took_ms = self.now().since(began).0 / 1_000;
+        log::info!(way, had, version:% = newest, in_force:% = self.config_version(), took_ms; "a newer configuration was asked for");
+        had
+    }
+
     /// Asks the ancestors of this VM for what it lacks, as long as they are reached and `within` is not over;
     /// whether it lacks nothing then.
     async fn ask_ancestors(&self, within: Span, lacks: impl Fn(&Self) -> bool) -> bool {
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -49,7 +49,7 @@
 use crate::direct::lead::{Epoch, LEASE};
 use crate::direct::mesh::{Answer, Call, Question};
 use crate::direct::view::Shared;
-use crate::types::{Cores, DatabaseId, Domain, GroupId, Life, VmId};
+use crate::types::{Cores, DatabaseId, Domain, GroupId, Life, Version, VmId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -111,6 +111,8 @@
     pub members: usize,
     /// How old the newest reading of the register is that was told here.
     pub register_age: Option<Span>,
+    /// The newest configuration that is known to be there, in force here or not.
+    pub config: Version,
 }
 
 /// The control path of one VM.
@@ -293,6 +295,7 @@
             heard: post.map(|post| now.since(post.hearing.since)),
             members: self.setup.shared.look().fellows.list().len(),
             register_age: state.register.asked().map(|asked| now.since(asked)),
+            config: state.newest.max(self.config_version()),
         }
     }
 
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -95,11 +95,16 @@
 
     /// Another VM has this configuration in force.
     pub(super) fn hear_of_config(&self, version: ConfigVersion) {
+        let in_force = self.config_version();
         let mut state = self.state.borrow_mut();
-        if version > state.newest {
-            state.newest = version;
-            self.lacking.notify_one();
+        if version <= state.newest {
+            return;
+        }
+        state.newest = version;
+        if version > in_force {
+            log::info!(version:%, in_force:%; "a newer configuration is there");
         }
+        self.lacking.notify_one();
     }
 }
 
--- a/src/direct/meter.rs
+++ b/src/direct/meter.rs
@@ -72,6 +72,7 @@
 labels!(OfCall: call, outcome);
 labels!(OfKind: kind);
 labels!(OfTable: table);
+labels!(OfTry: way, outcome);
 labels!(OfRole: by);
 
 type Histograms = Family<OfKind, Histogram, fn() -> Histogram>;
@@ -87,6 +88,7 @@
     reads: Family<OfRole, Counter>,
     store_calls: Family<OfCall, Counter>,
     store_bytes: Family<OfTable, Counter>,
+    config_tries: Family<OfTry, Counter>,
     opened: Family<OfDatabase, Counter>,
     not_opened: Family<OfDatabase, Counter>,
     answered: Family<OfDatabase, Histogram, fn() -> Histogram>,
@@ -182,6 +184,7 @@
             reads: Family::default(),
             store_calls: Family::default(),
             store_bytes: Family::default(),
+            config_tries: Family::default(),
             opened: Family::default(),
             not_opened: Family::default(),
             answered: Family::new_with_constructor(coarse_histogram),
@@ -194,9 +197,11 @@
             promotion_time: Family::default(),
             gauges: Gauges::default(),
         };
-        meter.register_requests();
-        meter.register_control();
+        // What tells most in few lines goes first: a scraper may keep the first kilobytes only.
         meter.gauges.register(&mut meter.registry);
+        meter.register_control();
+        meter.register_requests();
+        meter.gauges.register_leads(&mut meter.registry);
         meter
     }
 
@@ -256,6 +261,11 @@
             "Bytes of keys and values read from the platform's store, by table",
             self.store_bytes.clone(),
         );
+        registry.register(
+            "config_tries",
+            "Tries to get a newer configuration, by way and by whether it was there then",
+            self.config_tries.clone(),
+        );
         registry.register(
             "leases_lapsed",
             "Times that a request found no lease on its group's primary",
@@ -388,6 +398,15 @@
         }
     }
 
+    /// This VM tried to get a newer configuration.
+    pub fn config_try(&self, way: &'static str, had: bool) {
+        let labels = OfTry {
+            way: Text::Fixed(way),
+            outcome: Text::Fixed(if had { "had" } else { "lacking" }),
+        };
+        self.config_tries.get_or_create(&labels).inc();
+    }
+
     /// A request found no lease on its group's primary.
     pub fn lease_lapsed(&self, group: &GroupId) {
         let labels = OfGroup {
--- a/src/direct/meter/levels.rs
+++ b/src/direct/meter/levels.rs
@@ -16,6 +16,10 @@
     pub callers: u64,
     /// The configuration in force.
     pub config: u64,
+    /// The newest configuration that this VM knows to be there.
+    pub config_known: u64,
+    /// Calls of the store made for other VMs.
+    pub relayed: u64,
     /// Groups on whose primary a lease is held.
     pub leases: u64,
     /// Whether this VM is the steward.
@@ -54,7 +58,7 @@
 /// What a gauge shows.
 type Level = fn(&Levels) -> u64;
 
-const LEVELS: [(&str, &str, Level); 12] = [
+const LEVELS: [(&str, &str, Level); 14] = [
     ("ready", "Whether callers may come", |l| l.ready.into()),
     ("callers", "Callers connected", |l| l.callers),
     (
@@ -62,6 +66,16 @@
         "Version of the configuration in force",
         |l| l.config,
     ),
+    (
+        "config_known_version",
+        "Newest version of the configuration that this VM knows to be there",
+        |l| l.config_known,
+    ),
+    (
+        "store_relayed",
+        "Calls of the platform's store made for other VMs",
+        |l| l.relayed,
+    ),
     ("leases", "Groups on whose primary a lease is held", |l| {
         l.leases
     }),
@@ -111,13 +125,17 @@
 }
 
 impl Gauges {
-    /// Registers them all.
+    /// Registers those of the whole process.
     pub fn register(&mut self, registry: &mut Registry) {
         for (name, help, level) in LEVELS {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
             self.levels.push((gauge, level));
         }
+    }
+
+    /// Registers those of each group.
+    pub fn register_leads(&self, registry: &mut Registry) {
         registry.register(
             "lead_epoch",
             "Epoch of a group's primary, as this VM knows it",
--- a/src/net/direct/admin.rs
+++ b/src/net/direct/admin.rs
@@ -99,6 +99,8 @@
             ready: self.control.is_ready() && !view.stopping,
             callers: self.callers.get().into(),
             config: view.config.as_ref().map_or(0, |config| config.version.0),
+            config_known: known.config.0,
+            relayed: self.control.counts().relayed,
             leases: leads.iter().filter(|lead| lead.lease > Span::ZERO).count() as u64,
             steward: known.steward,
             token: known.token,
--- a/tests/meter.rs
+++ b/tests/meter.rs
@@ -36,6 +36,7 @@
         version: 1,
     };
     meter.store_call(&Ask::Read("lead".into()), &Ok(rows));
+    meter.config_try("readers", false);
     meter.lease_lapsed(&group);
     meter.promoted(&group, Span::from_millis(400));
     let levels = Levels {
@@ -59,3 +60,31 @@
     lines.sort_unstable();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Guards against a scraper that keeps the first 4 KB of a VM with many databases, and so neither the
+/// configuration's version nor the calls of the store.
+#[test]
+fn what_tells_most_comes_first() {
+    let meter = Meter::new();
+    for number in 0..200 {
+        let database = format!("db{number}").parse().unwrap();
+        meter.answered(&database, Span::from_millis(20));
+    }
+    meter.store_call(
+        &Ask::Read("lead".into()),
+        &Err(Fault::Refused("down".into())),
+    );
+    meter.config_try("store", true);
+    let text = meter.text(&Levels::default());
+    let first = &text[..4_000];
+    for name in [
+        "config_version",
+        "config_known_version",
+        "store_relayed",
+        "store_calls_total",
+        "config_tries_total",
+    ] {
+        let line = format!("\nlentilspoke_{name}");
+        assert!(first.contains(&line), "{name} comes too late");
+    }
+}
