Give VMs of the stand-ins links, and fail on long configurations as the incident did

Cause: worlds of stand-ins carried any length at once, so that no test could show that a reading of 1 MB on a small link is given up.

--- a/src/soak/profile.rs
+++ b/src/soak/profile.rs
@@ -136,6 +136,7 @@
             places,
             manners: self.manners(),
             cores: |_| Cores::default(),
+            link: |_| None,
             vms: self.vms,
             groups: self.groups,
             slots: self.slots,
--- a/src/standin/direct/network.rs
+++ b/src/standin/direct/network.rs
@@ -2,18 +2,66 @@
 
 use crate::direct::adapter::Later;
 use crate::standin::direct::link::{self, Link, Stream};
-use crate::types::{DatabaseId, VmId};
+use crate::types::{DatabaseId, Invalid, VmId};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
+use std::str::FromStr;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
 
 /// After how long a database gives up a connection whose other end is not reached.
 const UNREACHED: Duration = Duration::from_secs(3);
 
+/// How many bytes go over a link before others have their turn.
+const PORTION: u64 = 16 << 10;
+
+/// What a machine's link carries, in bytes a second each way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bandwidth(u64);
+
+impl Bandwidth {
+    /// So many megabits a second.
+    pub const fn from_megabits(megabits: u64) -> Self {
+        Self(megabits * 125_000)
+    }
+
+    /// How long a link is busy with so many bytes.
+    fn takes(self, bytes: u64) -> Duration {
+        Duration::from_micros(bytes.saturating_mul(1_000_000) / self.0.max(1))
+    }
+}
+
+impl fmt::Display for Bandwidth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}Mbit/s", self.0 / 125_000)
+    }
+}
+
+impl FromStr for Bandwidth {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let megabits = text
+            .strip_suffix("Mbit/s")
+            .and_then(|text| text.parse().ok());
+        let known = megabits.ok_or_else(|| Invalid::Name(text.into()))?;
+        Ok(Self::from_megabits(known))
+    }
+}
+
+/// A machine's link: what it carries, until when it is busy each way, and what came in over it.
+#[derive(Debug)]
+struct Port {
+    bandwidth: Bandwidth,
+    sends_until: Instant,
+    receives_until: Instant,
+    received: u64,
+}
+
 /// A machine.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Node {
@@ -64,6 +112,8 @@
     dark: RefCell<BTreeSet<Node>>,
     /// How much longer bytes are under way from and to a machine.
     slow: RefCell<BTreeMap<Node, Duration>>,
+    /// The links of machines that carry so much and no more.
+    ports: RefCell<BTreeMap<Node, Port>>,
     links: RefCell<Vec<(Node, Node, Link)>>,
     /// At how many connections those that are over are looked for.
     sweep: Cell<usize>,
@@ -93,6 +143,7 @@
             cuts: RefCell::default(),
             dark: RefCell::default(),
             slow: RefCell::default(),
+            ports: RefCell::default(),
             links: RefCell::default(),
             sweep: Cell::new(0),
             changed: Notify::new(),
@@ -208,6 +259,61 @@
         }
     }
 
+    /// Gives a machine a link for calls between VMs and of the store, which carries so much and no more.
+    pub fn narrow(&self, node: Node, bandwidth: Bandwidth) {
+        let now = Instant::now();
+        let port = Port {
+            bandwidth,
+            sends_until: now,
+            receives_until: now,
+            received: 0,
+        };
+        self.ports.borrow_mut().insert(node, port);
+    }
+
+    /// How many bytes came in over a machine's link.
+    pub fn received(&self, node: &Node) -> u64 {
+        let ports = self.ports.borrow();
+        ports.get(node).map_or(0, |port| port.received)
+    }
+
+    /// Takes so many bytes over the links of `a` and `b`, and then as [`Network::travel`] does. What is sent
+    /// goes on its way whether its sender waits or not, unless `breaks` says that its end resets it.
+    pub async fn carry(
+        &self,
+        (a, b): (&Node, &Node),
+        bytes: u64,
+        sender: &Sender,
+        breaks: bool,
+    ) -> bool {
+        let mut left = bytes;
+        while left > 0 && (sender.is_open() || !breaks) {
+            let portion = left.min(PORTION);
+            left -= portion;
+            let Some(until) = self.portion(a, b, portion) else {
+                break;
+            };
+            tokio::time::sleep_until(until).await;
+        }
+        self.travel(a, b, sender).await
+    }
+
+    /// Until when a portion takes; none where both links are as wide as need be.
+    fn portion(&self, a: &Node, b: &Node, bytes: u64) -> Option<Instant> {
+        let now = Instant::now();
+        let mut ports = self.ports.borrow_mut();
+        let sent = ports.get_mut(a).map(|port| {
+            port.sends_until = port.sends_until.max(now) + port.bandwidth.takes(bytes);
+            port.sends_until
+        });
+        let received = ports.get_mut(b).map(|port| {
+            port.received += bytes;
+            port.receives_until = port.receives_until.max(now) + port.bandwidth.takes(bytes);
+            port.receives_until
+        });
+        sent.max(received)
+    }
+
     /// Takes a message from `a` to `b`. It is lost, and this false, if whoever sent it gave up
     /// while it was held back.
     pub async fn travel(&self, a: &Node, b: &Node, sender: &Sender) -> bool {
--- a/src/standin/direct/reach.rs
+++ b/src/standin/direct/reach.rs
@@ -148,7 +148,11 @@
         };
         let length = postcard::to_stdvec(&told).map_or(0, |bytes| bytes.len() as u64);
         *self.told.borrow_mut().entry(other).or_default() += length;
-        if self.network.travel(&to, &from, &sender).await {
+        if self
+            .network
+            .carry((&to, &from), length, &sender, false)
+            .await
+        {
             let _ = answer.send(told);
         }
     }
--- a/src/standin/direct/setup.rs
+++ b/src/standin/direct/setup.rs
@@ -7,7 +7,7 @@
 use crate::standin::direct::database::{Database, Make};
 use crate::standin::direct::group::Group;
 use crate::standin::direct::log::Log;
-use crate::standin::direct::network::Network;
+use crate::standin::direct::network::{Bandwidth, Network};
 use crate::types::{Cores, Domain, Invalid, OrganisationId, Version};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -62,6 +62,8 @@
     pub vms: usize,
     /// The processor of each VM, by its number.
     pub cores: fn(usize) -> Cores,
+    /// The link of each VM, by its number; none carries whatever is sent.
+    pub link: fn(usize) -> Option<Bandwidth>,
     /// How many groups, of one database a failure domain.
     pub groups: usize,
     /// Statements that run at once on a database.
@@ -105,6 +107,7 @@
             ],
             vms: 3,
             cores: |_| Cores::default(),
+            link: |_| None,
             groups: 1,
             slots: DEPLOYMENT.slots(),
             connections: DEPLOYMENT.connections(),
--- a/src/standin/direct/store.rs
+++ b/src/standin/direct/store.rs
@@ -248,7 +248,9 @@
         let Some(told) = told else {
             return;
         };
-        if self.network.travel(&Node::Store, &from, &sender).await {
+        let bytes = told.as_ref().map_or(0, length);
+        let way = (&Node::Store, &from);
+        if self.network.carry(way, bytes, &sender, true).await {
             let _ = answer.send(told);
         }
     }
@@ -393,6 +395,14 @@
     }
 }
 
+/// How many bytes an answer is, with values in base64.
+fn length(told: &Told) -> u64 {
+    let (Told::Rows { rows, .. } | Told::Conflict(rows)) = told else {
+        return 0;
+    };
+    rows.iter().map(|row| row.size() as u64 * 4 / 3).sum()
+}
+
 /// Keeps a call open without an answer until nobody waits for it.
 async fn hang(mut answer: oneshot::Sender<Result<Told, Fault>>) {
     answer.closed().await;
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -231,6 +231,9 @@
         let domain = self.domain_of(number);
         let region = self.setup.region(domain);
         self.network.place(Node::Vm(vm.clone()), domain, region);
+        if let Some(bandwidth) = (self.setup.link)(number) {
+            self.network.narrow(Node::Vm(vm.clone()), bandwidth);
+        }
         self.lives.set(self.lives.get() + 1);
         let (streams, streams_in) = mpsc::unbounded_channel();
         let (relays, relays_in) = mpsc::unbounded_channel();
--- /dev/null
+++ b/tests/direct_long.rs
@@ -0,0 +1,114 @@
+//! Configurations so long that they take a small VM's link for most of a second.
+
+mod scene;
+
+use lentilspoke::clock::Span;
+use lentilspoke::direct::config::Config;
+use lentilspoke::standin::direct::fault::Fault;
+use lentilspoke::standin::direct::network::{Bandwidth, Node};
+use lentilspoke::standin::direct::setup::Setup;
+use lentilspoke::types::Cores;
+use scene::{Scene, play, vm};
+
+/// Fewer VMs than count as many, in three failure domains, the first two of each with a wide link.
+const VMS: usize = 36;
+
+/// As many routes as are 1.3 MB where the store sends them.
+const ROUTES: usize = 8_000;
+
+/// By when a configuration has to be in force: `config_ms`.
+const IN_FORCE_MILLIS: u64 = 5_000;
+
+fn is_strong(number: usize) -> bool {
+    number < 6
+}
+
+fn fleet() -> Setup {
+    Setup {
+        vms: VMS,
+        cores: |number| Cores::from_thousandths(if is_strong(number) { 500 } else { 120 }),
+        link: |number| {
+            let megabits = if is_strong(number) { 200 } else { 10 };
+            Some(Bandwidth::from_megabits(megabits))
+        },
+        ..Setup::default()
+    }
+}
+
+/// The newest configuration with routes `long0`, `long1` and so on.
+fn long(scene: &Scene, routes: usize) -> Config {
+    let mut config = scene.world.configs.borrow().last().unwrap().1.clone();
+    let route = config.routes.values().next().unwrap().clone();
+    let names = (0..routes).map(|number| format!("long{number}").into());
+    config
+        .routes
+        .extend(names.map(|name| (name, route.clone())));
+    config.version = config.version.next();
+    config
+}
+
+/// The VMs that do not open a session on a route.
+async fn without(scene: &Scene, route: &str) -> Vec<String> {
+    let mut without = Vec::new();
+    for vm in scene.world.running() {
+        if !scene.opens(route, &vm).await {
+            without.push(vm.to_string());
+        }
+    }
+    without
+}
+
+fn received(scene: &Scene, number: usize) -> u64 {
+    let node = Node::Vm(vm(&format!("vm{}", number + 1)));
+    scene.world.network.received(&node)
+}
+
+/// Guards against readings of a long configuration that are given up before they can be there, and asked for by
+/// other ways that fill the same link.
+#[test]
+fn a_long_configuration_is_in_force_in_time() {
+    play(fleet(), |scene| async move {
+        scene.until(1_000).await;
+        scene.world.configure(long(&scene, ROUTES));
+        scene.until(1_000 + IN_FORCE_MILLIS).await;
+        let last = format!("long{}", ROUTES - 1);
+        assert_eq!(without(&scene, &last).await, Vec::<String>::new());
+    });
+}
+
+/// Guards against a long configuration that is sent again in full where little of it has changed.
+#[test]
+fn a_change_of_a_long_configuration_is_told_alone() {
+    play(fleet(), |scene| async move {
+        scene.until(1_000).await;
+        scene.world.configure(long(&scene, ROUTES));
+        scene.until(8_000).await;
+        let before: Vec<u64> = (0..VMS).map(|number| received(&scene, number)).collect();
+        let mut next = long(&scene, ROUTES + 1);
+        next.idle = Span::from_secs(11);
+        scene.world.configure(next);
+        scene.until(8_000 + IN_FORCE_MILLIS).await;
+        let last = format!("long{ROUTES}");
+        assert_eq!(without(&scene, &last).await, Vec::<String>::new());
+        // The steward and those that read for others have it from the store.
+        for number in (0..VMS).filter(|number| !is_strong(*number)) {
+            let came = received(&scene, number) - before[number];
+            assert!(came < 100_000, "vm{} received {came} bytes", number + 1);
+        }
+    });
+}
+
+/// Guards against VMs that all read a long configuration as they come back from a loss of power.
+#[test]
+fn a_long_configuration_is_there_soon_after_a_loss_of_power() {
+    play(fleet(), |scene| async move {
+        scene.until(1_000).await;
+        scene.world.configure(long(&scene, ROUTES));
+        scene.until(3_000).await;
+        let all = Fault::KillAll(scene.world.running());
+        scene.fault(all, 3_000, 4_400).await;
+        scene.until(4_400 + IN_FORCE_MILLIS).await;
+        let last = format!("long{}", ROUTES - 1);
+        assert_eq!(without(&scene, &last).await, Vec::<String>::new());
+    });
+}
