Tell configurations in parts, and what changed of them alone

Cause, the other of two: a configuration of any length was told to other VMs in one answer, waited for 0.2 to 0.4 s, or read by way of three other VMs, 0.3 s each; of 4,266 routes none arrives in that time on a link of 10 Mbit/s, and each try sends some 0.3 to 0.7 MB over it. What is long was decided by the number of VMs (128), which has nothing to do with it. Evidence: 569 tries by VMs that read for others ended without the configuration; VMs that read for others made 6 to 42 calls a second for others, and sent 7 MB a second each. Change: direct::parts. A VM is told what differs from the configuration that it has in force, in parts of 512 entries, each a short answer; what has come stays. In any fleet with VMs that read for others it is had from the VM above in the failure domain, then from the store, by the own way alone. A long table of rows is not read by way of other VMs either. What is told of long lists is bounded by entries a second, not by answers. A register that came with a configuration is not asked for again. Before, by the three tests of direct_long: 27, 28 and 23 of 36 VMs did not have the configuration 5 s after it was due. After: all have it, and a change of one route costs a small VM less than 100 KB. Why it works: no answer is longer than its time, and none is sent again.

--- a/src/direct/control/bulk.rs
+++ b/src/direct/control/bulk.rs
@@ -19,19 +19,17 @@
 /// A database that leaves goes on for 7 s.
 const REGISTER_EVERY: Span = Span::from_secs(3);
 
-/// How many routes and keys a VM that reads for others tells them together, of 80 bytes each: 1.6 MB take 1.3 s on
-/// a link of 10 Mbit/s.
-const MOST_TOLD: usize = 20_000;
-
-/// How long a VM has a register, or a configuration, from its ancestors before it reads the store. A
-/// configuration has to be in force within some seconds, half of which are left then.
+/// How long a VM has nothing more of a register, or of a configuration, from its ancestors before it reads the
+/// store; and how long it has it from them at all. A configuration has to be in force within some seconds, half of which
+/// are left then.
 const REGISTER_WITHIN: Span = Span::from_millis(2_500);
 const CONFIG_WITHIN: Span = Span::from_millis(1_500);
+const LONGEST: Span = Span::from_millis(2_500);
 
 /// The pause before a VM that does not have it either is asked again, half by chance.
 const ASK_AGAIN: Span = Span::from_millis(200);
 
-/// How long one answer is waited for: 400 KB over a small link.
+/// How long one answer is waited for: a register of 400 KB over a small link.
 const ANSWER: Span = Span::from_millis(1_500);
 
 /// Has each register and configuration that is known to be there and was not told.
@@ -77,33 +75,54 @@
 
     /// Has the configuration that another VM has.
     async fn fetch_config(&self) {
+        let mut before = None;
         while self.lacks_config() {
-            let chance = 50 + (self.chance() * 50.0) as u64;
-            self.pause_of(SPREAD.percent(chance)).await;
-            if !self.lacks_config() {
-                break;
+            let gathered = self.state.borrow().gathering.length();
+            // One that is coming in parts goes on to come.
+            if before.replace(gathered) != Some(gathered) && gathered.1 > 0 {
+                tokio::task::yield_now().await;
+            } else {
+                let chance = 50 + (self.chance() * 50.0) as u64;
+                self.pause_of(SPREAD.percent(chance)).await;
             }
-            if self.is_large()
-                && self
-                    .try_config("ancestors", async {
-                        self.ask_ancestors(CONFIG_WITHIN, Self::lacks_config).await;
-                    })
-                    .await
-            {
+            if !self.lacks_config() {
                 break;
             }
-            if self.is_config_heavy() && self.try_config_at_store().await {
-                continue;
-            }
-            let readers = async {
-                let _ = self.ask_readers(true).await;
-            };
-            if !self.try_config("readers", readers).await {
-                self.try_config_at_store().await;
+            match self.have_readers() {
+                true => self.have_config_from_above().await,
+                false => self.have_config_from_others().await,
             }
         }
     }
 
+    /// Has it from the ancestors of this VM, else from the store, else from VMs that read for others: the store may
+    /// turn away this VM and all that are above it.
+    async fn have_config_from_above(&self) {
+        let above = async {
+            self.ask_ancestors(CONFIG_WITHIN, Self::lacks_config).await;
+        };
+        let _ = self.try_config("ancestors", above).await
+            || self.try_config_at_store().await
+            || self.try_config_of_readers().await;
+    }
+
+    /// Has it from other VMs, each of which reads the store, else from the store.
+    async fn have_config_from_others(&self) {
+        let before = self.state.borrow().gathering.length();
+        let had = self.try_config_of_readers().await;
+        let more = self.state.borrow().gathering.length() > before;
+        if !had && !more {
+            self.try_config_at_store().await;
+        }
+    }
+
+    async fn try_config_of_readers(&self) -> bool {
+        let readers = async {
+            let _ = self.ask_readers(true).await;
+        };
+        self.try_config("readers", readers).await
+    }
+
     async fn try_config_at_store(&self) -> bool {
         let read = async {
             let _ = self.read_config().await;
@@ -123,17 +142,18 @@
         had
     }
 
-    /// Asks the ancestors of this VM for what it lacks, as long as they are reached and `within` is not over;
-    /// whether it lacks nothing then.
+    /// Asks the ancestors of this VM for what it lacks, as long as they are reached and have had something to tell
+    /// `within`; whether it lacks nothing then.
     async fn ask_ancestors(&self, within: Span, lacks: impl Fn(&Self) -> bool) -> bool {
         let began = self.now();
-        let until = began + within;
+        let mut until = began + within;
         let ancestors = {
             let view = self.setup.shared.look();
             reader::ancestors(view.fellows.list(), self.setup.address)
         };
         for ancestor in ancestors {
-            while self.now() < until {
+            while self.now() < until.min(began + LONGEST) {
+                let before = self.state.borrow().gathering.length();
                 let question = Question::Beat(self.beat_for(true));
                 let told = self.hear(ancestor, question, ANSWER).await;
                 if !lacks(self) {
@@ -144,6 +164,10 @@
                 if told.is_none() {
                     break;
                 }
+                if self.state.borrow().gathering.length() > before {
+                    until = self.now() + within;
+                    continue;
+                }
                 let chance = 50 + (self.chance() * 50.0) as u64;
                 self.pause_of(ASK_AGAIN.percent(chance)).await;
             }
@@ -155,18 +179,9 @@
         tokio::time::sleep(Duration::from(pause)).await;
     }
 
-    /// Whether a configuration like the one in force is more than those that read for others can tell in
-    /// time.
-    ///
-    /// **Pattern answered.** Hundreds of VMs, and as many routes as make 200 KB. **Without it** each reader tells
-    /// it to some 25 VMs over a link of 10 Mbit/s, and the last of them has it 4 s after it was accepted.
-    /// **Why it suffices.** The store's link is hundreds of times as wide; whom it turns away asks readers.
-    fn is_config_heavy(&self) -> bool {
-        let view = self.setup.shared.look();
-        let entries = view.config.as_ref().map_or(0, |config| config.entries());
-        let fellows = view.fellows.list();
-        let readers = reader::all(fellows).len().max(1);
-        entries * fellows.len() / readers > MOST_TOLD
+    /// Whether some VMs read the store for the others.
+    pub(super) fn have_readers(&self) -> bool {
+        self.setup.shared.look().fellows.list().len() > reader::FEW
     }
 
     fn lacks_config(&self) -> bool {
--- a/src/direct/control/detour.rs
+++ b/src/direct/control/detour.rs
@@ -12,7 +12,8 @@
 use crate::clock::{Span, Time};
 use crate::direct::adapter::Later;
 use crate::direct::control::Control;
-use crate::direct::control::rows::TABLE;
+use crate::direct::control::rows::{Reading, TABLE};
+use crate::direct::control::store::FIRST_ROWS;
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::{Ask, Told};
 use std::net::SocketAddr;
@@ -86,10 +87,9 @@
     /// Has other VMs make a call in turn, until the store answers one of them.
     async fn ask_others(&self, ask: Ask) -> Option<Told> {
         if let Ask::Read(table) = &ask
-            && self.is_large()
-            && **table != *TABLE
+            && self.is_long(table)
         {
-            // Long: VMs that read for others tell it in their own time.
+            // VMs that read for others tell it in parts, or what changed of it.
             return None;
         }
         let mut refusals = 0;
@@ -111,6 +111,16 @@
         None
     }
 
+    /// Whether a table may be longer than another VM can pass on within [`WITHIN`] over a small link.
+    fn is_long(&self, table: &str) -> bool {
+        if table != TABLE {
+            return self.have_readers();
+        }
+        let state = self.state.borrow();
+        let rows = |reading: &Reading| reading.leads.len() + reading.members.len();
+        state.many_rows || state.reading.as_ref().map_or(0, rows) > FIRST_ROWS as usize
+    }
+
     /// The VMs to ask: first the steward, which the store answered a second ago as a rule, then those that
     /// read for others: they know by then whether it answers them. The steward of many VMs is left alone.
     fn helpers(&self) -> Vec<SocketAddr> {
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -9,6 +9,7 @@
 use crate::direct::fresh::Progress;
 use crate::direct::lead::Lead;
 use crate::direct::mesh::{Beat, Heard, Leads, Listed, News, RegisterNews};
+use crate::direct::parts::Limit;
 use crate::direct::view::FellowNews;
 use crate::direct::view::{Report, View};
 use crate::types::{DatabaseId, GroupId};
@@ -17,12 +18,14 @@
 /// What was told this long ago at the latest has been heard by all that beat: two beats.
 const NEWS: Span = Span::from_secs(1);
 
-/// With more routes, keys and databases than this, no more than so many VMs a second are told all of them:
-/// 60 KB each and more, over a link that carries 1.2 MB.
-const LONG: usize = 512;
-const TOLD_MOST: u32 = 4;
+/// How many routes, keys and databases are told a second to VMs that ask for what is long, of 40 bytes each: a
+/// link of 10 Mbit/s carries 1.2 MB, and heartbeats have to be answered in time meanwhile.
+const TOLD_MOST: usize = 32_768;
 const TOLD_EVERY: Span = Span::from_secs(1);
 
+/// How many entries a part of a configuration has: 20 KB, 16 ms on a small link.
+const PART: usize = 512;
+
 /// How often the VMs are counted that are heard: a heartbeat's answer must not cost more with more of them.
 const COUNT_EVERY: Span = Span::from_millis(250);
 
@@ -32,9 +35,9 @@
 /// learns by a read of its own.
 const MOST_FRESH: usize = 4_000;
 
-/// Up to this many routes and keys a configuration is told with the answer to a heartbeat: about 8 KB. The
-/// steward has a link of 20 Mbit/s for some hundred VMs, so a longer one is had from a VM near by, or
-/// from the store.
+/// Up to this many entries in which a configuration differs are told with the answer to a heartbeat: 20 KB at
+/// most. The steward has a link of 20 Mbit/s for some hundred VMs, so more are had from a VM near by, or from
+/// the store.
 const SHORT_CONFIG: usize = 256;
 
 /// What a heartbeat tells of how databases answered.
@@ -80,6 +83,7 @@
                 .config
                 .as_ref()
                 .map_or_else(Default::default, |c| c.version),
+            gathered: self.state.borrow().gathering.gathered(),
             whole,
             register: self.state.borrow().register.digest(),
             fellows: view.fellows.digest(),
@@ -97,7 +101,7 @@
             self.note_beat(&id, &beat, now);
         }
         let hears_most = steward && self.hears_most(now);
-        let whole = beat.whole && self.has_newer(&beat) && self.may_tell_all(now);
+        let whole = beat.whole && self.may_tell_long(&beat, now);
         let state = self.state.borrow();
         let read = state.reading.as_ref();
         let listed = read.map(|reading| Listed {
@@ -107,9 +111,16 @@
         let reading = read.filter(|reading| reading.is_lease_for(&id, beat.life));
         let config = self.setup.shared.look().config.clone();
         let newest = config.as_ref().map_or_else(Default::default, |c| c.version);
-        let newer = config
-            .filter(|config| config.version > beat.config)
-            .filter(|config| whole || config.entries() <= SHORT_CONFIG);
+        let limit = match whole {
+            true => Limit::Portion(PART),
+            false => Limit::Rest(SHORT_CONFIG),
+        };
+        let part = config.and_then(|config| {
+            let gathered = beat.gathered.as_ref();
+            state
+                .config_changes
+                .part(&config, beat.config, gathered, limit)
+        });
         News {
             life: self.setup.life,
             steward,
@@ -121,33 +132,31 @@
             fresh: self.fresh_news(now),
             fellows: reading.and_then(|_| self.fellows_news(beat.fellows)),
             newest,
-            config: newer.map(|config| (*config).clone()),
+            config: part,
             register: self.register_news(beat.register, whole, now),
         }
     }
 
-    /// Whether this VM has a configuration or a register that the one that beats does not have.
-    fn has_newer(&self, beat: &Beat) -> bool {
-        let state = self.state.borrow();
-        let register = &state.register;
-        let differs = register.asked().is_some() && register.digest() != beat.register;
-        differs || self.config_version() > beat.config
-    }
-
-    /// Whether one more VM may be told all of what is long. Those beyond the bound are told that there is
+    /// Whether one more VM may be told what is long. Those beyond the bound are told that there is
     /// something newer, and ask again: their heartbeats are answered in time meanwhile.
-    fn may_tell_all(&self, now: Time) -> bool {
-        let config = self.setup.shared.look().config.clone();
-        let entries = config.map_or(0, |config| config.entries());
+    fn may_tell_long(&self, beat: &Beat, now: Time) -> bool {
+        let newer = self.config_version() > beat.config;
         let mut state = self.state.borrow_mut();
-        if entries + state.register.databases().len() <= LONG {
-            return true;
+        let register = &state.register;
+        let differs = register.asked().is_some() && register.digest() != beat.register;
+        let databases = if differs {
+            register.databases().len()
+        } else {
+            0
+        };
+        if now.since(state.told_long.0) >= TOLD_EVERY {
+            state.told_long = (now, 0);
         }
-        if now.since(state.told_all.0) >= TOLD_EVERY {
-            state.told_all = (now, 0);
+        if state.told_long.1 >= TOLD_MOST {
+            return false;
         }
-        state.told_all.1 += 1;
-        state.told_all.1 <= TOLD_MOST
+        state.told_long.1 += databases + if newer { PART } else { 0 };
+        true
     }
 
     /// How far primaries have come, as far as that was not told before.
@@ -242,8 +251,16 @@
 
     /// Takes over what a VM told that was asked at `asked`.
     pub(super) fn take_news(&self, news: News, asked: Time) {
-        if let Some(config) = news.config {
-            watch::apply(self, config, "another VM");
+        if let Some(part) = news.config {
+            let known = self.setup.shared.look().config.clone();
+            let taken = self
+                .state
+                .borrow_mut()
+                .gathering
+                .take(part, known.as_deref());
+            if let Some(config) = taken {
+                watch::apply(self, config, "another VM");
+            }
         }
         self.hear_of_config(news.newest);
         if let Some(news) = news.register {
@@ -293,7 +310,10 @@
         });
         match content {
             Some(Some(found)) => {
-                let changes = self.state.borrow_mut().register.told(found, at);
+                let mut state = self.state.borrow_mut();
+                let changes = state.register.told(found, at);
+                state.lacks_register = false;
+                drop(state);
                 self.publish(&changes, news.age);
             }
             // About another register than the one that is known here by now.
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -9,6 +9,7 @@
 use crate::direct::control::takeover::{Hearing, Watch};
 use crate::direct::history::History;
 use crate::direct::lead::{self, Lead};
+use crate::direct::parts::{Changes, Gathering};
 use crate::direct::table::{RowId, Version};
 use crate::direct::tenure::HEARD;
 use crate::direct::view::Report;
@@ -29,8 +30,12 @@
     pub lacks_register: bool,
     /// When a register that was told to differ was last read here.
     pub register_read: Option<Time>,
-    /// How many VMs were told all of what is long, since when.
-    pub told_all: (Time, u32),
+    /// How many entries of what is long were told, since when.
+    pub told_long: (Time, usize),
+    /// What changed of the configuration of late.
+    pub config_changes: Changes,
+    /// What has come of a newer configuration.
+    pub gathering: Gathering,
     /// VMs whose rows are to be written together.
     pub waiting: Vec<Waiting>,
     /// When this VM's row was last written, by whomever: readings from before say nothing of it.
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -67,11 +67,11 @@
     }
 }
 
-/// How long a table is waited for, which a slow store reads in 240 ms: a steward that is turned away
+/// How long it is waited until a table begins to come, which a slow store reads in 240 ms: a steward that is turned away
 /// without an answer notices by this, and offers the duty to others.
 const READ_PATIENCE: Span = Span::from_millis(800);
 
-/// How long a page of a long table is waited for: 700 KB take 0.6 s on a link of 10 Mbit/s alone.
+/// How long it is waited until a page of a long table begins to come.
 const LONG_PATIENCE: Span = Span::from_secs(3);
 
 /// How long every other reading is waited for once one has brought nothing.
@@ -90,7 +90,7 @@
 
 /// How many rows a VM that starts reads of a table of any length, and from its own row on where there
 /// are more.
-const FIRST_ROWS: u32 = 256;
+pub(super) const FIRST_ROWS: u32 = 256;
 const NEAR_ROWS: u32 = 64;
 
 /// What a VM that starts has read.
@@ -214,14 +214,20 @@
     /// Reads a table that may be long, by the own way only.
     ///
     /// **Pattern answered.** A configuration of some hundred KB is half a second on a small VM's link.
-    /// **Without it** its reading is given up as lost, and asked for by way of other VMs, each of which reads it
+    /// **Without it** a reading that is late is asked for by way of other VMs, each of which reads it
     /// too: of 300 VMs all ask a few for 700 KB each, which end at their memory's limit.
+    pub async fn read_here(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
+        self.read_within(table, self.read_patience()).await
+    }
+
+    /// The same, where hundreds of VMs may read it at one moment.
     pub async fn read_long(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
+        self.read_within(table, LONG_PATIENCE).await
+    }
+
+    async fn read_within(&self, table: &str, patience: Span) -> Result<(Vec<Row>, Version), Fault> {
         self.count(|counts| counts.reads += 1);
-        match self
-            .call_here(Ask::Read(table.into()), LONG_PATIENCE)
-            .await?
-        {
+        match self.call_here(Ask::Read(table.into()), patience).await? {
             Told::Rows { rows, version } => Ok((rows, version)),
             _ => Err(unexpected()),
         }
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -79,11 +79,14 @@
         Ok(())
     }
 
-    /// Reads the configuration or the register, which are long where the fleet is large.
+    /// Reads the configuration or the register, which may be long.
     pub(super) async fn read_table(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
-        match self.is_large() {
-            true => self.store.read_long(table).await,
-            false => self.store.read(table).await,
+        let (is_large, have_readers) = (self.is_large(), self.have_readers());
+        match (is_large, have_readers) {
+            (true, _) => self.store.read_long(table).await,
+            (false, true) => self.store.read_here(table).await,
+            // Each VM reads for itself, or by way of another one while the store turns it away.
+            (false, false) => self.store.read(table).await,
         }
     }
 
@@ -148,12 +151,20 @@
 /// gone back to: callers have seen the newer one's effects.
 pub(super) fn apply(control: &Control, config: Config, source: &str) {
     let shared = &control.setup.shared;
-    let known = shared.look().config.as_ref().map(|known| known.version);
-    if known.is_some_and(|known| known >= config.version) {
+    let known = shared.look().config.clone();
+    let before = known.as_ref().map(|known| known.version);
+    if before.is_some_and(|before| before >= config.version) {
         return;
     }
+    {
+        let mut state = control.state.borrow_mut();
+        state.gathering.forget(config.version);
+        if let Some(known) = &known {
+            state.config_changes.note(known, &config);
+        }
+    }
     log::info!(
-        version:% = config.version, before:? = known.map(|v| v.0), routes = config.routes.len(),
+        version:% = config.version, before:? = before.map(|v| v.0), routes = config.routes.len(),
         groups = config.groups.len(), source;
         "a configuration is in force"
     );
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -3,9 +3,10 @@
 
 use crate::clock::Span;
 use crate::direct::adapter::Later;
-use crate::direct::config::{Config, Database};
+use crate::direct::config::Database;
 use crate::direct::fresh::Progress;
 use crate::direct::lead::{Epoch, Lead};
+use crate::direct::parts::{Gathered, Part};
 use crate::direct::table;
 use crate::direct::view::{FellowNews, Report};
 use crate::types::{Cores, DatabaseId, Domain, GroupId, Life, Version, VmId};
@@ -78,7 +79,10 @@
     pub address: SocketAddr,
     /// The configuration that it has in force.
     pub config: Version,
-    /// Whether a newer one may be told in full however long it is: asked of a VM near by.
+    /// What it has of a newer one.
+    pub gathered: Option<Gathered>,
+    /// Whether what is long may be told: a part of a newer configuration, all of the register. Asked of a VM
+    /// near by.
     pub whole: bool,
     /// The digest of the register that it has.
     pub register: u64,
@@ -134,8 +138,8 @@
     pub fellows: Option<FellowNews>,
     /// Which configuration the answering VM has in force.
     pub newest: Version,
-    /// That configuration, if it is newer than the one told, and short or asked for in full.
-    pub config: Option<Config>,
+    /// What that configuration has and the asking VM does not, if that is short, or a part of it was asked for.
+    pub config: Option<Part>,
     /// The register, if it differs from the one told.
     pub register: Option<RegisterNews>,
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -29,6 +29,7 @@
 pub mod meter;
 pub mod outcome;
 pub mod owner;
+pub mod parts;
 pub mod pool;
 pub mod quota;
 pub mod reached;
--- a/tests/direct_fleet.rs
+++ b/tests/direct_fleet.rs
@@ -216,6 +216,7 @@
                 life: former.life,
                 address: former.address,
                 config: Version::default(),
+                gathered: None,
                 whole: false,
                 register: 0,
                 fellows: 0,
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -127,6 +127,7 @@
         version: 1,
     };
     meter.store_call(&Ask::Read("lead".into()), &Ok(rows));
+    meter.config_try("store", true);
     meter.lease_lapsed(&group);
     meter.promoted(&group, Span::ZERO);
     let lead = LeadLevel {
