--- a/src/cmd/schedules.rs
+++ b/src/cmd/schedules.rs
@@ -11,13 +11,14 @@
 what callers were told against what is left. A failing seed is printed with its
 script, which can be kept as a scenario.
 
-Usage: lentilspoke schedules [--direct [--crowded] [--reborn] [--fleet]] [--seeds FIRST..LAST] [--script]
+Usage: lentilspoke schedules [--direct [--crowded] [--reborn] [--fleet] [--drill]] [--seeds FIRST..LAST] [--script]
 
 Options:
     --direct               play whole worlds of direct access; RUST_LOG shows what VMs log
     --crowded              with more VMs than have connections of their own
     --reborn               databases that crash start again with nothing of before
     --fleet                with 18 VMs more, a few of which read the store for all
+    --drill                a store that would be down comes back from an older copy instead
     --seeds FIRST..LAST    the seeds to play, both included; 1..100 by default
     --script               print the script of each seed
     -h, --help             print this text
@@ -41,6 +42,7 @@
         options.optflag("", "crowded", "");
         options.optflag("", "reborn", "");
         options.optflag("", "fleet", "");
+        options.optflag("", "drill", "");
         let matches = parse(&mut options, USAGE, words)?;
         let text: Option<String> = value(&matches, "seeds")?;
         let text = text.unwrap_or_else(|| DEFAULT_SEEDS.into());
@@ -60,6 +62,7 @@
                 crowded: matches.opt_present("crowded"),
                 reborn: matches.opt_present("reborn"),
                 fleet: matches.opt_present("fleet"),
+                drill: matches.opt_present("drill"),
             },
         })
     }
--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -115,6 +115,7 @@
             return Ok(None);
         };
         self.drop_everywhere(&work).await;
+        self.wait_for_strangers().await;
         log::info!(
             group:%, epoch = work.epoch, took_ms = self.now().since(work.intent).0 / 1_000;
             "no VM acts on the old primary any more"
@@ -215,6 +216,18 @@
         }
     }
 
+    /// Waits until no VM holds a lease that was registered in an earlier era of the store and is in no row of this one.
+    async fn wait_for_strangers(&self) {
+        let Some(until) = self.store.strangers_until() else {
+            return;
+        };
+        let left = until.since(self.now());
+        if left > Span::ZERO {
+            log::info!(left_ms = left.0 / 1_000; "VMs of an earlier era of the store may hold leases");
+            tokio::time::sleep(left.into()).await;
+        }
+    }
+
     /// The VMs' rows, read after the intent was there, and by when.
     async fn members_after(self: &Rc<Self>, intent: Time) -> (BTreeMap<MemberId, Member>, Time) {
         let mut backoff = Backoff::default();
@@ -288,6 +301,7 @@
             primary: primary.id,
             born: primary.born,
             changing: false,
+            continues: None,
         };
         let extra = Extra {
             row: lead_row(&work.group),
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -2,12 +2,12 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::control::backoff::Backoff;
-use crate::direct::control::rows::{Duty, MemberId, duty_row, encode};
+use crate::direct::control::rows::{Duty, MemberId, Reading, duty_row, encode};
 use crate::direct::control::state::{Beaten, Held, State};
 use crate::direct::control::takeover::ORDERS_END;
-use crate::direct::control::{Control, errands, reader};
+use crate::direct::control::{Control, errands, reader, resume};
 use crate::direct::mesh::{Answer, Question};
-use crate::direct::table::{Change, Fault, Row, RowId, Version};
+use crate::direct::table::{Change, Era, Fault, Row, RowId, Version};
 use crate::direct::tenure::HEARD;
 use crate::types::Cores;
 use bytes::Bytes;
@@ -96,7 +96,7 @@
             .count();
         let hearing = state.post.as_ref().map(|post| &post.hearing);
         let at = state.watch.takes_at(hearing, rank, now)?;
-        let is_first = state.watch.version() == 0;
+        let is_first = state.watch.version().is_none();
         Some(if is_first { at + self.modesty() } else { at })
     }
 
@@ -140,10 +140,19 @@
         }
         let (version, token) = {
             let state = self.state.borrow();
-            let read = state.reading.as_ref().and_then(|r| r.duty.as_ref());
+            let reading = state.reading.as_ref();
+            let read = reading.and_then(|r| r.duty.as_ref().or(r.former.duty.as_ref()));
             let read = read.map_or(0, |(duty, _)| duty.token);
             let told = state.post.as_ref().map_or(0, |post| post.token);
-            (state.watch.version(), read.max(told) + 1)
+            let floor = resume::floor(reading.map_or(Era::default(), |r| r.era));
+            // No row of the duty counts: the one of an earlier era is replaced.
+            let version = match state.watch.version() {
+                version if version.is_none() => {
+                    reading.map_or(Version::NONE, Reading::duty_version)
+                }
+                version => version,
+            };
+            (version, read.max(told).max(floor) + 1)
         };
         let change = Change {
             expect: vec![(duty_row(), version)],
@@ -189,7 +198,7 @@
             .post
             .as_ref()
             .map(|post| held.since.since(post.hearing.since).0 / 1_000);
-        log::warn!(vm:% = self.id, token, version = held.version, silent_ms:? = silent; "this VM is the steward");
+        log::warn!(vm:% = self.id, token, version:% = held.version, silent_ms:? = silent; "this VM is the steward");
         state.heard.clear();
         let before = silent_before(&state);
         state.heard.extend(before);
@@ -346,7 +355,7 @@
             Some(row) if row.version == extra.expect => Settled::Again,
             Some(row) if row.value.as_ref() == Some(&extra.value) => Settled::Landed(row.version),
             Some(_) => Settled::Conflict,
-            None if extra.expect == 0 => Settled::Again,
+            None if extra.expect.is_none() => Settled::Again,
             None => Settled::Conflict,
         }
     }
@@ -447,7 +456,7 @@
             return false;
         };
         if found != version {
-            log::info!(token, version, found; "the duty offered has changed: waiting for its orders to end");
+            log::info!(token, version:%, found:%; "the duty offered has changed: waiting for its orders to end");
             tokio::time::sleep(ORDERS_END.into()).await;
             if self.read_rows().await.is_err() || self.duty_version(token) != Some(found) {
                 return false;
--- a/src/direct/control/enroll.rs
+++ b/src/direct/control/enroll.rs
@@ -43,7 +43,7 @@
     pub id: MemberId,
     /// What its row shall hold.
     pub member: Member,
-    /// The version that the row must have; 0 if there is none.
+    /// The version that the row must have.
     pub expect: Version,
 }
 
@@ -152,11 +152,11 @@
 }
 
 impl Applicant {
-    /// The version of its row among these; 0 if it is not there.
+    /// The version of its row among these.
     fn version_in(&self, rows: &[Row]) -> Version {
         let row = member_row(&self.id);
         let found = rows.iter().find(|found| found.id == row);
-        found.map_or(0, |found| found.version)
+        found.map_or(Version::NONE, |found| found.version)
     }
 }
 
--- a/src/direct/control/errands.rs
+++ b/src/direct/control/errands.rs
@@ -2,7 +2,6 @@
 
 use crate::clock::{Span, Time};
 use crate::direct::config::Database;
-use crate::direct::control::Control;
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::evidence::Tried;
 use crate::direct::control::probe;
@@ -10,10 +9,11 @@
 use crate::direct::control::rows::{MemberId, duty_row, encode, lead_row, member_row};
 use crate::direct::control::state::{Beaten, Topic};
 use crate::direct::control::steward::{Errand, Scene, Told, survey};
+use crate::direct::control::{Control, resume};
 use crate::direct::lead::Lead;
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::statement::Order;
-use crate::direct::table::{Change, Version};
+use crate::direct::table::{Change, Era, Version};
 use crate::types::{DatabaseId, GroupId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -87,6 +87,7 @@
         if rows.is_ok() && register.is_ok() {
             backoff.reset();
             control.keep_links().await;
+            control.store.say_quiet().await;
             if offered + OFFER_EVERY <= began && control.yield_to_stronger().await {
                 offered = control.now();
             }
@@ -242,26 +243,25 @@
 
     /// Writes first lead rows of new groups, as long as the duty is held.
     async fn create_leads(self: &Rc<Self>, token: u64, new: &[(GroupId, DatabaseId)]) {
-        let first = |(group, primary): &(GroupId, DatabaseId)| {
-            let primary = self.registered(primary)?;
-            let lead = Lead {
-                epoch: 1,
-                primary: primary.id,
-                born: primary.born,
-                changing: false,
-            };
-            log::info!(group:%, primary:% = lead.primary, epoch = 1; "a new group's primary is written");
-            Some((group.clone(), lead))
+        let first = |(group, named): &(GroupId, DatabaseId)| {
+            let named = self.registered(named)?;
+            let (lead, former) = self.first_lead(group, &named);
+            log::info!(
+                group:%, primary:% = lead.primary, epoch = lead.epoch, changing = lead.changing,
+                continues:? = lead.continues;
+                "a group's first primary is written"
+            );
+            Some((group.clone(), lead, former))
         };
         let leads: Vec<_> = new.iter().filter_map(first).collect();
         let written = {
             let _one = self.writing.lock().await;
             let held = self.state.borrow_mut().held(token).map(|held| held.version);
             let Some(held) = held else { return };
-            let rows = leads.iter().map(|(group, _)| (lead_row(group), 0));
-            let writes = leads
-                .iter()
-                .map(|(group, lead)| (lead_row(group), encode(lead)));
+            let rows = leads.iter();
+            let rows = rows.map(|(group, _, former)| (lead_row(group), *former));
+            let writes = leads.iter();
+            let writes = writes.map(|(group, lead, _)| (lead_row(group), encode(lead)));
             let change = Change {
                 expect: rows.chain([(duty_row(), held)]).collect(),
                 writes: writes.collect(),
@@ -274,11 +274,27 @@
             let _ = self.read_rows().await;
             return;
         };
-        for (group, lead) in leads {
+        for (group, lead, _) in leads {
             self.learn_written(&group, lead, version);
         }
     }
 
+    /// The first lead of a group in the store's era, and the version that its row has by now.
+    fn first_lead(&self, group: &GroupId, named: &Database) -> (Lead, Version) {
+        let now = self.now();
+        let state = self.state.borrow();
+        let reading = state.reading.as_ref();
+        let former = reading.and_then(|reading| reading.former.leads.get(group));
+        let version = former.map_or(Version::NONE, |(_, version)| *version);
+        let view = self.setup.shared.look();
+        let known = view.book.known(group).map(|(lead, _)| lead);
+        let known = known.into_iter().chain(former.map(|(lead, _)| lead));
+        let known = known.max_by_key(|lead| (lead.epoch, lead.changing));
+        let held = view.book.lease(group, now).map(|lease| lease.epoch);
+        let era = reading.map_or(Era::default(), |reading| reading.era);
+        (resume::first(era, known.cloned(), held, named), version)
+    }
+
     /// A database as the register shows it.
     pub(super) fn registered(&self, id: &DatabaseId) -> Option<Database> {
         self.setup.shared.look().databases.get(id).cloned()
--- a/src/direct/control/join.rs
+++ b/src/direct/control/join.rs
@@ -131,7 +131,7 @@
             evicted: false,
         });
         let known = members.get(&self.id);
-        let expect = known.map_or(0, |member| member.1);
+        let expect = known.map_or(Version::NONE, |member| member.1);
         let mut readers = match reader::reads(&fellows, own) {
             true => Vec::new(),
             false => reader::near(&fellows, own),
--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -10,6 +10,7 @@
 use crate::direct::lead::Lead;
 use crate::direct::mesh::{Beat, Heard, Leads, Listed, News, RegisterNews};
 use crate::direct::parts::Limit;
+use crate::direct::table::Version;
 use crate::direct::view::FellowNews;
 use crate::direct::view::{Report, View};
 use crate::types::{DatabaseId, GroupId};
@@ -106,7 +107,10 @@
         let state = self.state.borrow();
         let read = state.reading.as_ref();
         let listed = read.map(|reading| Listed {
-            version: reading.members.get(&id).map_or(0, |member| member.1),
+            version: reading
+                .members
+                .get(&id)
+                .map_or(Version::NONE, |member| member.1),
             age: now.since(reading.asked),
         });
         let reading = read.filter(|reading| reading.is_lease_for(&id, beat.life));
@@ -122,8 +126,10 @@
                 .config_changes
                 .part(&config, beat.config, gathered, limit)
         });
+        let (era, since) = self.store.era();
         News {
             life: self.setup.life,
+            era: since.map(|since| (era, now.since(since))),
             steward,
             hears_most,
             duty: self.duty_heard(now),
@@ -252,6 +258,9 @@
 
     /// Takes over what the VM that listens at `from` told, which was asked at `asked`.
     pub(super) fn take_news(&self, news: News, from: SocketAddr, asked: Time) {
+        if let Some((era, age)) = news.era {
+            self.store.hear_era(era, asked - age);
+        }
         if let Some(part) = news.config {
             let known = self.setup.shared.look().config.clone();
             let taken = self
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -47,6 +47,11 @@
     /// whose answer was lost.
     fn learn_duty(self: &Rc<Self>, reading: &Reading) {
         let Some((duty, version)) = &reading.duty else {
+            let before = |held: &Held| held.version.era < reading.era;
+            if self.state.borrow().held.as_ref().is_some_and(before) {
+                self.resign("the store came back from an older copy");
+                self.state.borrow_mut().looked = None;
+            }
             return;
         };
         let now = self.now();
@@ -117,7 +122,7 @@
         let applicant = Applicant {
             id: self.id.clone(),
             member,
-            expect: known.map_or(0, |(_, version)| *version),
+            expect: known.map_or(Version::NONE, |(_, version)| *version),
         };
         self.enroll(applicant).await?;
         let now = self.now();
@@ -163,6 +168,11 @@
         for row in &rows {
             let Some(value) = &row.value else { continue };
             match (documents.read_database)(&row.id.key, value) {
+                Ok(database) if self.store.is_former(row.version) => {
+                    // What it said of itself since is written again.
+                    let database = self.registered(&database.id).unwrap_or(database);
+                    found.insert(database.id.clone(), database);
+                }
                 Ok(database) => {
                     found.insert(database.id.clone(), database);
                 }
--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Time;
 use crate::direct::lead::Lead;
-use crate::direct::table::{Row, RowId, Version};
+use crate::direct::table::{Era, Row, RowId, Version};
 use crate::direct::view::Fellow;
 use crate::types::{Cores, Domain, GroupId, Life, VmId};
 use bytes::Bytes;
@@ -16,6 +16,8 @@
 pub const TABLE: &str = "control";
 
 const DUTY: &str = "duty";
+const ERA: &str = "era";
+const QUIET: &str = "era.quiet";
 const LEAD: &str = "lead.";
 const MEMBER: &str = "vm.";
 
@@ -71,8 +73,16 @@
 }
 
 /// The rows as of one moment.
+///
+/// **Failure answered.** The store comes back from an older copy: a VM that is registered, an intent or a change of
+/// primary is gone, and what was changed is as it was. **Symptom without it.** Two VMs hold the duty with one token,
+/// or a VM acts on a primary that was replaced. **Why it suffices.** The first that is written in an era is the row that
+/// names it. Whatever has a lower number is from before, and counts as hearsay: as a VM that is evicted, as no duty and
+/// as no lead. All our writes are under the condition of that row, so none that was asked before lands after it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reading {
+    /// The store's era.
+    pub era: Era,
     /// When they were asked for.
     pub asked: Time,
     /// When they were there.
@@ -83,38 +93,66 @@
     pub leads: BTreeMap<GroupId, (Lead, Version)>,
     /// The VMs, and the versions of their rows.
     pub members: BTreeMap<MemberId, (Member, Version)>,
+    /// Rows of an earlier era that nothing of this one has replaced.
+    pub former: Former,
+}
+
+/// What an earlier era left: hearsay, and the versions under which it is replaced.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Former {
+    /// The duty's row.
+    pub duty: Option<(Duty, Version)>,
+    /// Who led.
+    pub leads: BTreeMap<GroupId, (Lead, Version)>,
 }
 
 impl Reading {
-    /// Reads the rows that a call asked at `asked` brought at `answered`. What can't be read is
-    /// left out and logged: another release may have written it.
-    pub fn new(rows: &[Row], asked: Time, answered: Time) -> Self {
+    /// Reads the rows that a call asked at `asked` brought at `answered`, in an era that a row of the version
+    /// `settled` names. What can't be read is left out and logged: another release may have written it.
+    pub fn new(rows: &[Row], settled: Version, asked: Time, answered: Time) -> Self {
         let mut reading = Self {
+            era: settled.era,
             asked,
             answered,
             duty: None,
             leads: BTreeMap::new(),
-            members: BTreeMap::new(),
+            members: members(rows, settled),
+            former: Former::default(),
         };
         for row in rows {
-            reading.add(row);
+            reading.add(row, row.version <= settled);
         }
         reading
     }
 
-    fn add(&mut self, row: &Row) {
+    fn add(&mut self, row: &Row, is_former: bool) {
         let key = &*row.id.key;
+        let former = &mut self.former;
         if key == DUTY {
-            self.duty = decode(row).map(|duty| (duty, row.version));
-        } else if let Some(group) = key.strip_prefix(LEAD).and_then(|text| text.parse().ok()) {
-            if let Some(lead) = decode(row) {
-                self.leads.insert(group, (lead, row.version));
-            }
-        } else {
-            self.members.extend(member(row));
+            let duty = decode(row).map(|duty| (duty, row.version));
+            *(if is_former {
+                &mut former.duty
+            } else {
+                &mut self.duty
+            }) = duty;
+        } else if let Some(group) = key.strip_prefix(LEAD).and_then(|text| text.parse().ok())
+            && let Some(lead) = decode(row)
+        {
+            let leads = if is_former {
+                &mut former.leads
+            } else {
+                &mut self.leads
+            };
+            leads.insert(group, (lead, row.version));
         }
     }
 
+    /// The version that the duty's row has, whether it counts or not.
+    pub fn duty_version(&self) -> Version {
+        let known = self.duty.as_ref().or(self.former.duty.as_ref());
+        known.map_or(Version::NONE, |(_, version)| *version)
+    }
+
     /// Who leads each group.
     pub fn rows(&self) -> Vec<(GroupId, Lead)> {
         let leads = self.leads.iter();
@@ -150,9 +188,15 @@
     }
 }
 
-/// The VMs among some rows, and the versions of their rows.
-pub fn members(rows: &[Row]) -> BTreeMap<MemberId, (Member, Version)> {
-    rows.iter().filter_map(member).collect()
+/// The VMs among some rows, and the versions of their rows. One of an earlier era than `settled` names counts as
+/// evicted: it has to register again.
+pub fn members(rows: &[Row], settled: Version) -> BTreeMap<MemberId, (Member, Version)> {
+    let known = rows.iter().filter_map(member);
+    let judged = known.map(|(id, (mut member, version))| {
+        member.evicted |= version <= settled;
+        (id, (member, version))
+    });
+    judged.collect()
 }
 
 /// The VM that a row is about, if it is about one.
@@ -182,6 +226,21 @@
     read.ok()
 }
 
+/// The row that names the store's era.
+pub fn era_row() -> RowId {
+    RowId::new(TABLE, ERA)
+}
+
+/// The row that says in which era no lease of an earlier one can be left.
+pub fn quiet_row() -> RowId {
+    RowId::new(TABLE, QUIET)
+}
+
+/// The era that a row of [`era_row`] or [`quiet_row`] names.
+pub fn named_era(row: &Row) -> Option<Era> {
+    decode(row)
+}
+
 /// The row of the duty.
 pub fn duty_row() -> RowId {
     RowId::new(TABLE, DUTY)
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -166,7 +166,10 @@
                 }
             }
         }
-        let version = reading.duty.as_ref().map_or(0, |(_, version)| *version);
+        let version = reading
+            .duty
+            .as_ref()
+            .map_or(Version::NONE, |(_, version)| *version);
         self.watch.note(version, reading.answered);
         self.note_evicted(&reading);
         self.note_epochs(&reading);
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -295,8 +295,10 @@
             if !named(*group) || scene.reading.leads.contains_key(*group) {
                 continue;
             }
-            // Where nobody leads and nobody ever did, any of them is named, and replaced as unled.
-            let headless = scene.since + HEADLESS <= scene.now;
+            // Where nobody leads and nobody ever did, any of them is named, and replaced as unled. Where somebody
+            // did in an earlier era of the store, that one counts.
+            let was_led = scene.reading.former.leads.contains_key(*group);
+            let headless = was_led || scene.since + HEADLESS <= scene.now;
             let any = members.first().filter(|_| headless);
             let primary = members.iter().find(|d| d.primary).or(any);
             if let Some(primary) = primary {
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -3,8 +3,11 @@
 use crate::clock::{Span, Time};
 use crate::direct::adapter::Adapter;
 use crate::direct::control::detour::{Detour, Route};
-use crate::direct::control::rows::{self, Member, MemberId, Reading, TABLE, member_row};
-use crate::direct::table::{Ask, Change, Fault, Row, Told, Version};
+use crate::direct::control::era::Eras;
+use crate::direct::control::rows::{
+    self, Member, MemberId, Reading, TABLE, encode, era_row, member_row, quiet_row,
+};
+use crate::direct::table::{Ask, Change, Era, Fault, Row, Told, Version};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -153,6 +156,7 @@
     /// When a call by the own way failed that none succeeded after.
     failed: Cell<Option<Time>>,
     detour: OnceCell<Detour>,
+    eras: Cell<Eras>,
 }
 
 impl fmt::Debug for Store {
@@ -175,6 +179,7 @@
             route: Cell::default(),
             failed: Cell::default(),
             detour: OnceCell::new(),
+            eras: Cell::default(),
         }
     }
 
@@ -234,7 +239,12 @@
     }
 
     /// Reads some rows of a table from a key on.
-    async fn read_range(&self, table: &str, from: &str, most: u32) -> Result<Vec<Row>, Fault> {
+    async fn read_range(
+        &self,
+        table: &str,
+        from: &str,
+        most: u32,
+    ) -> Result<(Vec<Row>, Version), Fault> {
         self.count(|counts| counts.reads += 1);
         let ask = Ask::Range {
             table: table.into(),
@@ -242,7 +252,7 @@
             most,
         };
         match self.call(ask, self.read_patience()).await? {
-            Told::Rows { rows, .. } => Ok(rows),
+            Told::Rows { rows, version } => Ok((rows, version)),
             _ => Err(unexpected()),
         }
     }
@@ -254,37 +264,137 @@
     /// write it, not the whole table.
     pub(super) async fn opening(&self, id: &MemberId) -> Result<Opening, Fault> {
         let asked = (self.adapter.clock)();
-        let rows = self.read_range(TABLE, "", FIRST_ROWS).await?;
+        let (rows, version) = self.read_range(TABLE, "", FIRST_ROWS).await?;
+        let settled = self.settle(&rows, version).await?;
         if rows.len() < FIRST_ROWS as usize {
-            return Ok(Opening::All(self.take_reading(&rows, asked)));
+            return Ok(Opening::All(self.take_reading(&rows, settled, asked)));
         }
         let own = member_row(id);
-        let rows = self.read_range(TABLE, &own.key, NEAR_ROWS).await?;
-        Ok(Opening::Near(rows::members(&rows)))
+        let (rows, _) = self.read_range(TABLE, &own.key, NEAR_ROWS).await?;
+        Ok(Opening::Near(rows::members(&rows, settled)))
     }
 
     /// One VM's row, and its version.
     pub(super) async fn member(&self, id: &MemberId) -> Result<Option<(Member, Version)>, Fault> {
         let own = member_row(id);
-        let rows = self.read_range(TABLE, &own.key, 1).await?;
-        Ok(rows::members(&rows).remove(id))
+        let (rows, version) = self.read_range(TABLE, &own.key, 1).await?;
+        let settled = self.eras.get().settled(version.era).ok_or_else(unsettled)?;
+        Ok(rows::members(&rows, settled).remove(id))
     }
 
     /// Reads the rows of the control path.
     pub(super) async fn reading(&self) -> Result<Reading, Fault> {
         let asked = (self.adapter.clock)();
-        let (rows, _) = self.read(TABLE).await?;
-        Ok(self.take_reading(&rows, asked))
+        let (rows, version) = self.read(TABLE).await?;
+        let settled = self.settle(&rows, version).await?;
+        Ok(self.take_reading(&rows, settled, asked))
+    }
+
+    /// The version of the row that names the store's era, if these rows have it. Else it is written, and they can't be
+    /// used: what they show may be gone once it is there.
+    async fn settle(&self, rows: &[Row], version: Version) -> Result<Version, Fault> {
+        let mut eras = self.eras.get();
+        if let Some(settled) = eras.read(rows, version.era) {
+            self.eras.set(eras);
+            return Ok(settled);
+        }
+        let row = rows.iter().find(|row| row.id == era_row());
+        let change = Change {
+            expect: vec![(era_row(), row.map_or(Version::NONE, |row| row.version))],
+            writes: vec![(era_row(), encode(&version.era))],
+            remove: Vec::new(),
+        };
+        let patience = self.patience.get().span();
+        let told = self.call(Ask::Write(change), patience).await;
+        let written = matches!(told, Ok(Told::Written(_)));
+        log::info!(era:% = version.era, written; "the row of the store's era was missing");
+        Err(unsettled())
+    }
+
+    /// The era that the store is in, and since when that is known here or at another VM.
+    pub(super) fn era(&self) -> (Era, Option<Time>) {
+        let eras = self.eras.get();
+        (eras.newest(), eras.since())
+    }
+
+    /// Until when VMs may hold leases that registered in an earlier era and are in no row of this one.
+    pub(super) fn strangers_until(&self) -> Option<Time> {
+        self.eras.get().strangers_until()
+    }
+
+    /// Writes that no lease of an earlier era is left, once that is so, for stewards that start later.
+    pub(super) async fn say_quiet(&self) {
+        let now = (self.adapter.clock)();
+        if !self.eras.get().is_quiet_unsaid(now) {
+            return;
+        }
+        let Ok((rows, _)) = self.read_range(TABLE, &quiet_row().key, 1).await else {
+            return;
+        };
+        let known = rows.iter().find(|row| row.id == quiet_row());
+        let change = Change {
+            expect: vec![(quiet_row(), known.map_or(Version::NONE, |row| row.version))],
+            writes: vec![(quiet_row(), encode(&self.eras.get().newest()))],
+            remove: Vec::new(),
+        };
+        // The next reading shows it, or it is written then.
+        let _ = self.write(change).await;
+    }
+
+    /// Another VM has known since a moment that the store is in this era.
+    pub(super) fn hear_era(&self, era: Era, since: Time) {
+        let mut eras = self.eras.get();
+        eras.hear(era, since);
+        self.note_eras(eras);
+    }
+
+    /// Whether a row was last written before the era that the store is in, as far as is known.
+    pub(super) fn is_former(&self, version: Version) -> bool {
+        let settled = self.eras.get().settled(version.era);
+        settled.is_none_or(|settled| version <= settled)
+    }
+
+    /// Notes the era of an answer. One of an earlier era tells nothing of the store as it is.
+    fn accept(&self, told: Result<Told, Fault>) -> Result<Told, Fault> {
+        let era = match &told {
+            Ok(Told::Rows { version, .. } | Told::Written(version)) => Some(version.era),
+            Ok(Told::Conflict(rows)) => rows.first().map(|row| row.version.era),
+            Ok(Told::Forgotten) | Err(_) => None,
+        };
+        let Some(era) = era else { return told };
+        let mut eras = self.eras.get();
+        let is_old = !eras.told(era, (self.adapter.clock)());
+        self.note_eras(eras);
+        if is_old {
+            return Err(Fault::Unknown(
+                "it is of an earlier era of the store".into(),
+            ));
+        }
+        told
+    }
+
+    fn note_eras(&self, eras: Eras) {
+        let known = self.eras.replace(eras).known();
+        if let Some(before) = known
+            && before < eras.newest()
+        {
+            let answered = self.health.borrow().answered;
+            let age_ms = answered.map(|at| (self.adapter.clock)().since(at).0 / 1_000);
+            log::warn!(
+                before:%, era:% = eras.newest(), answered_ms:? = age_ms;
+                "the store came back from an older copy: what was read there before is hearsay"
+            );
+        }
     }
 
     /// The reading that these rows are, which were asked for at `asked` and are there now; how long they took
     /// tells how long a write may take.
-    fn take_reading(&self, rows: &[Row], asked: Time) -> Reading {
+    fn take_reading(&self, rows: &[Row], settled: Version, asked: Time) -> Reading {
         let answered = (self.adapter.clock)();
         let mut patience = self.patience.get();
         patience.read(answered.since(asked));
         self.patience.set(patience);
-        Reading::new(rows, asked, answered)
+        Reading::new(rows, settled, asked, answered)
     }
 
     /// Waits for a change of a table after a version; none means that the history is gone.
@@ -301,6 +411,8 @@
             wait,
         };
         match self.call(ask, wait + POLL_MARGIN).await? {
+            // The numbers after this one are given out again, to other content.
+            Told::Rows { version, .. } if version.era != after.era => Ok(None),
             Told::Rows { rows, version } => Ok(Some((rows, version))),
             Told::Forgotten => Ok(None),
             _ => Err(unexpected()),
@@ -308,7 +420,11 @@
     }
 
     /// Changes rows; the rows under condition come back if they are not as expected.
-    pub async fn write(&self, change: Change) -> Result<Result<Version, Vec<Row>>, Fault> {
+    pub async fn write(&self, mut change: Change) -> Result<Result<Version, Vec<Row>>, Fault> {
+        let settled = self.eras.get().condition(&change).ok_or_else(unsettled)?;
+        if !settled.is_none() {
+            change.expect.push((era_row(), settled));
+        }
         self.count(|counts| counts.writes += 1);
         let mut patience = self.patience.get();
         let asked = (self.adapter.clock)();
@@ -325,8 +441,19 @@
         }
         self.patience.set(patience);
         match told? {
+            // The row of the former era was there once more, as no other had taken its place.
+            Told::Written(version) if version.era > settled.era && !settled.is_none() => Err(
+                Fault::Unknown("it was done in a later era of the store".into()),
+            ),
             Told::Written(version) => Ok(Ok(version)),
-            Told::Conflict(rows) => Ok(Err(rows)),
+            Told::Conflict(rows) => {
+                let era = rows.iter().find(|row| row.id == era_row());
+                let names = era.map_or(Version::NONE, |row| row.version);
+                if names != settled {
+                    return Err(unsettled());
+                }
+                Ok(Err(rows))
+            }
             _ => Err(unexpected()),
         }
     }
@@ -357,7 +484,7 @@
         let mut route = self.route.get();
         if route.avoids_own((self.adapter.clock)()) {
             if let Some(told) = self.call_by_others(&ask).await {
-                return Ok(told);
+                return self.accept(Ok(told));
             }
             route.reset();
             self.route.set(route);
@@ -377,7 +504,7 @@
         }
         route.failed((self.adapter.clock)());
         self.route.set(route);
-        Ok(other)
+        self.accept(Ok(other))
     }
 
     async fn call_by_others(&self, ask: &Ask) -> Option<Told> {
@@ -390,7 +517,7 @@
         let told = (self.adapter.store)(ask, span).await;
         let now = (self.adapter.clock)();
         self.failed.set(told.is_err().then_some(now));
-        told
+        self.accept(told)
     }
 
     /// Makes a call for another VM, by the own way only. While that fails here too, the call is
@@ -411,6 +538,10 @@
     }
 }
 
+fn unsettled() -> Fault {
+    Fault::Refused("no row names the store's era, or another one does: read the rows first".into())
+}
+
 fn unexpected() -> Fault {
     Fault::Unknown("the answer is of another kind than the call".into())
 }
--- a/src/direct/control/takeover.rs
+++ b/src/direct/control/takeover.rs
@@ -85,7 +85,7 @@
 }
 
 impl Watch {
-    /// A reading that was there at `answered` showed this version; 0 if there is no row.
+    /// A reading that was there at `answered` showed this version, or that there is no row that counts.
     pub fn note(&mut self, version: Version, answered: Time) {
         if self.since.is_none() || self.version != version {
             *self = Self {
@@ -105,7 +105,7 @@
     pub fn takes_at(&self, hearing: Option<&Hearing>, rank: usize, now: Time) -> Option<Time> {
         let turn = turn(rank as u64);
         let since = self.since?;
-        if self.version == 0 {
+        if self.version.is_none() {
             return Some(since + turn);
         }
         let hearing = hearing?;
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -128,7 +128,7 @@
         () = control.lost.notified(), if wait == LONG => return Ok(Some(after)),
     };
     let Some((rows, version)) = polled else {
-        log::info!(after; "the history of the configuration is gone: reading it anew");
+        log::info!(after:%; "the history of the configuration is gone: reading it anew");
         return Ok(None);
     };
     learn(control, &rows);
--- a/src/direct/lead.rs
+++ b/src/direct/lead.rs
@@ -53,6 +53,9 @@
     pub born: Option<Birth>,
     /// Whether a replacement is under way: nobody may act on the primary.
     pub changing: bool,
+    /// The epoch before, if nothing changed but the store's era: what started on it goes on.
+    #[serde(default)]
+    pub continues: Option<Epoch>,
 }
 
 /// Stands for what a reading shows of who leads, to tell whether two VMs have the same. Epochs only
@@ -160,7 +163,8 @@
     pub fn holds(&self, group: &GroupId, epoch: Epoch, now: Time) -> bool {
         let dropped = self.dropped.get(group).copied().unwrap_or_default();
         self.groups.get(group).is_some_and(|known| {
-            known.lead.epoch == epoch && epoch > dropped && now < known.until()
+            let leads = known.lead.epoch == epoch || known.lead.continues == Some(epoch);
+            leads && known.lead.epoch > dropped && now < known.until()
         })
     }
 
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -31,7 +31,7 @@
         domain: Domain,
         /// The processor that it has.
         cores: Cores,
-        /// The version that its row must have, as it was told; 0 if there is none.
+        /// The version that its row must have, as it was told.
         expect: table::Version,
     },
     /// Give up this epoch of a group, once work on its primary is over or `patience` is.
@@ -119,6 +119,8 @@
 pub struct News {
     /// The life of the VM that answers.
     pub life: Life,
+    /// The store's era as it knows it, and for how long.
+    pub era: Option<(table::Era, Span)>,
     /// Whether it is the steward.
     pub steward: bool,
     /// Whether it is the steward, and hears most of the VMs that are registered.
@@ -172,7 +174,7 @@
 /// How a VM's row stands in a reading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
-    /// The row's version; 0 if there is none.
+    /// The row's version.
     pub version: table::Version,
     /// How old the reading was when this answer was made.
     pub age: Span,
--- a/src/direct/table.rs
+++ b/src/direct/table.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 /// Which row: its table and key.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -30,9 +32,63 @@
     }
 }
 
-/// The version of a row or of the store: one counter, which rises with each transaction. 0 is
-/// the version of a row that does not exist.
-pub type Version = u64;
+/// Which copy of itself the store runs on. It rises by one each time the store comes back from an older copy and
+/// has lost what was written since; 0 where the platform's store has no such number.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Era {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
+
+/// The version of a row or of the store. Numbers rise with each transaction of an era, and are given out again in the
+/// next one, so that only the pair tells which of two is newer.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version {
+    /// The era in which the store told it.
+    pub era: Era,
+    /// The store's counter.
+    pub number: u64,
+}
+
+impl Version {
+    /// That of a row that does not exist.
+    pub const NONE: Self = Self {
+        era: Era(0),
+        number: 0,
+    };
+
+    /// A number as told in an era.
+    pub const fn new(era: Era, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Whether it is that of a row that does not exist.
+    pub fn is_none(self) -> bool {
+        self.number == 0
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
 
 /// A row as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -338,8 +338,9 @@
         !self.0.is_empty()
     }
 
-    /// Whether anything is under way in this epoch.
+    /// Whether anything is under way in this epoch, or in one before.
     pub fn is_under_way(&self, group: &GroupId, epoch: Epoch) -> bool {
-        self.0.contains_key(&(group.clone(), epoch))
+        let up_to = (group.clone(), Epoch::MIN)..=(group.clone(), epoch);
+        self.0.range(up_to).next().is_some()
     }
 }
--- a/src/model/leads/belief.rs
+++ b/src/model/leads/belief.rs
@@ -31,6 +31,7 @@
             primary: self.databases[usize::from(row.primary)].clone(),
             born: None,
             changing: row.changing,
+            continues: None,
         }
     }
 
--- a/src/model/vouch/belief.rs
+++ b/src/model/vouch/belief.rs
@@ -20,6 +20,7 @@
             primary: self.database.clone(),
             born: None,
             changing: row.changing,
+            continues: None,
         }
     }
 
--- a/src/schedule/direct.rs
+++ b/src/schedule/direct.rs
@@ -5,6 +5,7 @@
 //! every caller has to be served again.
 
 use crate::clock::Span;
+use crate::direct::table::Era;
 use crate::schedule::Error;
 use crate::standin::direct::caller::{Caller, Session};
 use crate::standin::direct::check::{self, Count, check};
@@ -96,6 +97,8 @@
     pub reborn: bool,
     /// As many VMs as let a few read the store for all.
     pub fleet: bool,
+    /// A store that would be down comes back from an older copy instead.
+    pub drill: bool,
 }
 
 /// Plays the schedule of `seed`.
@@ -108,6 +111,7 @@
     let mut draw = Draw {
         random: ChaCha8Rng::seed_from_u64(seed),
         reborn: variant.reborn,
+        drill: variant.drill,
     };
     let mut setup = draw.setup();
     if variant.crowded {
@@ -117,6 +121,9 @@
     if variant.fleet {
         setup.vms += FLEET_VMS;
     }
+    if variant.drill {
+        setup.era = Era(1);
+    }
     let world = World::start(setup, program()).map_err(|_| Error::Setup)?;
     let record = Record::default();
     sleep(WARM).await;
@@ -255,6 +262,7 @@
 struct Draw {
     random: ChaCha8Rng,
     reborn: bool,
+    drill: bool,
 }
 
 impl Draw {
@@ -363,6 +371,11 @@
         let (node, at) = (Node::Vm(vm.clone()), Node::Database(database.clone()));
         let fault = match self.drawn(world, vm, database, node, at)? {
             Fault::Crash(database) if self.reborn => Fault::Reborn(database),
+            Fault::Store(..) | Fault::StoreSlow(_) | Fault::Forget | Fault::Orders(_)
+                if self.drill =>
+            {
+                Fault::Restore(self.span(8_000), self.span(2_000))
+            }
             fault => fault,
         };
         // A machine reaches itself.
--- a/src/soak/profile.rs
+++ b/src/soak/profile.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Span;
 use crate::direct::config::Kind;
+use crate::direct::table::Era;
 use crate::jsonc::{self, Fault};
 use crate::standin::direct::setup::{Manner, Place, Setup};
 use crate::types::Cores;
@@ -137,6 +138,7 @@
             manners: self.manners(),
             cores: |_| Cores::default(),
             link: |_| None,
+            era: Era::default(),
             vms: self.vms,
             groups: self.groups,
             slots: self.slots,
--- a/src/standin/direct/fault.rs
+++ b/src/standin/direct/fault.rs
@@ -55,6 +55,9 @@
     StoreLosing(Losing),
     /// The store forgets its history.
     Forget,
+    /// The store is away, and comes back from a copy that is so old; what the operator and the databases wrote is
+    /// written again after so long.
+    Restore(Span, Span),
     /// Orders are not taken as they should be.
     Orders(orders::Health),
     /// The configuration gains a route and loses the one that it gained before.
@@ -106,6 +109,7 @@
             Self::StoreSlow(span) => world.store.set_slow(*span),
             Self::StoreLosing(losing) => world.store.set_losing(*losing),
             Self::Forget => world.store.forget(),
+            Self::Restore(..) => world.store.set_health(store::Health::Refusing, None),
             Self::Orders(health) => world.orders.set_health(*health),
             Self::Configure => world.reconfigure(),
             Self::Reset => world.network.reset(|a, _| matches!(a, Node::Vm(_))),
@@ -132,6 +136,10 @@
             Self::Kill(vm) | Self::Stop(vm, _) => start(world, vm),
             Self::Freeze(vm) => world.freeze_vm(vm, false),
             Self::Store(..) => world.store.set_health(store::Health::Well, None),
+            Self::Restore(age, rewrites) => {
+                world.store.restore(*age, *rewrites);
+                world.store.set_health(store::Health::Well, None);
+            }
             Self::StoreSlow(_) => world.store.set_slow(Span::ZERO),
             Self::StoreLosing(_) => world.store.set_losing(Losing::None),
             Self::Orders(_) => world.orders.set_health(orders::Health::Well),
--- a/src/standin/direct/setup.rs
+++ b/src/standin/direct/setup.rs
@@ -3,6 +3,7 @@
 use crate::clock::Span;
 use crate::direct::config::{self, Config, Kind, Route};
 use crate::direct::identity::{Allowance, Key, Organisations};
+use crate::direct::table::Era;
 use crate::standin::deployment::{Deployment, GROUPS};
 use crate::standin::direct::database::{Database, Make};
 use crate::standin::direct::group::Group;
@@ -64,6 +65,8 @@
     pub cores: fn(usize) -> Cores,
     /// The link of each VM, by its number; none carries whatever is sent.
     pub link: fn(usize) -> Option<Bandwidth>,
+    /// The era of the store as the world begins.
+    pub era: Era,
     /// How many groups, of one database a failure domain.
     pub groups: usize,
     /// Statements that run at once on a database.
@@ -108,6 +111,7 @@
             vms: 3,
             cores: |_| Cores::default(),
             link: |_| None,
+            era: Era::default(),
             groups: 1,
             slots: DEPLOYMENT.slots(),
             connections: DEPLOYMENT.connections(),
--- a/src/standin/direct/store.rs
+++ b/src/standin/direct/store.rs
@@ -3,12 +3,12 @@
 
 use crate::clock::Span;
 use crate::direct::adapter::{CallStore, Later};
-use crate::direct::table::{Ask, Change, Fault, Row, RowId, Told, Version};
+use crate::direct::table::{Ask, Change, Era, Fault, Row, RowId, Told, Version};
 use crate::standin::direct::network::{Hold, Network, Node, Sender};
 use crate::types::VmId;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,6 +47,21 @@
     Later(Span),
 }
 
+/// How long what a row held before is kept, to go back to it.
+const UNDO: Duration = Duration::from_secs(30);
+
+/// What a row held before a change.
+#[derive(Debug)]
+struct Undo {
+    at: Instant,
+    /// Whether the platform wrote: the operator or a database.
+    by_platform: bool,
+    id: RowId,
+    before: Option<(Bytes, u64)>,
+    /// The store's counter before.
+    number: u64,
+}
+
 /// A row that was written, for whoever looks at what happened.
 #[derive(Debug, Clone)]
 pub struct Written {
@@ -61,12 +76,15 @@
 /// The store.
 pub struct Store {
     network: Rc<Network>,
-    rows: RefCell<BTreeMap<RowId, (Bytes, Version)>>,
+    rows: RefCell<BTreeMap<RowId, (Bytes, u64)>>,
     /// Changes, oldest first.
     history: RefCell<Vec<Row>>,
-    version: Cell<Version>,
-    /// Up to which version the history is gone.
-    forgotten: Cell<Version>,
+    /// Which copy it runs on.
+    era: Cell<Era>,
+    number: Cell<u64>,
+    /// Up to which number the history is gone.
+    forgotten: Cell<u64>,
+    undo: RefCell<VecDeque<Undo>>,
     health: Cell<Health>,
     only: RefCell<Option<BTreeSet<VmId>>>,
     slow: Cell<Span>,
@@ -85,20 +103,22 @@
 impl fmt::Debug for Store {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Store")
-            .field("version", &self.version)
+            .field("version", &self.version())
             .finish_non_exhaustive()
     }
 }
 
 impl Store {
-    /// An empty store.
-    pub fn new(network: Rc<Network>) -> Rc<Self> {
+    /// An empty store in an era.
+    pub fn new(network: Rc<Network>, era: Era) -> Rc<Self> {
         Rc::new(Self {
             network,
             rows: RefCell::default(),
             history: RefCell::default(),
-            version: Cell::new(0),
+            era: Cell::new(era),
+            number: Cell::new(0),
             forgotten: Cell::new(0),
+            undo: RefCell::default(),
             health: Cell::default(),
             only: RefCell::default(),
             slow: Cell::default(),
@@ -136,11 +156,59 @@
 
     /// Forgets its history.
     pub fn forget(&self) {
-        self.forgotten.set(self.version.get());
+        self.forgotten.set(self.number.get());
         self.history.borrow_mut().clear();
         self.changed.notify_waiters();
     }
 
+    /// Its newest version.
+    pub fn version(&self) -> Version {
+        Version::new(self.era.get(), self.number.get())
+    }
+
+    /// Comes back from a copy as old as `age`, in the next era. What the operator and the databases wrote since is
+    /// written again after `rewrites`, unless they have written there meanwhile.
+    pub fn restore(self: &Rc<Self>, age: Span, rewrites: Span) {
+        let copied = Instant::now() - Duration::from(age);
+        let lost = self.go_back(copied);
+        let number = self.number.get();
+        self.era.set(Era(self.era.get().0 + 1));
+        self.history
+            .borrow_mut()
+            .retain(|row| row.version.number <= number);
+        self.forgotten.set(self.forgotten.get().min(number));
+        self.changed.notify_waiters();
+        let store = self.clone();
+        self.network.spawn(async move {
+            tokio::time::sleep(rewrites.into()).await;
+            for (id, value) in lost {
+                let written = store.rows.borrow().get(&id).map(|(_, number)| *number);
+                if written.is_none_or(|written| written <= number) {
+                    store.put(id, value);
+                }
+            }
+        });
+    }
+
+    /// Undoes what was written after a moment; returns what the platform had written there last.
+    fn go_back(&self, copied: Instant) -> BTreeMap<RowId, Option<Bytes>> {
+        let mut rows = self.rows.borrow_mut();
+        let mut undo = self.undo.borrow_mut();
+        let mut lost = BTreeMap::new();
+        while let Some(last) = undo.pop_back_if(|undo| undo.at > copied) {
+            if last.by_platform {
+                let value = rows.get(&last.id).map(|(value, _)| value.clone());
+                lost.entry(last.id.clone()).or_insert(value);
+            }
+            match last.before {
+                Some(before) => rows.insert(last.id, before),
+                None => rows.remove(&last.id),
+            };
+            self.number.set(last.number);
+        }
+        lost
+    }
+
     /// How many calls were made.
     pub fn calls(&self) -> u64 {
         self.calls.get()
@@ -179,13 +247,13 @@
         let mut log = self.log.borrow_mut();
         let gone = log.partition_point(|written| written.at < before);
         let last = log[..gone].iter().flat_map(|written| &written.rows);
-        let Some(version) = last.map(|row| row.version).max() else {
+        let Some(version) = last.map(|row| row.version.number).max() else {
             return;
         };
         log.drain(..gone);
         self.forgotten.set(self.forgotten.get().max(version));
         let mut history = self.history.borrow_mut();
-        history.retain(|row| row.version > version);
+        history.retain(|row| row.version.number > version);
     }
 
     /// A row's value.
@@ -201,7 +269,7 @@
             None => change.remove.push(id),
         }
         self.write(None, &change);
-        self.version.get()
+        self.version()
     }
 
     /// The calls of a VM, which run on outside it.
@@ -309,7 +377,7 @@
         let rows = rows.map(|(id, (value, version))| Row {
             id: id.clone(),
             value: Some(value.clone()),
-            version: *version,
+            version: self.tagged(*version),
         });
         let rows: Vec<Row> = rows.collect();
         let bytes = rows.iter().map(Row::size).sum::<usize>() as u64;
@@ -318,7 +386,7 @@
         *of_table.entry(vm.clone()).or_default() += bytes;
         Told::Rows {
             rows,
-            version: self.version.get(),
+            version: self.version(),
         }
     }
 
@@ -335,11 +403,11 @@
             if self.health_for(vm) != Health::Well {
                 return None;
             }
-            if after < self.forgotten.get() {
+            if after.number < self.forgotten.get() || after.number > self.number.get() {
                 return Some(Ok(Told::Forgotten));
             }
-            let rows = self.rows_since(table, after);
-            let version = self.version.get();
+            let rows = self.rows_since(table, after.number);
+            let version = self.version();
             if !rows.is_empty() || Instant::now() >= deadline {
                 return Some(Ok(Told::Rows { rows, version }));
             }
@@ -347,35 +415,47 @@
         }
     }
 
-    fn rows_since(&self, table: &str, after: Version) -> Vec<Row> {
+    /// A number as it is told in this era.
+    fn tagged(&self, number: u64) -> Version {
+        Version::new(self.era.get(), number)
+    }
+
+    fn rows_since(&self, table: &str, after: u64) -> Vec<Row> {
         let history = self.history.borrow();
         let rows = history.iter();
-        let rows = rows.filter(|row| row.version > after && &*row.id.table == table);
-        rows.cloned().collect()
+        let rows = rows.filter(|row| row.version.number > after && &*row.id.table == table);
+        let told = rows.cloned().map(|row| Row {
+            version: self.tagged(row.version.number),
+            ..row
+        });
+        told.collect()
     }
 
     fn write(&self, by: Option<&VmId>, change: &Change) -> Told {
         let mut rows = self.rows.borrow_mut();
-        let version_of = |rows: &BTreeMap<RowId, (Bytes, Version)>, id: &RowId| {
+        let number_of = |rows: &BTreeMap<RowId, (Bytes, u64)>, id: &RowId| {
             rows.get(id).map_or(0, |(_, version)| *version)
         };
         let mut expect = change.expect.iter();
-        if !expect.all(|(id, version)| version_of(&rows, id) == *version) {
+        if !expect.all(|(id, version)| number_of(&rows, id) == version.number) {
             let now = change.expect.iter().filter_map(|(id, _)| {
                 let (value, version) = rows.get(id)?;
                 Some(Row {
                     id: id.clone(),
                     value: Some(value.clone()),
-                    version: *version,
+                    version: self.tagged(*version),
                 })
             });
             return Told::Conflict(now.collect());
         }
-        let version = self.version.get() + 1;
-        self.version.set(version);
+        let before = self.number.get();
+        let number = before + 1;
+        self.number.set(number);
+        let version = self.version();
+        self.note_undo(by.is_none(), &rows, change, before);
         let mut changed = Vec::new();
         for (id, value) in &change.writes {
-            rows.insert(id.clone(), (value.clone(), version));
+            rows.insert(id.clone(), (value.clone(), number));
             changed.push((id, Some(value.clone())));
         }
         for id in &change.remove {
@@ -406,6 +486,28 @@
     rows.iter().map(|row| row.size() as u64 * 4 / 3).sum()
 }
 
+impl Store {
+    fn note_undo(
+        &self,
+        by_platform: bool,
+        rows: &BTreeMap<RowId, (Bytes, u64)>,
+        change: &Change,
+        number: u64,
+    ) {
+        let at = Instant::now();
+        let mut undo = self.undo.borrow_mut();
+        let changed = change.writes.iter().map(|(id, _)| id).chain(&change.remove);
+        undo.extend(changed.map(|id| Undo {
+            at,
+            by_platform,
+            id: id.clone(),
+            before: rows.get(id).cloned(),
+            number,
+        }));
+        while undo.pop_front_if(|undo| undo.at + UNDO < at).is_some() {}
+    }
+}
+
 /// Waits for an answer that begins to come within a span, as long as it goes on to come.
 async fn while_it_comes<T>(
     answered: impl Future<Output = T>,
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -108,7 +108,7 @@
     /// A world in the `LocalSet` that this is called in, with its VMs started.
     pub fn start(setup: Setup, program: Program) -> Result<Rc<Self>, Invalid> {
         let network = Network::new(setup.domain_delay, setup.region_delay);
-        let store = Store::new(network.clone());
+        let store = Store::new(network.clone(), setup.era);
         let journal = Journal::default();
         let mut groups = Vec::new();
         for number in 0..setup.groups {
--- a/tests/adapter/store.rs
+++ b/tests/adapter/store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use lentilspoke::clock::Span;
 use lentilspoke::direct::adapter::{CallStore, Outside};
-use lentilspoke::direct::table::{Ask, Change, Fault, RowId, Told};
+use lentilspoke::direct::table::{Ask, Change, Era, Fault, RowId, Told, Version};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,9 +24,13 @@
     .store
 }
 
+fn version(number: u64) -> Version {
+    Version::new(Era(0), number)
+}
+
 fn change() -> Ask {
     Ask::Write(Change {
-        expect: vec![(RowId::new("duty", "steward"), 412)],
+        expect: vec![(RowId::new("duty", "steward"), version(412))],
         writes: vec![(RowId::new("duty", "steward"), Bytes::from_static(b"node-1"))],
         remove: vec![RowId::new("vms", "a")],
     })
@@ -80,12 +84,15 @@
     let store = store(&script);
     let follow = Ask::Follow {
         table: "op".into(),
-        after: 530,
+        after: version(530),
         wait: Span::from_secs(60),
     };
     store(read(), WITHIN).await.unwrap();
     store(follow, WITHIN).await.unwrap();
-    assert_eq!(store(change(), WITHIN).await, Ok(Told::Written(531)));
+    assert_eq!(
+        store(change(), WITHIN).await,
+        Ok(Told::Written(version(531)))
+    );
     assert_eq!(
         script.opened.get(),
         1,
@@ -123,7 +130,7 @@
     let Ok(Told::Rows { rows, version }) = store(&script)(read(), WITHIN).await else {
         panic!("rows were told");
     };
-    assert_eq!(version, 5);
+    assert_eq!(version, self::version(5));
     let keys: Vec<&str> = rows.iter().map(|row| &*row.id.key).collect();
     assert_eq!(keys, ["a", "b c", "d"]);
     assert_eq!(rows[2].value.as_deref(), Some(&b"4"[..]));
@@ -141,14 +148,14 @@
 async fn removed_rows_and_lost_history_are_told() {
     let follow = || Ask::Follow {
         table: "op".into(),
-        after: 1,
+        after: version(1),
         wait: Span::from_secs(1),
     };
     let gone = r#"{"rows":[{"table":"t","part":"","key":"a","tombstone":true,"row_version":7}],"row_version":7}"#;
     let Ok(Told::Rows { rows, .. }) = play(follow, Step::Answer(200, gone)).await else {
         panic!("rows were told");
     };
-    assert_eq!((rows[0].value.clone(), rows[0].version), (None, 7));
+    assert_eq!((rows[0].value.clone(), rows[0].version), (None, version(7)));
     assert_eq!(
         play(follow, Step::Answer(410, "")).await,
         Ok(Told::Forgotten)
@@ -163,7 +170,7 @@
     let Ok(Told::Conflict(rows)) = play(change, Step::Answer(412, rows)).await else {
         panic!("a conflict was told");
     };
-    assert_eq!(rows[0].version, 413);
+    assert_eq!(rows[0].version, version(413));
     assert!(is_refused(&play(change, Step::Answer(412, "what?")).await));
 }
 
@@ -253,7 +260,7 @@
     let store = store(&script);
     let follow = Ask::Follow {
         table: "op".into(),
-        after: 1,
+        after: version(1),
         wait: Span::from_secs(20),
     };
     let waiting = actix_rt::spawn(store(follow, Span::from_secs(21)));
--- a/tests/direct_control.rs
+++ b/tests/direct_control.rs
@@ -13,6 +13,7 @@
 use lentilspoke::direct::control::takeover::{Hearing, Watch};
 use lentilspoke::direct::lead::{Book, Lead};
 use lentilspoke::direct::statement::Standing;
+use lentilspoke::direct::table::{self, Era};
 use lentilspoke::direct::view::Report;
 use lentilspoke::types::{
     Birth, Cores, DatabaseId, GroupId, Life, Offset, Position, Term, Version,
@@ -128,7 +129,7 @@
 fn silent_steward_is_waited_out_and_an_ended_one_is_not() {
     let mut watch = Watch::default();
     assert_eq!(watch.takes_at(None, 0, at(0)), None);
-    watch.note(7, at(1_000));
+    watch.note(version(7), at(1_000));
     let mut hearing = Hearing::new(at(500));
     assert_eq!(
         watch.takes_at(Some(&hearing), 0, at(5_000)),
@@ -144,7 +145,7 @@
         watch.takes_at(Some(&hearing), 2, at(1_500)),
         Some(at(3_100))
     );
-    watch.note(8, at(2_000));
+    watch.note(version(8), at(2_000));
     assert_eq!(
         watch.takes_at(Some(&hearing), 0, at(2_500)),
         Some(at(3_800))
@@ -161,7 +162,7 @@
 #[test]
 fn duty_is_taken_soon_though_the_first_in_rank_are_gone() {
     let mut watch = Watch::default();
-    watch.note(7, at(1_000));
+    watch.note(version(7), at(1_000));
     let mut hearing = Hearing::new(at(500));
     hearing.end(at(2_000));
     let takes_at = |rank| watch.takes_at(Some(&hearing), rank, at(2_000)).unwrap();
@@ -293,6 +294,7 @@
         primary: id("a"),
         born: None,
         changing,
+        continues: None,
     }
 }
 
@@ -353,13 +355,17 @@
     config: Config,
     reports: BTreeMap<DatabaseId, Report>,
     tried: BTreeMap<DatabaseId, Tried>,
-    evicted: BTreeMap<MemberId, (u64, Time)>,
+    evicted: BTreeMap<MemberId, (table::Version, Time)>,
     epochs: BTreeMap<GroupId, (u64, Time)>,
     dampers: BTreeMap<GroupId, Damper>,
     heard: Time,
     began: Time,
 }
 
+fn version(number: u64) -> table::Version {
+    table::Version::new(Era(0), number)
+}
+
 fn member(number: u32) -> MemberId {
     let ip = format!("10.0.0.{number}").parse().unwrap();
     MemberId::new(&format!("vm{number}").parse().unwrap(), ip)
@@ -367,10 +373,10 @@
 
 impl Fixture {
     fn new() -> Self {
-        let mut reading = Reading::new(&[], at(19_990), at(20_000));
+        let mut reading = Reading::new(&[], table::Version::NONE, at(19_990), at(20_000));
         reading
             .leads
-            .insert("g".parse().unwrap(), (lead(1, false), 5));
+            .insert("g".parse().unwrap(), (lead(1, false), version(5)));
         for number in 1..=2 {
             let row = Member {
                 life: Life(u64::from(number)),
@@ -380,7 +386,7 @@
                 cores: Cores::default(),
                 evicted: false,
             };
-            reading.members.insert(member(number), (row, 1));
+            reading.members.insert(member(number), (row, version(1)));
         }
         Self {
             reading,
@@ -453,7 +459,7 @@
     unfinished
         .reading
         .leads
-        .insert(group.clone(), (lead(1, true), 6));
+        .insert(group.clone(), (lead(1, true), version(6)));
     assert_eq!(unfinished.survey(), change(Cause::Unfinished));
 
     let mut unled = Fixture::new();
@@ -498,10 +504,10 @@
     assert_eq!(fixture.survey(), [Errand::Call(member(2))]);
     let row = fixture.reading.members.get_mut(&member(2)).unwrap();
     row.0.evicted = true;
-    fixture.evicted.insert(member(2), (1, at(12_000)));
+    fixture.evicted.insert(member(2), (version(1), at(12_000)));
     assert_eq!(fixture.survey(), []);
-    fixture.evicted.insert(member(2), (1, at(11_700)));
-    assert_eq!(fixture.survey(), [Errand::Remove(member(2), 1)]);
+    fixture.evicted.insert(member(2), (version(1), at(11_700)));
+    assert_eq!(fixture.survey(), [Errand::Remove(member(2), version(1))]);
 }
 
 /// A reading is a lease for a VM only if it shows the row of this life, not marked.
--- a/tests/direct_fleet.rs
+++ b/tests/direct_fleet.rs
@@ -6,6 +6,7 @@
 use lentilspoke::direct::control::reader;
 use lentilspoke::direct::control::rows::{Duty, Member, duty_row};
 use lentilspoke::direct::mesh::{Beat, Question};
+use lentilspoke::direct::table;
 use lentilspoke::direct::view::Fellow;
 use lentilspoke::standin::direct::fault::Fault;
 use lentilspoke::standin::direct::network::Node;
@@ -246,7 +247,7 @@
 }
 
 /// A VM's row as it was written last, and its version.
-fn row_of(scene: &Scene, vm: &VmId) -> (Member, u64) {
+fn row_of(scene: &Scene, vm: &VmId) -> (Member, table::Version) {
     let log = scene.world.store.log();
     let rows = log.iter().rev().flat_map(|written| &written.rows);
     let mut rows = rows.filter(|row| row.id.key.starts_with(&format!("vm.{vm}@")));
--- a/tests/direct_lease.rs
+++ b/tests/direct_lease.rs
@@ -22,6 +22,7 @@
         primary: "a".parse().unwrap(),
         born: None,
         changing,
+        continues: None,
     }
 }
 
--- a/tests/direct_mesh.rs
+++ b/tests/direct_mesh.rs
@@ -2,6 +2,7 @@
 
 use lentilspoke::clock::Span;
 use lentilspoke::direct::mesh::{Answer, Question};
+use lentilspoke::direct::table::{Era, Version};
 use lentilspoke::net::{mesh, system};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -13,7 +14,10 @@
 
 fn question(token: u64) -> Question {
     let version = 7;
-    Question::HandOver { token, version }
+    Question::HandOver {
+        token,
+        version: Version::new(Era(0), version),
+    }
 }
 
 /// A VM that takes the duty if its token is even.
--- a/tests/direct_news.rs
+++ b/tests/direct_news.rs
@@ -16,6 +16,7 @@
         primary: primary.parse().unwrap(),
         born: None,
         changing,
+        continues: None,
     }
 }
 
--- a/tests/direct_random.rs
+++ b/tests/direct_random.rs
@@ -61,7 +61,7 @@
         let variant = Variant {
             crowded,
             reborn: true,
-            fleet: false,
+            ..Variant::default()
         };
         for seed in 1..=4 {
             passes(&direct::play(seed, variant).unwrap());
--- a/tests/direct_standin.rs
+++ b/tests/direct_standin.rs
@@ -4,7 +4,7 @@
 use lentilspoke::clock::Span;
 use lentilspoke::direct::adapter::{Promoted, Promotion};
 use lentilspoke::direct::statement::{Answer, Code, End, Order, State};
-use lentilspoke::direct::table::{Ask, Change, Fault, RowId, Told};
+use lentilspoke::direct::table::{Ask, Change, Era, Fault, RowId, Told, Version};
 use lentilspoke::standin::direct::fault;
 use lentilspoke::standin::direct::host::{self, play};
 use lentilspoke::standin::direct::log::Log;
@@ -41,7 +41,7 @@
 fn write(key: &str, value: &'static str, version: u64) -> Ask {
     let row = RowId::new("t", key);
     Ask::Write(Change {
-        expect: vec![(row.clone(), version)],
+        expect: vec![(row.clone(), Version::new(Era(0), version))],
         writes: vec![(row, Bytes::from_static(value.as_bytes()))],
         remove: Vec::new(),
     })
@@ -120,7 +120,12 @@
             after,
             wait,
         };
-        let told = store(follow(version - 1, SECOND), SECOND).await.unwrap();
+        let told = store(
+            follow(Version::new(version.era, version.number - 1), SECOND),
+            SECOND,
+        )
+        .await
+        .unwrap();
         assert!(matches!(told, Told::Rows { rows, .. } if rows.len() == 1));
         let told = store(follow(version, Span(1)), SECOND).await.unwrap();
         assert!(matches!(told, Told::Rows { rows, .. } if rows.is_empty()));
@@ -384,7 +389,7 @@
         assert!(!new.seeds.contains(&first.address));
         let question = lentilspoke::direct::mesh::Question::HandOver {
             token: 1,
-            version: 1,
+            version: Version::new(Era(0), 1),
         };
         assert!(
             (other.call.0)(first.address, question, SECOND)
--- a/tests/meter.rs
+++ b/tests/meter.rs
@@ -4,7 +4,7 @@
 use lentilspoke::direct::config::Kind;
 use lentilspoke::direct::meter::{LeadLevel, Levels, Meter};
 use lentilspoke::direct::statement::Code;
-use lentilspoke::direct::table::{Ask, Fault, Row, RowId, Told};
+use lentilspoke::direct::table::{Ask, Era, Fault, Row, RowId, Told, Version};
 
 /// Each thing that is counted shows once, under its name and labels.
 #[test]
@@ -31,9 +31,9 @@
         rows: vec![Row {
             id: RowId::new("lead", "a"),
             value: None,
-            version: 1,
+            version: Version::new(Era(0), 1),
         }],
-        version: 1,
+        version: Version::new(Era(0), 1),
     };
     meter.store_call(&Ask::Read("lead".into()), &Ok(rows));
     meter.config_try("readers", false);
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -7,7 +7,7 @@
 use lentilspoke::direct::config::Kind;
 use lentilspoke::direct::meter::{LeadLevel, Levels, Meter};
 use lentilspoke::direct::statement::Code;
-use lentilspoke::direct::table::{Ask, Fault, Row, RowId, Told};
+use lentilspoke::direct::table::{Ask, Era, Fault, Row, RowId, Told, Version};
 use lentilspoke::net::dialect::REQUESTS_DDL;
 use lentilspoke::net::metrics::{self, Gauges};
 use lentilspoke::settings::{Limits, Settings};
@@ -122,9 +122,9 @@
         rows: vec![Row {
             id: RowId::new("lead", "a"),
             value: None,
-            version: 1,
+            version: Version::new(Era(0), 1),
         }],
-        version: 1,
+        version: Version::new(Era(0), 1),
     };
     meter.store_call(&Ask::Read("lead".into()), &Ok(rows));
     meter.config_try("store", true);
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -150,6 +150,7 @@
             primary,
             born: None,
             changing,
+            continues: None,
         };
         let now = self.now();
         self.shared
