--- a/src/direct/control/join.rs
+++ b/src/direct/control/join.rs
@@ -77,7 +77,7 @@
         let joined = match self.store.opening(&self.id).await {
             Ok(Opening::All(reading)) if reading.members.contains_key(&self.id) => {
                 let members = reading.members.clone();
-                self.learn(reading);
+                self.learn(*reading);
                 self.join_near(&members).await
             }
             Ok(Opening::Near(members)) => {
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -100,7 +100,7 @@
 #[derive(Debug)]
 pub(super) enum Opening {
     /// All rows.
-    All(Reading),
+    All(Box<Reading>),
     /// Of a long table the VMs whose rows follow its own, and its own if that is there.
     Near(BTreeMap<MemberId, (Member, Version)>),
 }
@@ -267,7 +267,8 @@
         let (rows, version) = self.read_range(TABLE, "", FIRST_ROWS).await?;
         let settled = self.settle(&rows, version).await?;
         if rows.len() < FIRST_ROWS as usize {
-            return Ok(Opening::All(self.take_reading(&rows, settled, asked)));
+            let reading = self.take_reading(&rows, settled, asked);
+            return Ok(Opening::All(Box::new(reading)));
         }
         let own = member_row(id);
         let (rows, _) = self.read_range(TABLE, &own.key, NEAR_ROWS).await?;
@@ -283,7 +284,7 @@
     }
 
     /// Reads the rows of the control path.
-    pub(super) async fn reading(&self) -> Result<Reading, Fault> {
+    pub async fn reading(&self) -> Result<Reading, Fault> {
         let asked = (self.adapter.clock)();
         let (rows, version) = self.read(TABLE).await?;
         let settled = self.settle(&rows, version).await?;
--- a/src/standin/direct/store.rs
+++ b/src/standin/direct/store.rs
@@ -195,7 +195,8 @@
         let mut rows = self.rows.borrow_mut();
         let mut undo = self.undo.borrow_mut();
         let mut lost = BTreeMap::new();
-        while let Some(last) = undo.pop_back_if(|undo| undo.at > copied) {
+        let kept = undo.partition_point(|undo| undo.at <= copied);
+        for last in undo.drain(kept..).rev() {
             if last.by_platform {
                 let value = rows.get(&last.id).map(|(value, _)| value.clone());
                 lost.entry(last.id.clone()).or_insert(value);
@@ -504,7 +505,8 @@
             before: rows.get(id).cloned(),
             number,
         }));
-        while undo.pop_front_if(|undo| undo.at + UNDO < at).is_some() {}
+        let gone = undo.partition_point(|undo| undo.at + UNDO < at);
+        undo.drain(..gone);
     }
 }
 
