Tell no more than four long registers a second, as before

Cause: the bound on what is long went from answers to entries a second, and let a VM tell twelve registers of 2,100 databases a second where it told four. Each is held in memory until its link has taken it. No rule was broken. Change: a register of 512 databases or more costs a quarter of the bound. No test in virtual time: stand-ins have no memory.

--- a/src/direct/control/news.rs
+++ b/src/direct/control/news.rs
@@ -25,6 +25,11 @@
 const TOLD_MOST: usize = 32_768;
 const TOLD_EVERY: Span = Span::from_secs(1);
 
+/// From this many databases on no more than four registers are told a second: each is one answer, which is held in
+/// memory until a small link has taken it, and a crowd asks at a start.
+const LONG_REGISTER: usize = 512;
+const REGISTER_COST: usize = TOLD_MOST / 4;
+
 /// How many entries a part of a configuration has: 20 KB, 16 ms on a small link.
 const PART: usize = 512;
 
@@ -151,10 +156,10 @@
         let mut state = self.state.borrow_mut();
         let register = &state.register;
         let differs = register.asked().is_some() && register.digest() != beat.register;
-        let databases = if differs {
-            register.databases().len()
-        } else {
-            0
+        let databases = match register.databases().len() {
+            _ if !differs => 0,
+            many if many >= LONG_REGISTER => many.max(REGISTER_COST),
+            few => few,
         };
         if now.since(state.told_long.0) >= TOLD_EVERY {
             state.told_long = (now, 0);
