Say once what a read-through found said twice

Change: table::version_in, store::rows_of, bulk's pause_up_to, Reading::last_duty, one arm for a database's entry; the dead method is gone. Behaviour stays as it is; no test is changed.

--- a/src/direct/config.rs
+++ b/src/direct/config.rs
@@ -22,14 +22,6 @@
     pub organisations: Option<Organisations>,
 }
 
-impl Config {
-    /// How long it is: its routes and keys.
-    pub fn entries(&self) -> usize {
-        let organisations = self.organisations.as_ref();
-        self.routes.len() + organisations.map_or(0, |organisations| organisations.keys.len())
-    }
-}
-
 /// What callers of one name get.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
--- a/src/direct/control/bulk.rs
+++ b/src/direct/control/bulk.rs
@@ -83,8 +83,7 @@
             if before.replace(gathered) != Some(gathered) && gathered.1 > 0 {
                 tokio::task::yield_now().await;
             } else {
-                let chance = 50 + (self.chance() * 50.0) as u64;
-                self.pause_of(SPREAD.percent(chance)).await;
+                self.pause_up_to(SPREAD).await;
             }
             if !self.lacks_config() {
                 break;
@@ -203,12 +202,17 @@
                 until = self.now() + within;
                 continue;
             }
-            let chance = 50 + (self.chance() * 50.0) as u64;
-            self.pause_of(ASK_AGAIN.percent(chance)).await;
+            self.pause_up_to(ASK_AGAIN).await;
         }
         false
     }
 
+    /// Pauses for the span, half of it by chance.
+    async fn pause_up_to(&self, span: Span) {
+        let chance = 50 + (self.chance() * 50.0) as u64;
+        self.pause_of(span.percent(chance)).await;
+    }
+
     async fn pause_of(&self, pause: Span) {
         tokio::time::sleep(Duration::from(pause)).await;
     }
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -141,7 +141,7 @@
         let (version, token) = {
             let state = self.state.borrow();
             let reading = state.reading.as_ref();
-            let read = reading.and_then(|r| r.duty.as_ref().or(r.former.duty.as_ref()));
+            let read = reading.and_then(Reading::last_duty);
             let read = read.map_or(0, |(duty, _)| duty.token);
             let told = state.post.as_ref().map_or(0, |post| post.token);
             let floor = resume::floor(reading.map_or(Era::default(), |r| r.era));
--- a/src/direct/control/enroll.rs
+++ b/src/direct/control/enroll.rs
@@ -17,7 +17,7 @@
 use crate::clock::Span;
 use crate::direct::control::Control;
 use crate::direct::control::rows::{Member, MemberId, Reading, encode, member_row};
-use crate::direct::table::{Change, Fault, Row, Version};
+use crate::direct::table::{self, Change, Fault, Row, Version};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -154,9 +154,7 @@
 impl Applicant {
     /// The version of its row among these.
     fn version_in(&self, rows: &[Row]) -> Version {
-        let row = member_row(&self.id);
-        let found = rows.iter().find(|found| found.id == row);
-        found.map_or(Version::NONE, |found| found.version)
+        table::version_in(rows, &member_row(&self.id))
     }
 }
 
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -168,12 +168,11 @@
         for row in &rows {
             let Some(value) = &row.value else { continue };
             match (documents.read_database)(&row.id.key, value) {
-                Ok(database) if self.store.is_former(row.version) => {
-                    // What it said of itself since is written again.
-                    let database = self.registered(&database.id).unwrap_or(database);
-                    found.insert(database.id.clone(), database);
-                }
-                Ok(database) => {
+                Ok(mut database) => {
+                    if self.store.is_former(row.version) {
+                        // What it said of itself since is written again.
+                        database = self.registered(&database.id).unwrap_or(database);
+                    }
                     found.insert(database.id.clone(), database);
                 }
                 Err(reason) => {
--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -127,30 +127,28 @@
 
     fn add(&mut self, row: &Row, is_former: bool) {
         let key = &*row.id.key;
-        let former = &mut self.former;
+        let (duty, leads) = match is_former {
+            true => (&mut self.former.duty, &mut self.former.leads),
+            false => (&mut self.duty, &mut self.leads),
+        };
         if key == DUTY {
-            let duty = decode(row).map(|duty| (duty, row.version));
-            *(if is_former {
-                &mut former.duty
-            } else {
-                &mut self.duty
-            }) = duty;
+            *duty = decode(row).map(|duty| (duty, row.version));
         } else if let Some(group) = key.strip_prefix(LEAD).and_then(|text| text.parse().ok())
             && let Some(lead) = decode(row)
         {
-            let leads = if is_former {
-                &mut former.leads
-            } else {
-                &mut self.leads
-            };
             leads.insert(group, (lead, row.version));
         }
     }
 
+    /// The duty's row, whether it counts or not.
+    pub fn last_duty(&self) -> Option<&(Duty, Version)> {
+        self.duty.as_ref().or(self.former.duty.as_ref())
+    }
+
     /// The version that the duty's row has, whether it counts or not.
     pub fn duty_version(&self) -> Version {
-        let known = self.duty.as_ref().or(self.former.duty.as_ref());
-        known.map_or(Version::NONE, |(_, version)| *version)
+        self.last_duty()
+            .map_or(Version::NONE, |(_, version)| *version)
     }
 
     /// Who leads each group.
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -7,7 +7,7 @@
 use crate::direct::control::rows::{
     self, Member, MemberId, Reading, TABLE, encode, era_row, member_row, quiet_row,
 };
-use crate::direct::table::{Ask, Change, Era, Fault, Row, Told, Version};
+use crate::direct::table::{self, Ask, Change, Era, Fault, Row, Told, Version};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -207,13 +207,8 @@
     /// Reads a table.
     pub async fn read(&self, table: &str) -> Result<(Vec<Row>, Version), Fault> {
         self.count(|counts| counts.reads += 1);
-        match self
-            .call(Ask::Read(table.into()), self.read_patience())
-            .await?
-        {
-            Told::Rows { rows, version } => Ok((rows, version)),
-            _ => Err(unexpected()),
-        }
+        let ask = Ask::Read(table.into());
+        rows_of(self.call(ask, self.read_patience()).await?)
     }
 
     /// Reads a table that may be long, by the own way only.
@@ -232,10 +227,7 @@
 
     async fn read_within(&self, table: &str, patience: Span) -> Result<(Vec<Row>, Version), Fault> {
         self.count(|counts| counts.reads += 1);
-        match self.call_here(Ask::Read(table.into()), patience).await? {
-            Told::Rows { rows, version } => Ok((rows, version)),
-            _ => Err(unexpected()),
-        }
+        rows_of(self.call_here(Ask::Read(table.into()), patience).await?)
     }
 
     /// Reads some rows of a table from a key on.
@@ -251,10 +243,7 @@
             from: from.into(),
             most,
         };
-        match self.call(ask, self.read_patience()).await? {
-            Told::Rows { rows, version } => Ok((rows, version)),
-            _ => Err(unexpected()),
-        }
+        rows_of(self.call(ask, self.read_patience()).await?)
     }
 
     /// What a VM reads first: all rows of the control path, or of a long table its own row and those
@@ -299,9 +288,8 @@
             self.eras.set(eras);
             return Ok(settled);
         }
-        let row = rows.iter().find(|row| row.id == era_row());
         let change = Change {
-            expect: vec![(era_row(), row.map_or(Version::NONE, |row| row.version))],
+            expect: vec![(era_row(), table::version_in(rows, &era_row()))],
             writes: vec![(era_row(), encode(&version.era))],
             remove: Vec::new(),
         };
@@ -332,9 +320,8 @@
         let Ok((rows, _)) = self.read_range(TABLE, &quiet_row().key, 1).await else {
             return;
         };
-        let known = rows.iter().find(|row| row.id == quiet_row());
         let change = Change {
-            expect: vec![(quiet_row(), known.map_or(Version::NONE, |row| row.version))],
+            expect: vec![(quiet_row(), table::version_in(&rows, &quiet_row()))],
             writes: vec![(quiet_row(), encode(&self.eras.get().newest()))],
             remove: Vec::new(),
         };
@@ -448,9 +435,7 @@
             ),
             Told::Written(version) => Ok(Ok(version)),
             Told::Conflict(rows) => {
-                let era = rows.iter().find(|row| row.id == era_row());
-                let names = era.map_or(Version::NONE, |row| row.version);
-                if names != settled {
+                if table::version_in(&rows, &era_row()) != settled {
                     return Err(unsettled());
                 }
                 Ok(Err(rows))
@@ -539,6 +524,13 @@
     }
 }
 
+fn rows_of(told: Told) -> Result<(Vec<Row>, Version), Fault> {
+    match told {
+        Told::Rows { rows, version } => Ok((rows, version)),
+        _ => Err(unexpected()),
+    }
+}
+
 fn unsettled() -> Fault {
     Fault::Refused("no row names the store's era, or another one does: read the rows first".into())
 }
--- a/src/direct/table.rs
+++ b/src/direct/table.rs
@@ -108,6 +108,12 @@
     }
 }
 
+/// The version that a row has among these.
+pub fn version_in(rows: &[Row], id: &RowId) -> Version {
+    let found = rows.iter().find(|row| row.id == *id);
+    found.map_or(Version::NONE, |row| row.version)
+}
+
 /// A call of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
