--- a/review/standins.py
+++ b/review/standins.py
@@ -213,8 +213,11 @@
         self.dark = True
 
     def come_back(self):
-        """Power is back: it has its log, and no connection of before."""
+        """Power is back: it has its log, no connection of before, and is a replica if another was promoted."""
         self.dark = False
+        others = [one.term for one in self.service.databases if one.primary and one is not self]
+        if max(others, default=0) > self.term:
+            self.primary = False
         for writer in list(self.writers):
             writer.transport.abort()
         self.service.record.add(f"database {self.id} is back, its log at {self.position()}")
