Play groups whose commits wait for a replica in simulated worlds

Cause: every group of the simulated worlds acknowledged a commit at once, and the checker had no rule on commits that a promotion loses. A group with `durable` set, which no world had, took the receipt of any earlier entry for that of its own.

Change: `Setup::durable`; a commit waits until a replica has received its own position, and ends as late if the database is replaced meanwhile. The checker reports an acknowledged commit of such a group that a promotion loses.

Other variants draw the same faults as before.

--- a/src/cmd/schedules.rs
+++ b/src/cmd/schedules.rs
@@ -11,7 +11,7 @@
 what callers were told against what is left. A failing seed is printed with its
 script, which can be kept as a scenario.
 
-Usage: lentilspoke schedules [--direct [--crowded] [--reborn] [--fleet] [--drill] [--pressed]] [--seeds FIRST..LAST] [--script]
+Usage: lentilspoke schedules [--direct [--crowded] [--reborn] [--fleet] [--drill] [--durable] [--pressed]] [--seeds FIRST..LAST] [--script]
 
 Options:
     --direct               play whole worlds of direct access; RUST_LOG shows what VMs log
@@ -19,6 +19,7 @@
     --reborn               databases that crash start again with nothing of before
     --fleet                with 18 VMs more, a few of which read the store for all
     --drill                a store that would be down comes back from an older copy instead
+    --durable              commits wait until a replica has received them
     --pressed              organisations have allowances, and one sends many times its own for a while
     --seeds FIRST..LAST    the seeds to play, both included; 1..100 by default
     --script               print the script of each seed
@@ -44,6 +45,7 @@
         options.optflag("", "reborn", "");
         options.optflag("", "fleet", "");
         options.optflag("", "drill", "");
+        options.optflag("", "durable", "");
         options.optflag("", "pressed", "");
         let matches = parse(&mut options, USAGE, arguments)?;
         let text: Option<String> = value(&matches, "seeds")?;
@@ -65,6 +67,7 @@
                 reborn: matches.opt_present("reborn"),
                 fleet: matches.opt_present("fleet"),
                 drill: matches.opt_present("drill"),
+                durable: matches.opt_present("durable"),
                 pressed: matches.opt_present("pressed"),
             },
         })
--- a/src/schedule/direct.rs
+++ b/src/schedule/direct.rs
@@ -106,6 +106,8 @@
     pub fleet: bool,
     /// Faults of the store or of promotion orders become a restore of the store from an older copy.
     pub drill: bool,
+    /// Commits wait until a replica has received them, and replicas more often fall behind or leave.
+    pub durable: bool,
     /// Organisations have allowances, and one of them sends many times its own for a while.
     pub pressed: bool,
 }
@@ -123,6 +125,7 @@
         random: ChaCha8Rng::seed_from_u64(seed),
         reborn: variant.reborn,
         drill: variant.drill,
+        durable: variant.durable,
     };
     let mut setup = generator.setup();
     if variant.crowded {
@@ -293,6 +296,7 @@
     random: ChaCha8Rng,
     reborn: bool,
     drill: bool,
+    durable: bool,
 }
 
 impl Generator {
@@ -308,6 +312,7 @@
     fn setup(&mut self) -> Setup {
         Setup {
             vms: 2 + self.below(3) as usize,
+            durable: self.durable,
             groups: 1 + usize::from(self.below(4) == 0),
             promotion: Duration::from_millis([300, 1_000][self.below(2) as usize]),
             ..Setup::default()
@@ -420,6 +425,15 @@
         node: Node,
         at: Node,
     ) -> Option<Fault> {
+        if self.durable && self.below(2) == 0 {
+            return Some(match self.below(6) {
+                0 => Fault::Leave(database, Span::from_millis(7_000 + self.below(3_000))),
+                1 | 2 => Fault::Deaf(database),
+                3 => Fault::Crash(database),
+                4 => Fault::Dark(at),
+                _ => Fault::Cut(at, Node::Database(self.database(world)?)),
+            });
+        }
         Some(match self.below(27) {
             0 | 1 => Fault::Crash(database),
             2 => Fault::Dark(at),
--- a/src/soak/profile.rs
+++ b/src/soak/profile.rs
@@ -143,6 +143,7 @@
             era: Era::default(),
             vms: self.vms,
             groups: self.groups,
+            durable: false,
             slots: self.slots,
             connections: self.connections,
             organisations: None,
--- a/src/standin/direct/check.rs
+++ b/src/standin/direct/check.rs
@@ -281,7 +281,7 @@
     }
 
     /// Checks that an acknowledged write was committed, and not by a primary that had been
-    /// replaced.
+    /// replaced. In a group whose commits wait for a replica no promotion may lose it.
     fn acknowledged(&mut self, said: &Said) {
         let Some(run) = said.signature().and_then(|s| self.by_signature.get(s)) else {
             return;
@@ -293,9 +293,15 @@
             }
             return;
         };
-        if self.events.commit(number).is_some_and(|c| c.replaced) {
+        let Some(commit) = self.events.commit(number) else {
+            return;
+        };
+        if commit.replaced {
             self.report_violation("acknowledged by a replaced primary", said, Some(run));
         }
+        if commit.durable && commit.lost.is_some() {
+            self.report_violation("acknowledged, and lost by a promotion", said, Some(run));
+        }
     }
 
     /// Checks that each answered read saw every commit that its route's freshness demands.
--- a/src/standin/direct/database.rs
+++ b/src/standin/direct/database.rs
@@ -202,12 +202,12 @@
     /// Whether the entry at a position is applied and visible to reads.
     pub fn has(&self, position: Position) -> bool {
         let state = self.state.borrow();
-        let offset = usize::try_from(position.offset.0).unwrap_or(usize::MAX);
-        match offset.checked_sub(1) {
-            None => true,
-            Some(_) if offset > state.applied => false,
-            Some(_) => state.log.term_at(offset) == Some(position.term.0),
-        }
+        position.offset.0 <= state.applied as u64 && state.log.contains(position)
+    }
+
+    /// Whether it has received the entry at a position.
+    pub fn has_received(&self, position: Position) -> bool {
+        self.state.borrow().log.contains(position)
     }
 
     /// Appends an entry to the primary's log; it is visible to reads at once.
--- a/src/standin/direct/group.rs
+++ b/src/standin/direct/group.rs
@@ -2,12 +2,13 @@
 
 use crate::clock::Span;
 use crate::direct::adapter::Promoted;
+use crate::direct::statement::Code;
 use crate::direct::table::RowId;
 use crate::standin::direct::database::Database;
 use crate::standin::direct::journal::{Commit, Failover, Journal, Write};
 use crate::standin::direct::network::{Network, Node};
 use crate::standin::direct::store::Store;
-use crate::types::{DatabaseId, GroupId};
+use crate::types::{DatabaseId, GroupId, Position};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -59,6 +60,7 @@
     /// Creates a group whose first member is the primary, and registers its members.
     pub fn new(
         id: GroupId,
+        durable: bool,
         promotion: Duration,
         network: Rc<Network>,
         store: Rc<Store>,
@@ -68,7 +70,7 @@
         let leader = members[0].spec.id.clone();
         let group = Rc::new(Self {
             id,
-            durable: false,
+            durable,
             promotion,
             network,
             store,
@@ -101,15 +103,18 @@
         self.leader.borrow().clone()
     }
 
-    /// Commits writes at a database and replicates them. Returns the commit's number, or `None` if
-    /// the database is not primary any more.
+    /// Commits writes at a database and replicates them. Returns the commit's number. In a durable
+    /// group this waits, for ever if need be, until a replica has received the commit.
+    ///
+    /// Fails with [`Code::NotPrimary`] if the database is not primary any more, and with
+    /// [`Code::Late`] if it was replaced during the wait.
     pub async fn commit(
         self: &Rc<Self>,
         database: &Rc<Database>,
         writes: Vec<Write>,
-    ) -> Option<u64> {
+    ) -> Result<u64, Code> {
         if !database.state.borrow().primary {
-            return None;
+            return Err(Code::NotPrimary);
         }
         let replaced = self.leader() != database.spec.id;
         let now = Instant::now();
@@ -120,16 +125,27 @@
             position: database.append(),
             writes,
             at: now,
+            durable: self.durable,
             replaced,
             lost: replaced.then_some(now),
         };
+        let position = commit.position;
         let number = self.journal.borrow_mut().record_commit(commit, before);
-        let received = self.received.notified();
         self.replicate_to_all(database);
-        if self.durable {
-            received.await;
+        while self.durable && !self.is_received(database, position) {
+            self.received.notified().await;
+            if !database.has_received(position) {
+                return Err(Code::Late);
+            }
         }
-        Some(number)
+        Ok(number)
+    }
+
+    /// Whether a replica of `primary` has received the entry at a position.
+    fn is_received(&self, primary: &Rc<Database>, position: Position) -> bool {
+        let members = self.members.borrow();
+        let mut replicas = members.iter().filter(|m| !Rc::ptr_eq(m, primary));
+        replicas.any(|replica| replica.has_received(position))
     }
 
     /// Replicates the log of a database to all other members.
--- a/src/standin/direct/journal.rs
+++ b/src/standin/direct/journal.rs
@@ -55,6 +55,8 @@
     pub writes: Vec<Write>,
     /// When it was committed.
     pub at: Instant,
+    /// Whether its acknowledgement waited until a replica had received it.
+    pub durable: bool,
     /// Whether another database had been promoted already.
     pub replaced: bool,
     /// When a promotion lost it.
--- a/src/standin/direct/log.rs
+++ b/src/standin/direct/log.rs
@@ -40,6 +40,12 @@
         Position::new(Term(term), Offset(offset as u64))
     }
 
+    /// Whether it contains the entry at a position.
+    pub fn contains(&self, position: Position) -> bool {
+        let offset = usize::try_from(position.offset.0).unwrap_or(usize::MAX);
+        offset == 0 || self.term_at(offset) == Some(position.term.0)
+    }
+
     /// Appends an entry of `term`.
     pub fn append(&mut self, term: u64) {
         let end = self.len() + 1;
--- a/src/standin/direct/session.rs
+++ b/src/standin/direct/session.rs
@@ -358,8 +358,7 @@
             transaction.writes.push(write);
             return Ok(self.finish_run(run));
         }
-        let commit = self.group.commit(&self.database, vec![write]).await;
-        run.commit = Some(commit.ok_or(Code::NotPrimary)?);
+        run.commit = Some(self.group.commit(&self.database, vec![write]).await?);
         Ok(self.finish_run(run))
     }
 
@@ -377,8 +376,8 @@
             return Err(Code::Malformed);
         };
         if !transaction.writes.is_empty() {
-            let commit = self.group.commit(&self.database, transaction.writes).await;
-            run.commit = Some(commit.ok_or(Code::NotPrimary)?);
+            let commit = self.group.commit(&self.database, transaction.writes);
+            run.commit = Some(commit.await?);
         }
         Ok(self.finish_run(run))
     }
--- a/src/standin/direct/setup.rs
+++ b/src/standin/direct/setup.rs
@@ -70,6 +70,8 @@
     pub era: Era,
     /// The number of groups, each with one database per failure domain.
     pub groups: usize,
+    /// Whether a commit waits until a replica has received it.
+    pub durable: bool,
     /// How many statements run at once on a database.
     pub slots: u32,
     /// How many connections a database accepts.
@@ -114,6 +116,7 @@
             link: |_| None,
             era: Era::default(),
             groups: 1,
+            durable: false,
             slots: DEPLOYMENT.slots(),
             connections: DEPLOYMENT.connections(),
             organisations: None,
--- a/src/standin/direct/world.rs
+++ b/src/standin/direct/world.rs
@@ -115,6 +115,7 @@
             let members = setup::members(&setup, &network, number)?;
             groups.push(Group::new(
                 format!("ledger{number}").parse()?,
+                setup.durable,
                 setup.promotion,
                 network.clone(),
                 store.clone(),
--- a/tests/direct_check.rs
+++ b/tests/direct_check.rs
@@ -119,6 +119,7 @@
             data: "v1".into(),
         }],
         at,
+        durable: false,
         replaced: false,
         lost: None,
     }
