Count a database that left until another one has its log

Cause: the entry of a database that drained is removed as it ends, and the one at its address that has its log registers a moment later. If the primary of a durable group is lost between, the choice knows of neither, and may promote a replica that lacks commits which only the one that left had received.

Change: the register remembers a database that left until another one registers at its address, for 4 s at most. Until then its log counts as one that may be further.

--- a/src/direct/control/candidates.rs
+++ b/src/direct/control/candidates.rs
@@ -47,7 +47,8 @@
     }
 
     /// The same for a group whose commits wait until a replica has received them: all its databases
-    /// but an old primary that restarted without its data. A commit may be on any of them.
+    /// but an old primary that restarted without its data. A commit may be on any of them, also on
+    /// one that left a moment ago.
     fn durable_candidates(
         &self,
         replacement: &Replacement,
@@ -70,8 +71,12 @@
             _ if d.leaving => Part::Leaving,
             _ => Part::Replica,
         };
-        let members = members.into_iter();
-        members.map(|d| (d.clone(), part(&d))).collect()
+        let members = members.into_iter().map(|d| (d.clone(), part(&d)));
+        let state = self.state.borrow();
+        let departed = state.register.departed(&replacement.group).cloned();
+        members
+            .chain(departed.map(|d| (d, Part::Witness)))
+            .collect()
     }
 
     /// Whether commits of a group wait until a replica has received them. A group that this VM does
--- a/src/direct/control/register.rs
+++ b/src/direct/control/register.rs
@@ -11,7 +11,7 @@
 use crate::direct::config::Database;
 use crate::direct::history::History;
 use crate::direct::mesh::Content;
-use crate::types::DatabaseId;
+use crate::types::{DatabaseId, GroupId};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -32,6 +32,9 @@
     databases: BTreeMap<DatabaseId, Database>,
     /// Entries that are missing from the store: when the first reading without them was requested.
     missing: BTreeMap<DatabaseId, Time>,
+    /// Databases that left, whose log no other one has taken over yet, and when the first reading
+    /// without them was requested.
+    departed: BTreeMap<DatabaseId, (Database, Time)>,
     began: Option<Time>,
     asked: Option<Time>,
     digest: u64,
@@ -61,6 +64,13 @@
         &self.databases
     }
 
+    /// Returns the databases of a group that left a moment ago, before another one has registered at
+    /// the same address. That one will have the log of the one that left.
+    pub fn departed<'a>(&'a self, group: &'a GroupId) -> impl Iterator<Item = &'a Database> {
+        let departed = self.departed.values().map(|(database, _)| database);
+        departed.filter(move |d| d.group == *group)
+    }
+
     /// Returns when the first reading known here was requested. A VM that starts while entries are
     /// missing never had them, and can't keep them.
     pub fn began(&self) -> Option<Time> {
@@ -129,8 +139,15 @@
             let is_gone = database.leaving || asked >= since + MIN_MISSING;
             if !is_up || !is_gone {
                 found.insert(id.clone(), database.clone());
+            } else if database.leaving {
+                self.departed.insert(id.clone(), (database.clone(), since));
             }
         }
+        self.departed.retain(|_, (departed, since)| {
+            let is_successor =
+                |d: &Database| d.group == departed.group && d.address == departed.address;
+            asked < *since + MIN_MISSING && !found.values().any(is_successor)
+        });
         self.apply(found, asked)
     }
 
--- a/tests/direct_register.rs
+++ b/tests/direct_register.rs
@@ -58,3 +58,34 @@
     let changes = register.apply(databases(&["a", "b"]), at(4_000));
     assert!(!changes.any && register.databases().len() == 1);
 }
+
+/// Guards against a promotion between the end of a database that left and the registration of the
+/// one that has its log: until then its commits may be on no other database.
+#[test]
+fn a_database_that_left_is_remembered_until_another_has_its_log() {
+    let leaving = || {
+        let mut databases = databases(&["a", "b"]);
+        let b = databases.get_mut(&id("b")).unwrap();
+        b.leaving = true;
+        b.address = "10.0.0.2:1".parse().unwrap();
+        databases
+    };
+    let group = "g".parse().unwrap();
+    let departed = |register: &Register| register.departed(&group).count();
+    let mut register = Register::default();
+    register.apply_reading(leaving(), at(5_000), Some(at(0)));
+    assert_eq!(departed(&register), 0);
+    register.apply_reading(databases(&["a"]), at(6_000), Some(at(0)));
+    assert_eq!(departed(&register), 1);
+    let mut replaced = databases(&["a", "c"]);
+    replaced.get_mut(&id("c")).unwrap().address = "10.0.0.2:1".parse().unwrap();
+    register.apply_reading(replaced, at(7_000), Some(at(0)));
+    assert_eq!(departed(&register), 0);
+
+    let mut register = Register::default();
+    register.apply_reading(leaving(), at(5_000), Some(at(0)));
+    for (asked, count) in [(6_000, 1), (9_999, 1), (10_000, 0)] {
+        register.apply_reading(databases(&["a"]), at(asked), Some(at(0)));
+        assert_eq!(departed(&register), count, "{asked}");
+    }
+}
