Ignore the end of a connection that this end has closed

Cause: a channel that is dropped closes its connection, and the other end then closes its own in order although its process runs. Read from the code; not seen in a run.

Change: `Watched` does not note an end that follows its own. Two comments and a name in `control::candidates` are plainer.

--- a/src/direct/control/candidates.rs
+++ b/src/direct/control/candidates.rs
@@ -79,8 +79,8 @@
             .collect()
     }
 
-    /// Whether commits of a group wait until a replica has received them. A group that this VM does
-    /// not know yet is taken for one.
+    /// Whether commits of a group wait until a replica has received them. Without a configuration
+    /// this has to be assumed.
     pub(super) fn is_durable(&self, group: &GroupId) -> bool {
         let view = self.setup.shared.get();
         let config = view.config.as_ref();
@@ -109,8 +109,7 @@
     /// Whether a planned replacement can succeed: a replica that stays has received all that was
     /// acknowledged when this was called.
     ///
-    /// Replicas that fall behind may never catch up with a primary that takes writes. It is not
-    /// interrupted for them, as its leases would be revoked for nothing.
+    /// While all replicas are behind, leases on the primary would be revoked for nothing.
     pub(super) async fn has_successor(&self, replacement: &Replacement) -> bool {
         let mut candidates = self.candidates(replacement, &[]);
         let mut choice = self.start_choice(replacement, None, &candidates);
@@ -152,7 +151,7 @@
     ) -> Result<(Successor, Standing), Lost> {
         let mut asked: Vec<(Successor, Part)> = Vec::new();
         let mut choice = self.start_choice(replacement, target, &[]);
-        let mut missing = None;
+        let mut reported = None;
         loop {
             if self.state.borrow_mut().held(replacement.token).is_none() {
                 return Err(Lost);
@@ -177,7 +176,7 @@
             {
                 return Ok((chosen.clone(), standing));
             }
-            self.report_incomplete(replacement, &choice, &mut missing);
+            self.report_incomplete(replacement, &choice, &mut reported);
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
--- a/src/net/watched.rs
+++ b/src/net/watched.rs
@@ -66,7 +66,11 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
             *newest = Arc::clone(&closed);
-            Ok(TokioIo::new(Watched { stream, closed }))
+            Ok(TokioIo::new(Watched {
+                stream,
+                closed,
+                closing: false,
+            }))
         })
     }
 }
@@ -90,6 +94,8 @@
 pub struct Watched {
     stream: TcpStream,
     closed: Closed,
+    /// Whether this end has closed it: then the other end does so too, although its process runs.
+    closing: bool,
 }
 
 impl AsyncRead for Watched {
@@ -100,7 +106,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() == before && buffer.remaining() > 0 {
+        let ends = buffer.filled().len() == before && buffer.remaining() > 0;
+        if ends && !self.closing {
             self.closed.store(true, Ordering::Relaxed);
         }
         Poll::Ready(Ok(()))
@@ -133,6 +140,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.closing = true;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
