Order no other database while a promotion may take effect

What callers would see: writes at a database that leads only until an earlier promotion of another one takes effect.

Cause: a steward that was refused by the database whose promotion it had ordered took it for ended, and ordered another one at once. A partition may refuse connections to a database that runs.

Change: a refusal after an order leads to another order for the same database, whose answer tells whether it runs. The platform's word that it does not run still ends the wait at once.

--- a/src/direct/control/order.rs
+++ b/src/direct/control/order.rs
@@ -21,6 +21,17 @@
 /// How long a database may refuse to be promoted before another one is chosen.
 const MAX_REFUSAL: Span = Span::from_secs(3);
 
+/// What a database shows after its promotion was ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// It leads.
+    Leads,
+    /// It refuses connections, or is not registered any more.
+    Absent,
+    /// Nothing yet.
+    Unknown,
+}
+
 /// The database chosen to be the next primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Successor {
@@ -58,6 +69,11 @@
     /// Orders the promotion of one database until it has certainly happened. Returns false if
     /// another one has to be chosen, because this one does not run any more, keeps refusing, or
     /// restarted without the data that it was chosen for.
+    ///
+    /// A refused connection does not show that the database has ended: a partition may refuse it
+    /// too. The platform tells with the next order whether it runs. If it does, another one is
+    /// chosen only once no order to this one can take effect any more: two databases would be
+    /// primary in turn otherwise.
     async fn order_one(
         self: &Rc<Self>,
         replacement: &Replacement,
@@ -67,14 +83,16 @@
     ) -> Result<bool, Lost> {
         let id = &chosen.id;
         let mut backoff = Backoff::default();
-        // Whether the outcome of an order is still open.
-        let mut open = false;
+        // By when an order whose outcome is open has taken effect.
+        let mut settled: Option<Time> = None;
+        let mut was_absent = false;
         let from = self.now();
         loop {
             if self
                 .registered(id)
                 .is_some_and(|now| now.born != chosen.born)
             {
+                self.wait_until_settled(settled).await;
                 return Ok(false);
             }
             let asked = match self.renew(replacement.token, None).await {
@@ -90,26 +108,46 @@
                 group:% = replacement.group, database:% = id, token = replacement.token, outcome:? = promoted,
                 renewed_ms = self.now().since(asked).0 / 1_000; "a promotion was ordered"
             );
+            let settles = self.now() + MAX_PROMOTION_TIME;
             match promoted {
                 Promoted::Done => {
-                    if let Some(leads) = self.wait_until_leads(replacement, id, before, only).await
+                    settled = Some(settles);
+                    let until = if was_absent { settles } else { Time::default() };
+                    match self
+                        .wait_until_leads(replacement, id, before, only, until)
+                        .await
                     {
-                        return Ok(leads);
+                        Progress::Leads => return Ok(true),
+                        Progress::Absent if was_absent => return Ok(false),
+                        Progress::Absent => was_absent = true,
+                        Progress::Unknown => {}
                     }
-                    open = true;
                 }
                 Promoted::NotRunning => return Ok(false),
-                Promoted::Refused if !open && from + MAX_REFUSAL <= self.now() => return Ok(false),
+                Promoted::Refused if settled.is_none() && from + MAX_REFUSAL <= self.now() => {
+                    return Ok(false);
+                }
                 Promoted::Refused => {}
-                Promoted::Unknown if self.has_ended(id).await => return Ok(false),
-                Promoted::Unknown => open = true,
+                Promoted::Unknown => {
+                    settled = Some(settles);
+                    if self.registered(id).is_none() {
+                        self.wait_until_settled(settled).await;
+                        return Ok(false);
+                    }
+                }
             }
             backoff.wait(self.random()).await;
         }
     }
 
-    /// Waits until a database whose promotion was ordered leads. Returns false if it has ended,
-    /// none if it takes too long.
+    /// Waits until no order can take effect any more.
+    async fn wait_until_settled(&self, settled: Option<Time>) {
+        let left = settled.map_or(Span::ZERO, |settled| settled.since(self.now()));
+        tokio::time::sleep(left.into()).await;
+    }
+
+    /// Waits until a database whose promotion was ordered leads. It is absent only from
+    /// `absent_from` on.
     ///
     /// A promotion takes up to a second, during which the database is still a replica and answers
     /// reads by what it has applied. If a second replacement then ordered the old primary, the
@@ -125,38 +163,30 @@
         id: &DatabaseId,
         before: Standing,
         only: bool,
-    ) -> Option<bool> {
+        absent_from: Time,
+    ) -> Progress {
         let until = self.now() + LEAD_TIMEOUT;
         let settled = self.now() + MAX_PROMOTION_TIME;
         let is_unordered = only && replacement.cause != Cause::Unfinished;
         let trusted = !before.primary || (is_unordered && *id == replacement.old);
         let is_new = |standing: Standing| trusted || standing.term > before.term;
         while self.now() < until {
-            let known = self.registered(id);
-            let Some(database) = known else {
-                return Some(false);
+            let reply = match self.registered(id) {
+                Some(database) => self.standing(&database).await,
+                None => Reply::Absent,
             };
-            match self.standing(&database).await {
+            match reply {
                 Reply::Stands(standing)
                     if standing.primary && (is_new(standing) || self.now() >= settled) =>
                 {
                     log::info!(group:% = replacement.group, database:% = id, term:% = standing.term; "it leads");
-                    return Some(true);
+                    return Progress::Leads;
                 }
-                Reply::Absent => return Some(false),
+                Reply::Absent if self.now() >= absent_from => return Progress::Absent,
                 _ => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
-        None
-    }
-
-    /// Whether a database has ended, as far as this VM can find out.
-    async fn has_ended(&self, id: &DatabaseId) -> bool {
-        let known = self.registered(id);
-        match known {
-            None => true,
-            Some(database) => self.standing(&database).await == Reply::Absent,
-        }
+        Progress::Unknown
     }
 
     async fn order_once(
--- a/tests/direct_partition.rs
+++ b/tests/direct_partition.rs
@@ -5,7 +5,7 @@
 use lentilspoke::standin::direct::fault::Fault;
 use lentilspoke::standin::direct::network::Node;
 use lentilspoke::standin::direct::setup::Setup;
-use scene::{db, play};
+use scene::{db, play, vm};
 use std::time::Duration;
 
 /// Guards against writes that are acknowledged on an old primary: VMs beside it run behind a partition
@@ -33,3 +33,35 @@
         scene.passes().await;
     });
 }
+
+/// Guards against two databases that lead in turn: one that was ordered to lead runs behind a partition
+/// that refuses connections, and another one was ordered before that promotion took effect.
+#[test]
+fn a_database_that_refuses_after_its_order_is_not_passed_over() {
+    let setup = Setup {
+        vms: 4,
+        promotion: Duration::from_millis(1_000),
+        ..Setup::default()
+    };
+    play(setup, |scene| async move {
+        scene.world.network.set_refusing(true);
+        scene.until(5_000).await;
+        Fault::Crash(db("db0a")).begin(&scene.world);
+        let mut now = 5_000;
+        while scene.events().orders.is_empty() {
+            now += 10;
+            assert!(now < 9_000, "nothing is ordered");
+            scene.until(now).await;
+        }
+        let chosen = scene.events().orders[0].database.clone();
+        let vms = (1..=4).map(|n| Node::Vm(vm(&format!("vm{n}"))));
+        let cut = Fault::Sever(Node::Database(chosen.clone()), vms.collect());
+        scene.fault(cut, now, now + 1_500).await;
+        scene.passes().await;
+        let events = scene.events();
+        let first = &events.failovers[0];
+        assert_eq!(first.database, chosen);
+        let others = events.orders.iter().filter(|o| o.database != chosen);
+        assert_eq!(others.filter(|order| order.at < first.at).count(), 0);
+    });
+}
