Keep the duty with most VMs in a partition without the store

Cause: the VMs beside the old primary hear no steward and take its duty; the other side takes it back, and so on every two to three seconds. Each steward begins the replacement anew and waits for leases of the other side, 2.75 to 8.25 s, and loses the duty before it orders. Each side evicts the other, whose VMs register again at once. Told by the lines `this VM is the steward`, `a replacement ended`, `evicting it` and `registering this VM` of the seven processes.

Change: a steward that misses VMs and hears at least half renews the duty's row, so that nobody takes it; one that hears fewer leaves it. A VM takes the duty at once only if most VMs that it asks miss the steward, else 1.75 s after its last answer. VMs that the steward does not answer release epochs by their rows, which the steward reads while it waits. A life that registered again after its eviction is not evicted again for 8 s. Safety rests on the row's version and the leases as before; docs/PLATFORM.md.

--- a/src/direct/control/change.rs
+++ b/src/direct/control/change.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 /// How long work on a primary that still runs may take to end in a planned replacement.
-const WORK_TIMEOUT: Span = Span::from_secs(1);
+pub(super) const WORK_TIMEOUT: Span = Span::from_secs(1);
 
 /// How long a VM may take to answer, in addition to the time given to its work.
 const ANSWER_MARGIN: Span = Span::from_millis(400);
@@ -224,6 +224,7 @@
         };
         let pending = members.iter().map(|(id, m)| (id.clone(), since(id, m)));
         let mut revocation = Revocation::new(pending, read);
+        let mut lives: Vec<_> = members.iter().map(|(id, m)| (id.clone(), m.life)).collect();
         let mut calls = FuturesUnordered::new();
         for (id, member) in members {
             let until = revocation.until(&id).unwrap_or(replacement.intent);
@@ -231,6 +232,7 @@
         }
         while let Some(end) = revocation.end() {
             let left = Duration::from(end.since(self.now()));
+            lives.retain(|(id, _)| revocation.until(id).is_some());
             tokio::select! {
                 biased;
                 Some((id, how)) = calls.next() => {
@@ -239,6 +241,12 @@
                         log::info!(vm:% = id, group:% = replacement.group, epoch = replacement.epoch, how; "a VM holds no lease");
                     }
                 }
+                over = self.released_by_store(replacement, &lives) => {
+                    for id in over {
+                        revocation.done(&id, self.now());
+                        log::info!(vm:% = id, group:% = replacement.group, epoch = replacement.epoch, how = "its row"; "a VM holds no lease");
+                    }
+                }
                 () = tokio::time::sleep(left) => {
                     let now = self.now();
                     for id in revocation.pending() {
--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -117,17 +117,22 @@
     }
 
     /// Takes the duty, unless at least half of the other VMs that answer are in contact with the
-    /// steward: then only this VM's path to it is broken.
+    /// steward: then only this VM's path to it is broken. If too few others miss it, the steward first
+    /// has the time to show that it uses the duty.
     pub(super) async fn take_unless_followed(self: &Rc<Self>) {
-        let ended = {
+        let contact = {
             let state = self.state.borrow();
-            let followed = state.followed.as_ref();
-            followed.is_none_or(|followed| followed.contact.ended.is_some())
+            state.followed.as_ref().map(|followed| followed.contact)
         };
-        if !ended {
-            let (answered, in_contact) = self.ask_peers().await;
-            if in_contact > 0 && in_contact * 2 >= answered {
-                log::info!(answered, hear = in_contact; "the steward is silent to this VM only: not replacing it");
+        if let Some(contact) = contact.filter(|contact| contact.ended.is_none()) {
+            let poll = self.ask_peers().await;
+            let (answered, hear) = (poll.answered, poll.in_contact);
+            if poll.is_followed() {
+                log::info!(answered, hear; "the steward is silent to this VM only: not replacing it");
+                return;
+            }
+            if !poll.is_missed_by_most() && !contact.is_contestable(self.now()) {
+                log::info!(asked = poll.asked, answered, hear; "too few VMs miss the steward: not replacing it yet");
                 return;
             }
         }
@@ -209,6 +214,7 @@
         state.held = Some(held);
         state.followed = None;
         state.tried.clear();
+        state.evictions.clear();
         drop(state);
         tasks::start(self, token);
         self.ping_all();
--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -5,6 +5,7 @@
 use crate::direct::control::backoff::Backoff;
 use crate::direct::control::join::Source;
 use crate::direct::control::state::FollowedSteward;
+use crate::direct::control::takeover::Poll;
 use crate::direct::control::{Control, reader};
 use crate::direct::mesh::{Answer, Question};
 use crate::direct::table::Fault;
@@ -111,6 +112,9 @@
         let answered = self.heartbeat_or_refresh(&followed).await?;
         let silent = self.steward_is_silent();
         self.notify_if_lost(answered);
+        if !answered {
+            self.release_by_store();
+        }
         let due = self.may_refresh() && (silent || !answered || self.is_stale());
         match (due || !self.is_member(), silent) {
             (true, _) => self.refresh().await,
@@ -319,9 +323,9 @@
         }
     }
 
-    /// Asks some peers for updates. Returns how many answered, and how many of these are in contact
-    /// with the steward that this VM follows although it does not answer this VM.
-    pub(super) async fn ask_peers(&self) -> (usize, usize) {
+    /// Asks some peers for updates, and whether they are in contact with the steward that this VM
+    /// follows.
+    pub(super) async fn ask_peers(&self) -> Poll {
         let asked = self.now();
         let unanswered = {
             let state = self.state.borrow();
@@ -330,7 +334,12 @@
                 followed.contact.unanswered_for(asked)
             })
         };
-        let calls = self.peers().into_iter().map(async |address| {
+        let peers = self.peers();
+        let mut poll = Poll {
+            asked: peers.len(),
+            ..Poll::default()
+        };
+        let calls = peers.into_iter().map(async |address| {
             let question = Question::Heartbeat(self.heartbeat());
             (
                 address,
@@ -344,19 +353,18 @@
             .followed
             .as_ref()
             .map(|followed| followed.token);
-        let (mut answered, mut in_contact) = (0, 0);
         for (address, answer) in answers {
             let Some(Answer::Update(update)) = answer else {
                 continue;
             };
-            answered += 1;
+            poll.answered += 1;
             let heard = update.duty.as_ref();
             let fresh = heard.is_some_and(|h| h.age < unanswered && Some(h.token) == token);
-            in_contact += usize::from(fresh);
+            poll.in_contact += usize::from(fresh);
             self.follow_reported(heard, self.now());
             self.apply_update(*update, address, asked);
         }
-        (answered, in_contact)
+        poll
     }
 
     /// Some peers, without the steward.
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -30,6 +30,7 @@
 pub mod promotion;
 pub mod reader;
 pub mod register;
+pub mod release;
 pub mod resume;
 pub mod rows;
 mod state;
@@ -131,6 +132,9 @@
     dampers: RefCell<BTreeMap<GroupId, Damper>>,
     /// Whether the newest reading, of this VM or of the steward, shows this VM's row.
     member: Cell<bool>,
+    /// When epochs were last released by way of the store, which earlier readings do not show; none while epochs
+    /// are being released.
+    released_at: Cell<Option<Time>>,
     /// The random number generator. Its seed is the process's life, so that a simulation whose
     /// lives come from a seed can be replayed.
     rng: RefCell<ChaCha8Rng>,
@@ -164,6 +168,7 @@
             links: RefCell::default(),
             dampers: RefCell::default(),
             member: Cell::new(false),
+            released_at: Cell::new(Some(Time::default())),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(setup.life.0)),
             reading: Mutex::new(None),
             writing: Mutex::new(()),
@@ -209,6 +214,7 @@
                         domain,
                         cores,
                         evicted: false,
+                        released: BTreeMap::new(),
                     };
                     let id = MemberId::new(&beat.vm, beat.address.ip());
                     let applicant = Applicant { id, member, expect };
--- a/src/direct/control/own.rs
+++ b/src/direct/control/own.rs
@@ -4,8 +4,10 @@
 use crate::direct::control::enroll::Applicant;
 use crate::direct::control::rows::{Member, Reading, member_row};
 use crate::direct::control::state::Held;
+use crate::direct::lead::Epoch;
 use crate::direct::table::{Change, Fault, RowId, Version};
 use crate::direct::view::Peer;
+use crate::types::GroupId;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -17,6 +19,7 @@
         let lease = reading.is_lease_for(&self.id, self.setup.life);
         self.learn(reading.clone());
         if lease || self.setup.shared.get().stopping {
+            self.release_by_store();
             return Ok(());
         }
         self.register_self(reading.members.get(&self.id)).await
@@ -126,6 +129,7 @@
             domain: self.setup.domain.clone(),
             cores: self.setup.cores,
             evicted: false,
+            released: self.released_epochs(known.map(|(member, _)| member)),
         };
         let former = known.map(|(member, _)| member.life.0);
         let evicted = known.is_some_and(|(member, _)| member.evicted);
@@ -138,9 +142,16 @@
         self.enroll(applicant).await?;
         let now = self.now();
         self.state.borrow_mut().enrolled = Some(now);
+        self.release_by_store();
         Ok(())
     }
 
+    /// The epochs that this life has released according to its row.
+    fn released_epochs(&self, known: Option<&Member>) -> BTreeMap<GroupId, Epoch> {
+        let own = known.filter(|member| member.life == self.setup.life);
+        own.map_or_else(BTreeMap::new, |member| member.released.clone())
+    }
+
     /// Removes this VM's row.
     pub(super) async fn unregister(&self) -> Result<(), Fault> {
         let own = self.store.member(&self.id).await?;
--- a/src/direct/control/rows.rs
+++ b/src/direct/control/rows.rs
@@ -2,7 +2,7 @@
 //! as of a single moment.
 
 use crate::clock::Time;
-use crate::direct::lead::Lead;
+use crate::direct::lead::{Epoch, Lead};
 use crate::direct::table::{Era, Row, RowId, Version};
 use crate::direct::view::Peer;
 use crate::types::{Cores, Domain, GroupId, Life, VmId};
@@ -73,6 +73,10 @@
     /// Set by a steward that receives no heartbeats from it. Readings that were requested after
     /// this are no lease for the VM.
     pub evicted: bool,
+    /// The last epoch of each group that it has released by way of the store, while the steward did
+    /// not answer it. Absent in rows of older releases.
+    #[serde(default)]
+    pub released: BTreeMap<GroupId, Epoch>,
 }
 
 /// The control rows as of one moment.
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -70,6 +70,8 @@
     pub heartbeats: BTreeMap<MemberId, LastHeartbeat>,
     /// VMs that a reading showed as evicted: the row's version, and when it was first seen.
     pub evicted: BTreeMap<MemberId, (Version, Time)>,
+    /// The lives that this VM evicted as the steward, and when it last did.
+    pub evictions: BTreeMap<MemberId, (Life, Time)>,
     /// The steward's last attempts to connect to databases.
     pub tried: BTreeMap<DatabaseId, Probe>,
     /// The newest epoch seen of each group, and when this VM first saw it.
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -7,7 +7,7 @@
 use crate::direct::control::promotion::lapsed_at;
 use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Topic;
-use crate::direct::lead::Lead;
+use crate::direct::lead::{LEASE, Lead};
 use crate::direct::table::Version;
 use crate::direct::view::Report;
 use crate::types::{DatabaseId, GroupId, Life};
@@ -17,6 +17,10 @@
 /// evicted in time, the next replacement has to wait for its lease to expire.
 const MEMBER_TIMEOUT: Span = Span::from_millis(1_200);
 
+/// How long a life that registered again after its eviction is not evicted again. It runs and reaches
+/// the store, so it would register again at once.
+const EVICTION_INTERVAL: Span = LEASE;
+
 /// The pause between two attempts to reach a database that is reported to fail, and the pause after
 /// an attempt that it answered. Each attempt takes a connection for 12 ms.
 const TRY_INTERVAL: Span = Span::from_millis(150);
@@ -138,6 +142,8 @@
     pub tried: &'a BTreeMap<DatabaseId, Probe>,
     /// When evicted VMs were first seen as such, by the version of their rows.
     pub evicted: &'a BTreeMap<MemberId, (Version, Time)>,
+    /// The lives that this steward evicted, and when it last did.
+    pub evictions: &'a BTreeMap<MemberId, (Life, Time)>,
     /// Each group's epoch, and since when it has had it.
     pub epochs: &'a BTreeMap<GroupId, (u64, Time)>,
     /// Limits how often a group's primary is replaced while it still runs.
@@ -348,7 +354,10 @@
                 .get(id)
                 .filter(|status| status.life == member.life);
             let heard = status.map_or(self.steward_since, |status| status.at);
-            if heard + MEMBER_TIMEOUT + self.margin <= self.now {
+            let again = self.evictions.get(id).is_some_and(|(life, at)| {
+                *life == member.life && self.now < *at + EVICTION_INTERVAL
+            });
+            if !again && heard + MEMBER_TIMEOUT + self.margin <= self.now {
                 actions.push(Action::Ping(id.clone()));
             }
         }
--- a/src/direct/control/takeover.rs
+++ b/src/direct/control/takeover.rs
@@ -16,6 +16,21 @@
 /// The time after the request of a renewal within which an order may be sent and has to arrive.
 pub const ORDER_TIMEOUT: Span = Span::from_millis(1_500);
 
+/// A VM that sent a heartbeat less than this long ago is heard: an interval and half of one for a late
+/// heartbeat.
+const HEARD_TIMEOUT: Span = Span::from_millis(750);
+
+/// A VM that sent no heartbeat for this long is missed. All VMs behind one partition count as not heard
+/// by then, as they send heartbeats at different moments of an interval.
+const MISSED_TIMEOUT: Span = Span(HEARD_TIMEOUT.0 + HEARTBEAT_INTERVAL.0);
+
+/// How often the steward checks whether to renew the duty because it misses VMs.
+pub const SHOW_INTERVAL: Span = Span::from_millis(250);
+
+/// A VM that knows of too few others that miss the steward leaves it this long, so that a steward that
+/// runs has renewed the duty: its timeout, the interval, and a margin for a slow store.
+const CONTEST_TIMEOUT: Span = Span(MISSED_TIMEOUT.0 + 2 * SHOW_INTERVAL.0);
+
 /// Allows for clocks that run at different rates, and for the time an order needs to arrive.
 const MARGIN: Span = Span::from_millis(300);
 
@@ -103,6 +118,12 @@
         refusing.map_or(silent, |refusing| refusing.min(silent))
     }
 
+    /// Whether a steward that runs, and hears enough VMs, has had the time to renew the duty since it
+    /// last answered.
+    pub fn is_contestable(&self, now: Time) -> bool {
+        now >= self.since + CONTEST_TIMEOUT
+    }
+
     /// For how long the steward has not answered, as far as another VM's answer from it shows that
     /// only this VM does not reach it.
     pub fn unanswered_for(&self, now: Time) -> Span {
@@ -113,6 +134,48 @@
     }
 }
 
+/// What other VMs said of the steward that does not answer this one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Poll {
+    /// How many were asked.
+    pub asked: usize,
+    /// How many of these answered.
+    pub answered: usize,
+    /// How many of these are in contact with the steward.
+    pub in_contact: usize,
+}
+
+impl Poll {
+    /// Whether the steward is silent to a lesser part of the VMs only.
+    pub fn is_followed(&self) -> bool {
+        self.in_contact > 0 && self.in_contact * 2 >= self.answered
+    }
+
+    /// Whether most VMs miss the steward, this one included, so that it could not show its use of the
+    /// duty: see [`shows_use`].
+    pub fn is_missed_by_most(&self) -> bool {
+        (self.answered - self.in_contact + 1) * 2 > self.asked + 1
+    }
+}
+
+/// Whether the steward renews the duty without a reason of its own, given when it last heard each of the
+/// registered VMs, itself included.
+///
+/// In a partition that the store is not part of, a VM that does not hear the steward would take the
+/// duty, lose it to the other side, and take it again, and no replacement would ever end. A steward that
+/// hears at least half of the VMs keeps it: its row changes, and nobody takes the duty while it does. A
+/// steward that hears fewer leaves the duty to the other side.
+pub fn shows_use(heard: impl IntoIterator<Item = Option<Time>>, now: Time) -> bool {
+    let ages: Vec<_> = heard
+        .into_iter()
+        .map(|at| at.map(|at| now.since(at)))
+        .collect();
+    let is_missed = |age: &Option<Span>| age.is_none_or(|age| age >= MISSED_TIMEOUT);
+    let is_heard = |age: &&Option<Span>| age.is_some_and(|age| age < HEARD_TIMEOUT);
+    let present = ages.iter().filter(is_heard).count();
+    ages.iter().any(is_missed) && present * 2 >= ages.len()
+}
+
 /// The version of the duty's row, and since when the row is known to have it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Watch {
--- a/src/direct/control/tasks.rs
+++ b/src/direct/control/tasks.rs
@@ -3,12 +3,14 @@
 use crate::clock::{Span, Time};
 use crate::direct::config::Database;
 use crate::direct::control::backoff::Backoff;
+use crate::direct::control::duty::Renewed;
 use crate::direct::control::evidence::Probe;
 use crate::direct::control::probe;
 use crate::direct::control::promotion::Reply;
 use crate::direct::control::rows::{MemberId, duty_row, encode, lead_row, member_row};
 use crate::direct::control::state::{LastHeartbeat, Topic};
 use crate::direct::control::steward::{Action, Snapshot, Status, plan};
+use crate::direct::control::takeover::{self, SHOW_INTERVAL};
 use crate::direct::control::{Control, resume};
 use crate::direct::lead::Lead;
 use crate::direct::mesh::{Answer, Question};
@@ -62,6 +64,21 @@
     actix_rt::spawn(read_loop(control.clone(), token));
     actix_rt::spawn(action_loop(control.clone(), token));
     actix_rt::spawn(measure_delay(control.clone(), token));
+    actix_rt::spawn(show_use(control.clone(), token));
+}
+
+/// Renews the duty while VMs are not heard that may see its row only.
+async fn show_use(control: Rc<Control>, token: u64) {
+    while holds(&control, token) {
+        tokio::time::sleep(SHOW_INTERVAL.into()).await;
+        if !control.is_use_shown() {
+            continue;
+        }
+        if let Renewed::Lost = control.renew(token, None).await {
+            return;
+        }
+        tokio::time::sleep(SHOW_INTERVAL.into()).await;
+    }
 }
 
 /// Measures this VM's scheduling delay while it is the steward.
@@ -128,6 +145,21 @@
 }
 
 impl Control {
+    fn is_use_shown(&self) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        let is_handing_over = state.held.as_ref().is_none_or(|held| held.handing_over);
+        let heard = |id: &MemberId| match *id == self.id {
+            true => Some(now),
+            false => state.heartbeats.get(id).map(|heard| heard.at),
+        };
+        let members = state
+            .reading
+            .iter()
+            .flat_map(|reading| reading.members.keys());
+        !is_handing_over && takeover::shows_use(members.map(heard), now)
+    }
+
     fn plan(&self) -> (Vec<Action>, Option<Time>) {
         let now = self.now();
         self.record_own_reports(now);
@@ -156,6 +188,7 @@
             statuses: &statuses.collect(),
             tried: &state.tried,
             evicted: &state.evicted,
+            evictions: &state.evictions,
             epochs: &state.epochs,
             dampers: &self.dampers.borrow(),
             margin: self.delay.margin(),
@@ -429,6 +462,11 @@
             answer => {
                 let refused = answer.is_some();
                 log::warn!(vm:% = id, life:% = member.life, refused; "a VM is silent: evicting it");
+                let evicted = (member.life, self.now());
+                self.state
+                    .borrow_mut()
+                    .evictions
+                    .insert(id.clone(), evicted);
                 member.evicted = true;
                 let row = member_row(id);
                 let change = Change {
--- a/tests/direct_control.rs
+++ b/tests/direct_control.rs
@@ -10,7 +10,7 @@
 use lentilspoke::direct::control::rows::{Member, MemberId, Reading};
 use lentilspoke::direct::control::steward::{Action, Cause, Snapshot, Status, plan};
 use lentilspoke::direct::control::store::WriteTimeout;
-use lentilspoke::direct::control::takeover::{Contact, Watch};
+use lentilspoke::direct::control::takeover::{Contact, Poll, Watch, shows_use};
 use lentilspoke::direct::lead::{Lead, Leases};
 use lentilspoke::direct::statement::Standing;
 use lentilspoke::direct::table::{self, Era};
@@ -186,6 +186,56 @@
     assert_eq!(watch.takes_at(Some(&contact), 0, at(1_800)), None);
 }
 
+/// Guards against a duty that goes back and forth across a partition: a steward shows its use of the duty
+/// while it misses VMs and hears at least half of them, and only then.
+#[test]
+fn use_of_the_duty_is_shown_by_the_side_with_most_vms() {
+    let now = at(10_000);
+    let cases = [
+        ("all are heard", vec![Some(9_800); 7], false),
+        (
+            "one is missed",
+            vec![Some(9_800), Some(9_800), Some(8_700)],
+            true,
+        ),
+        (
+            "most are about to be missed",
+            [9_900, 9_800, 9_000, 9_100, 9_300, 9_450]
+                .map(Some)
+                .to_vec(),
+            false,
+        ),
+        ("half are missed", vec![Some(9_800), None], true),
+        (
+            "most are missed",
+            vec![Some(9_800), Some(9_000), None],
+            false,
+        ),
+        ("it is alone", vec![Some(9_800)], false),
+    ];
+    for (name, heard, expected) in cases {
+        let heard = heard.into_iter().map(|heard| heard.map(at));
+        assert_eq!(shows_use(heard, now), expected, "{name}");
+    }
+}
+
+/// Guards against a takeover by the lesser side of a partition, whose VMs all miss the steward.
+#[test]
+fn a_lesser_side_waits_for_the_steward_to_show_its_use() {
+    let poll = |asked, answered, in_contact| Poll {
+        asked,
+        answered,
+        in_contact,
+    };
+    assert!(poll(4, 4, 0).is_missed_by_most());
+    assert!(poll(0, 0, 0).is_missed_by_most());
+    assert!(!poll(4, 1, 0).is_missed_by_most());
+    assert!(!poll(4, 4, 3).is_missed_by_most());
+    assert!(poll(4, 2, 1).is_followed() && !poll(4, 2, 0).is_followed());
+    let contact = Contact::new(at(1_000));
+    assert!(!contact.is_contestable(at(2_700)) && contact.is_contestable(at(2_750)));
+}
+
 /// Half of 63 VMs end together with the steward, and all that come first in rank are among them.
 /// Some VM that is left takes the duty within a second, without waiting for 32 others in turn.
 #[test]
@@ -415,6 +465,7 @@
                 domain: "d".parse().unwrap(),
                 cores: Cores::default(),
                 evicted: false,
+                released: BTreeMap::new(),
             };
             reading.members.insert(member(number), (row, version(1)));
         }
@@ -454,6 +505,7 @@
             statuses: &statuses,
             tried: &self.tried,
             evicted: &self.evicted,
+            evictions: &BTreeMap::new(),
             epochs: &self.epochs,
             dampers: &self.dampers,
             margin: Span::ZERO,
--- a/tests/direct_era.rs
+++ b/tests/direct_era.rs
@@ -197,6 +197,7 @@
         domain: "d".parse().unwrap(),
         cores: Cores::default(),
         evicted: false,
+        released: std::collections::BTreeMap::new(),
     };
     let duty = Duty {
         vm: "vm1".parse().unwrap(),
--- a/tests/direct_partition.rs
+++ b/tests/direct_partition.rs
@@ -65,3 +65,63 @@
         assert_eq!(others.filter(|order| order.at < first.at).count(), 0);
     });
 }
+
+/// By how many milliseconds after the beginning of a partition that refuses connections the primary's
+/// route is served again on one side.
+const MAX_GAP: u64 = 4_000;
+
+/// The same for a silent one: sooner than the leases of both sides would have expired one after the other.
+const MAX_SILENT_GAP: u64 = 8_000;
+
+/// Plays a partition of 12 s that the store is not part of: the primary and two VMs on one side, and five
+/// VMs and the replicas on the other.
+fn store_reaches_both_sides(refusing: bool, steward_is_near: bool) {
+    let setup = Setup {
+        vms: 7,
+        promotion: Duration::from_millis(300),
+        ..Setup::default()
+    };
+    play(setup, |scene| async move {
+        scene.world.network.set_refusing(refusing);
+        scene.until(5_000).await;
+        let steward = scene.steward();
+        let mut others = scene.world.running();
+        others.retain(|vm| *vm != steward);
+        let (mut near, mut far) = (others.split_off(4), others);
+        if steward_is_near {
+            far.extend(near.pop());
+            near.push(steward);
+        } else {
+            far.push(steward);
+        }
+        let database = |id| Node::Database(db(id));
+        let near = near.into_iter().map(Node::Vm).chain([database("db0a")]);
+        let far = far.into_iter().map(Node::Vm);
+        let far = far.chain([database("db0b"), database("db0c")]);
+        let split = Fault::Split(near.collect(), far.collect());
+        scene.fault(split, 5_000, 17_000).await;
+        scene.passes().await;
+        let gap = if refusing { MAX_GAP } else { MAX_SILENT_GAP };
+        for from in (5_000 + gap..16_500).step_by(500) {
+            let done = scene.done("primary0", from, from + 500);
+            assert!(done > 0, "nothing is served from {from} ms on");
+        }
+    });
+}
+
+/// Guards against a duty that VMs on both sides of a partition take from each other, so that no
+/// replacement ends before it heals, and against one that waits for leases of VMs that read the store.
+#[test]
+fn a_partition_without_the_store_costs_seconds() {
+    for steward_is_near in [false, true] {
+        store_reaches_both_sides(true, steward_is_near);
+    }
+}
+
+/// The same where the partition is silent.
+#[test]
+fn a_silent_partition_without_the_store_costs_seconds() {
+    for steward_is_near in [false, true] {
+        store_reaches_both_sides(false, steward_is_near);
+    }
+}
