--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -132,8 +132,8 @@
     dampers: RefCell<BTreeMap<GroupId, Damper>>,
     /// Whether the newest reading, of this VM or of the steward, shows this VM's row.
     member: Cell<bool>,
-    /// When epochs were last released by way of the store, which earlier readings do not show; none while epochs
-    /// are being released.
+    /// When epochs were last released by way of the store, as earlier readings do not show it; none
+    /// while that is under way.
     released_at: Cell<Option<Time>>,
     /// The random number generator. Its seed is the process's life, so that a simulation whose
     /// lives come from a seed can be replayed.
--- a/src/direct/control/order.rs
+++ b/src/direct/control/order.rs
@@ -83,7 +83,7 @@
     ) -> Result<bool, Lost> {
         let id = &chosen.id;
         let mut backoff = Backoff::default();
-        // By when an order whose outcome is open has taken effect.
+        // By when the last order has taken effect if it ever does.
         let mut settled: Option<Time> = None;
         let mut was_absent = false;
         let from = self.now();
@@ -112,9 +112,9 @@
             match promoted {
                 Promoted::Done => {
                     settled = Some(settles);
-                    let until = if was_absent { settles } else { Time::default() };
+                    let absent_from = if was_absent { settles } else { Time::default() };
                     match self
-                        .wait_until_leads(replacement, id, before, only, until)
+                        .wait_until_leads(replacement, id, before, only, absent_from)
                         .await
                     {
                         Progress::Leads => return Ok(true),
@@ -146,8 +146,8 @@
         tokio::time::sleep(left.into()).await;
     }
 
-    /// Waits until a database whose promotion was ordered leads. It is absent only from
-    /// `absent_from` on.
+    /// Waits until a database whose promotion was ordered leads. That it refuses connections, or is
+    /// not registered, ends the wait only from `absent_from` on.
     ///
     /// A promotion takes up to a second, during which the database is still a replica and answers
     /// reads by what it has applied. If a second replacement then ordered the old primary, the
--- a/src/direct/control/takeover.rs
+++ b/src/direct/control/takeover.rs
@@ -124,8 +124,8 @@
         now >= self.since + CONTEST_TIMEOUT
     }
 
-    /// For how long the steward has not answered, as far as another VM's answer from it shows that
-    /// only this VM does not reach it.
+    /// The greatest age of another VM's contact with the steward that shows that the steward runs,
+    /// and only this VM does not reach it.
     pub fn unanswered_for(&self, now: Time) -> Span {
         let unanswered = self
             .refused
