--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -61,7 +61,7 @@
 
 class Deployment:
     def __init__(self, record_file, vms=3, routes=None, sync_replicas=0, database_options=None, max_conns=23,
-                 tenants=None):
+                 tenants=None, strong=0):
         self.record_file = record_file
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.processes = []
@@ -73,7 +73,7 @@
         self.routes = routes or [
             {"host": "lead0", "kind": "primary", "timeout_ms": 800, "target_latency_ms": 300, "priority": 1},
         ]
-        self.vm_count = vms
+        self.vm_count, self.strong = vms, strong
         self.tenants = tenants
         self.started = time.monotonic()
 
@@ -95,8 +95,11 @@
 
     def start_platform(self):
         self.store_port, self.cloud_port = free_port(), free_port()
+        # Each VM has a port of its own at the store, so that it can be cut off alone.
+        self.vm_store_ports = [free_port() for _ in range(self.vm_count)]
+        ports = ",".join(str(port) for port in [self.store_port, *self.vm_store_ports])
         self.spawn("platform", [sys.executable, os.path.join(HERE, "standins_2.py"), "platform",
-                                str(self.store_port), str(self.cloud_port), self.log_path("platform")])
+                                ports, str(self.cloud_port), self.log_path("platform")])
 
     def start_database(self, name, zone, **options):
         known = self.databases.get(name)
@@ -112,17 +115,23 @@
 
     # -- the project's programs
 
+    def cores(self, index):
+        """The processor of a VM: as on the small sites, or as on the large ones, where a few have more."""
+        if not self.strong:
+            return 0.25
+        return 0.5 if index < self.strong else 0.12
+
     def start_vm(self, name):
         vm = self.vms[name]
         settings = {
             "vm": name, "domain": vm["zone"], "callers": f"127.0.0.1:{vm['front']}",
             "peers": f"127.0.0.1:{vm['control']}", "admin": f"127.0.0.1:{vm['admin']}",
-            "platform": [f"127.0.0.1:{self.store_port}"], "log": "info",
+            "platform": [f"127.0.0.1:{vm['store']}"], "log": "info",
             "direct": {
                 "ready": f"127.0.0.1:{vm['ready']}", "relay": f"127.0.0.1:{vm['relay']}",
                 "orders": f"127.0.0.1:{self.cloud_port}",
                 "seeds": [f"127.0.0.1:{other['control']}" for other in list(self.vms.values())[:3]],
-                "regions": dict(ZONES), "grace": f"{GRACE_S}s", "descriptors": 4200, "cores": 0.25,
+                "regions": dict(ZONES), "grace": f"{GRACE_S}s", "descriptors": 4200, "cores": vm["cores"],
             },
         }
         path = os.path.join(self.folder, name + ".settings")
@@ -149,6 +158,10 @@
             return False
         return bool(re.search(r"^\S*_steward(\{[^}]*\})? 1(\.0)?$", text, re.M))
 
+    async def cut_from_store(self, names):
+        """Cuts these VMs, and no others, off from the store."""
+        await call(self.store_port, "POST", "/own/cut", [self.vms[name]["store"] for name in names])
+
     async def put_config(self, version, routes=None, tenants=None):
         routes = routes or self.routes
         config = {
@@ -182,6 +195,7 @@
             self.vms[f"vm-{index}"] = {
                 "zone": ZONES[index % 3][0], "front": free_port(), "ready": free_port(), "control": free_port(),
                 "relay": free_port(), "admin": free_port(),
+                "store": self.vm_store_ports[index], "cores": self.cores(index),
             }
         for name in self.vms:
             self.start_vm(name)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Stand-ins for the platform (store and promotions) and for databases, one process each.
 
-    standins_2.py platform STORE_PORT CLOUD_PORT LOG
+    standins_2.py platform STORE_PORT,OTHER_STORE_PORT,... CLOUD_PORT LOG
     standins_2.py database STORE_PORT CONFIG_JSON LOG
 
 They speak what PROTOCOL.md says. Every event goes to LOG as one JSON line with the time of the
@@ -10,6 +10,7 @@
 import asyncio
 import base64
 import json
+import os
 import random
 import signal
 import sys
@@ -46,12 +47,28 @@
     return method, url.path, query, headers, body
 
 
+CUT = set()  # ports of the store that are behind a partition: nothing is read or answered there
+
+
+async def is_cut(port):
+    """Waits while a port is behind a partition; returns whether it was."""
+    was_cut = port in CUT
+    while port in CUT:
+        await asyncio.sleep(0.02)
+    return was_cut
+
+
 def http_server(handler):
     async def serve(reader, writer):
+        port = writer.get_extra_info("sockname")[1]
         try:
             while True:
                 request = await read_request(reader)
+                if await is_cut(port):
+                    return
                 status, body = await handler(*request)
+                if await is_cut(port):
+                    return
                 data = json.dumps(body).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
                 writer.write(head.encode() + data)
@@ -127,6 +144,10 @@
             return self.get(query)
         if path == "/api/rows-feed":
             return await self.feed(query)
+        if path == "/own/cut":  # the driver of a case
+            CUT.clear()
+            CUT.update(json.loads(body))
+            return 200, {}
         if path == "/own/put":  # the operator's and the databases' writes
             entry = json.loads(body)
             await asyncio.sleep(0.008)
@@ -226,9 +247,10 @@
                 await self.apply([], [("servers", "", key)])
 
 
-async def platform(store_port, cloud_port, log):
+async def platform(store_ports, cloud_port, log):
     store = Store(log)
-    await asyncio.start_server(http_server(store.store), "127.0.0.1", store_port)
+    for port in store_ports:
+        await asyncio.start_server(http_server(store.store), "127.0.0.1", port)
     await asyncio.start_server(http_server(store.cloud), "127.0.0.1", cloud_port)
     log.write(event="platform listens")
     await store.expire()
@@ -252,6 +274,8 @@
         self.connections = 0
         self.slots = asyncio.Semaphore(config.get("slots", 3))
         self.seq = 0
+        self.left_acked = False
+        self.running = 0             # statements in progress
         self.deaf = False            # receives nothing; SIGUSR1 begins that, SIGUSR2 ends it
         self.received = {}           # by replica's connection: how many entries it has received
 
@@ -280,6 +304,21 @@
         self.applied = max(self.applied, count)
         return count
 
+    async def leave(self):
+        """A planned end: reports `draining`, serves for `drain_ms` after the ack and a little longer, and ends."""
+        self.state = "draining"
+        while not self.left_acked:
+            await asyncio.sleep(0.01)
+        self.log.write(event="draining is acknowledged", id=self.id)
+        await asyncio.sleep(self.config["drain_s"] + self.config.get("longer_s", 2.0))
+        self.log.write(event="ends", id=self.id, running=self.running)
+        try:
+            await call(self.store_port, "POST", "/own/put", {"table": "servers", "key": self.id, "value": None})
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        sys.stdout.flush()
+        os._exit(0)
+
     async def beat(self):
         while True:
             self.seq += 1
@@ -291,11 +330,12 @@
             }
             try:
                 await call(self.store_port, "POST", "/own/put", {"table": "servers", "key": self.id, "value": entry})
+                self.left_acked = entry["state"] == "draining"
             except (OSError, asyncio.IncompleteReadError):
                 pass
-            role = self.primary
+            told = (self.primary, self.state)
             until = time.monotonic() + HEARTBEAT_S
-            while time.monotonic() < until and role == self.primary:
+            while time.monotonic() < until and told == (self.primary, self.state):
                 await asyncio.sleep(0.02)
 
     # Replication: a replica connects to the primary and receives its log.
@@ -434,8 +474,13 @@
             words = [shape, *text.split(" ", 2)[2].split(" ", 1)]
         word = words[0]
         if word in ("READ", "WRITE", "COMMIT"):
-            async with db.slots:
-                await asyncio.sleep(db.work())
+            db.log.write(event="arrives", id=db.id, qid=qid)
+            db.running += 1
+            try:
+                async with db.slots:
+                    await asyncio.sleep(db.work())
+            finally:
+                db.running -= 1
         if word == "READ":
             found = [d for _, item, d in db.entries[:db.applied] if item == words[1]]
             db.log.write(event="run", id=db.id, born=db.born, qid=qid, text=text, log=db.position(db.applied),
@@ -495,6 +540,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, lambda: setattr(db, "deaf", True))
     loop.add_signal_handler(signal.SIGUSR2, lambda: setattr(db, "deaf", False))
+    loop.add_signal_handler(signal.SIGTERM, lambda: asyncio.ensure_future(db.leave()))
     log.write(event="database starts", id=db.id, born=db.born, primary=db.primary)
     await asyncio.gather(db.beat(), db.replicate())
 
@@ -502,7 +548,8 @@
 def main():
     log = Log(sys.argv[4])
     if sys.argv[1] == "platform":
-        asyncio.run(platform(int(sys.argv[2]), int(sys.argv[3]), log))
+        ports = [int(port) for port in sys.argv[2].split(",")]
+        asyncio.run(platform(ports, int(sys.argv[3]), log))
     else:
         asyncio.run(database(int(sys.argv[2]), json.loads(sys.argv[3]), log))
 
