Judge the register by the age of its reading

What callers saw: while the steward alone was cut from the store, in a fleet of more than 16 VMs, no VM learned that databases were leaving.

Cause: above 16 VMs only the steward reads the register. That table is too long to be forwarded by another VM, so its reading failed, while its rows came by way of readers: the store counted as answering, and the steward kept its duty. All other VMs had contact with the steward, and that counted as news: updates carried the age of the leads, but that of the register only when its content changed.

Change: each update carries the age of the sender's register. The steward asks readers for the register when its own reading fails (Question::ReadRegister); they read it and send its changes. A VM whose register is older than 3 s asks readers, then reads it itself; a steward with such a register offers its duty.

Why it works: no decision rests on contact alone any more; a reading that cannot be had shows as age wherever it is used.

--- a/src/direct/control/heartbeat.rs
+++ b/src/direct/control/heartbeat.rs
@@ -1,9 +1,8 @@
-//! Sends this VM's heartbeats to the steward, and refreshes its state by other means while the
-//! steward does not answer.
+//! Sends this VM's heartbeats to the steward, and applies its answers.
 
 use crate::clock::Span;
 use crate::direct::control::backoff::Backoff;
-use crate::direct::control::join::Source;
+use crate::direct::control::refresh::{MAX_READING_AGE, READ_INTERVAL};
 use crate::direct::control::state::FollowedSteward;
 use crate::direct::control::takeover::Poll;
 use crate::direct::control::{Control, reader};
@@ -31,14 +30,6 @@
 /// to refresh its own state meanwhile.
 const SHORT_TIMEOUT: Span = Span::from_millis(150);
 
-/// How often a VM that the steward does not answer reads the rows, and the age of the steward's own
-/// reading from which on a VM does so too.
-const READ_INTERVAL: Span = Span::from_secs(1);
-const MAX_LEAD_AGE: Span = Span::from_secs(3);
-
-/// How often a VM reads the rows itself while the VMs that read for it cannot.
-const FALLBACK_READ_INTERVAL: Span = Span::from_secs(4);
-
 /// How often a VM checks whether it may take over the duty.
 const TAKEOVER_CHECK_INTERVAL: Span = Span::from_millis(100);
 
@@ -141,11 +132,6 @@
         refreshed.map(|_| answered)
     }
 
-    fn may_refresh(&self) -> bool {
-        let looked = self.state.borrow().refreshed;
-        looked.is_none_or(|at| at + READ_INTERVAL <= self.now())
-    }
-
     async fn send_heartbeat(&self, steward: &FollowedSteward) -> bool {
         let timeout = if steward.contact.missed > 1 {
             SHORT_TIMEOUT
@@ -172,7 +158,7 @@
                     state.watch.note(version, now);
                 }
                 // The steward's reading may be older than this VM's row.
-                let settled = state.refreshed.is_none_or(|at| at + MAX_LEAD_AGE < now);
+                let settled = state.refreshed.is_none_or(|at| at + MAX_READING_AGE < now);
                 drop(state);
                 if settled || update.member {
                     self.member.set(update.member);
@@ -249,64 +235,8 @@
         }
     }
 
-    /// Whether this VM's record of who leads is older than the steward's readings should be: the
-    /// store may refuse the steward but not this VM.
-    fn is_stale(&self) -> bool {
-        let now = self.now();
-        let view = self.setup.shared.get();
-        let old = |group| {
-            let known = view.leases.known(group);
-            known.is_some_and(|(lead, asked)| !lead.changing && asked + MAX_LEAD_AGE < now)
-        };
-        view.leases.groups().any(old)
-    }
-
-    /// Gets the leads from nearby VMs, or reads the rows and, if due, the register from the store;
-    /// then checks whether to take the duty.
-    async fn refresh(self: &Rc<Self>) -> Result<Span, Fault> {
-        let first = self.state.borrow().refreshed.is_none();
-        self.state.borrow_mut().refreshed = Some(self.now());
-        if first && self.join().await {
-            return self.consider_takeover();
-        }
-        if !first && !self.reads() && !self.has_to_read().await {
-            return self.consider_takeover();
-        }
-        self.state.borrow_mut().read_at = Some(self.now());
-        self.read_rows().await?;
-        if first || self.steward_is_silent() {
-            self.read_register().await?;
-        }
-        self.consider_takeover()
-    }
-
-    /// Whether a VM that receives the store's rows from others has to read them itself.
-    ///
-    /// While the store is away for all, each of 195 VMs would otherwise try it every second for up
-    /// to 9 s, and ask others to try. The VMs that read for others go on trying; a VM for which
-    /// they have nothing tries too, but seldom.
-    async fn has_to_read(&self) -> bool {
-        match self
-            .ask_readers(!self.is_large() && self.is_uninitialised())
-            .await
-        {
-            Source::Fresh => false,
-            Source::Unreached => true,
-            Source::Stale => {
-                let last = self.state.borrow().read_at;
-                last.is_none_or(|at| at + FALLBACK_READ_INTERVAL <= self.now())
-            }
-        }
-    }
-
-    /// Whether this VM has no configuration or no register yet.
-    pub(super) fn is_uninitialised(&self) -> bool {
-        let view = self.setup.shared.get();
-        view.config.is_none() || view.databases.is_empty()
-    }
-
     /// Takes the duty if this VM's turn has come. Returns the delay until the next check.
-    fn consider_takeover(self: &Rc<Self>) -> Result<Span, Fault> {
+    pub(super) fn consider_takeover(self: &Rc<Self>) -> Result<Span, Fault> {
         if self.is_steward() || !self.steward_is_silent() {
             return Ok(TAKEOVER_CHECK_INTERVAL);
         }
--- a/src/direct/control/join.rs
+++ b/src/direct/control/join.rs
@@ -219,23 +219,12 @@
     /// steward each second, 25 would otherwise ask each reader for 400 KB, and again before the
     /// last answers are sent.
     pub(super) async fn ask_readers(&self, whole: bool) -> Source {
-        let (near, far) = {
-            let view = self.setup.shared.get();
-            let (peers, own) = (view.peers.list(), self.setup.address);
-            (reader::near(peers, own), reader::far(peers, own))
-        };
-        let offset = (self.random() * far.len() as f64) as usize;
-        let some = far
-            .iter()
-            .cycle()
-            .skip(offset)
-            .take(MAX_FAR_READERS.min(far.len()));
         let mut found = Source::Unreached;
         let (short, long) = match whole && self.is_large() {
             true => (WHOLE_TIMEOUT, WHOLE_TIMEOUT),
             false => (NEAR_TIMEOUT, ENROLL_TIMEOUT),
         };
-        for (readers, within) in [(near, short), (some.copied().collect(), long)] {
+        for (readers, within) in self.readers_to_ask().into_iter().zip([short, long]) {
             found = found.max(self.ask_some(readers, within, whole).await);
             if found == Source::Fresh {
                 break;
@@ -244,6 +233,20 @@
         found
     }
 
+    /// Returns the VMs that read the store for others, as this VM asks them: first those of its
+    /// failure domain, then some of the others.
+    pub(super) fn readers_to_ask(&self) -> [Vec<SocketAddr>; 2] {
+        let (near, mut far) = {
+            let view = self.setup.shared.get();
+            let (peers, own) = (view.peers.list(), self.setup.address);
+            (reader::near(peers, own), reader::far(peers, own))
+        };
+        let offset = (self.random() * far.len() as f64) as usize;
+        far.rotate_left(offset);
+        far.truncate(MAX_FAR_READERS);
+        [near, far]
+    }
+
     async fn ask_some(&self, readers: Vec<SocketAddr>, within: Span, whole: bool) -> Source {
         let calls = readers.into_iter().map(async |reader| {
             let answer =
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! A VM that starts has its row written together with those of others (`enroll`). Of many VMs a few
 //! read the store for all ([`reader`]) and pass on large contents (`bulk`). Every VM sends
-//! heartbeats to the steward (`heartbeat`, `update`), follows the configuration (`watch`), and reads
-//! the store itself while the steward does not answer (`own`); meanwhile a quorum of peers extends
-//! its leases (`extension`). One VM at a time is the steward: it takes and renews the duty in the
+//! heartbeats to the steward (`heartbeat`, `update`), follows the configuration (`watch`), and gets
+//! newer readings elsewhere while the steward does not answer or what it sends is old (`refresh`,
+//! `own`); meanwhile a quorum of peers extends its leases (`extension`). One VM at a time is the steward: it takes and renews the duty in the
 //! store (`duty`, [`takeover`]), reads for the others and decides what has to be done (`tasks`,
 //! [`steward`], [`evidence`]), and replaces primaries (`change`, `order`, [`promotion`],
 //! [`probe`]). [`rows`] defines what is kept in the store.
@@ -29,6 +29,7 @@
 pub mod probe;
 pub mod promotion;
 pub mod reader;
+mod refresh;
 pub mod register;
 pub mod release;
 pub mod resume;
@@ -141,6 +142,8 @@
     /// When the rows were last read for others. Only one reading runs at a time; requests that
     /// arrive meanwhile share its result.
     reading: Mutex<Option<Time>>,
+    /// When the register was last read for others, likewise.
+    reading_register: Mutex<Option<Time>>,
     /// Allows one renewal of the duty at a time, because each needs the version that the one before
     /// wrote.
     writing: Mutex<()>,
@@ -171,6 +174,7 @@
             released_at: Cell::new(Some(Time::default())),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(setup.life.0)),
             reading: Mutex::new(None),
+            reading_register: Mutex::new(None),
             writing: Mutex::new(()),
             wake: Notify::new(),
             pinged: Notify::new(),
@@ -200,6 +204,10 @@
                     control.read_for_others().await;
                     Answer::Update(Box::new(control.answer_heartbeat(beat)))
                 }
+                Question::ReadRegister(beat) => {
+                    control.read_register_for_others().await;
+                    Answer::Update(Box::new(control.answer_heartbeat(beat)))
+                }
                 Question::Enroll {
                     heartbeat: beat,
                     relay,
--- a/src/direct/control/register.rs
+++ b/src/direct/control/register.rs
@@ -121,6 +121,11 @@
         (whole || self::digest(&found) == digest).then_some(found)
     }
 
+    /// Records that a reading requested at `asked` found what is known here.
+    pub fn confirm(&mut self, asked: Time) {
+        self.asked = self.asked.max(Some(asked));
+    }
+
     /// Applies the entries `found` by a reading requested at `asked`; the store has answered each
     /// call since `up`. A missing entry is kept while an outage may be the reason.
     pub fn apply_reading(
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -28,6 +28,11 @@
     pub many_rows: bool,
     /// Whether another VM has a different register whose content this VM has not received.
     pub lacks_register: bool,
+    /// When the newest register was read from the store that another VM has told of, whether this VM
+    /// has received its content or not.
+    pub register_told: Option<Time>,
+    /// Whether the steward's last reading of the register came by way of another VM.
+    pub register_relayed: bool,
     /// When the register was last fetched because another VM's differed.
     pub register_read: Option<Time>,
     /// The start of the current interval for long lists, and how many of their entries were sent in
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -200,6 +200,11 @@
         *self.health.borrow()
     }
 
+    /// Returns whether calls are first made through other VMs, as the store refuses this VM's own.
+    pub(super) fn avoids_direct(&self) -> bool {
+        self.route.get().avoids_direct((self.adapter.clock)())
+    }
+
     fn read_timeout(&self) -> Span {
         let is_down = self.health.borrow().down.is_some();
         let is_odd = self.counts.get().faults % 2 == 1;
--- a/src/direct/control/tasks.rs
+++ b/src/direct/control/tasks.rs
@@ -100,7 +100,7 @@
     let mut offered = Time::default();
     while holds(&control, token) {
         let began = control.now();
-        let (rows, register) = tokio::join!(control.read_rows(), control.read_register());
+        let (rows, register) = tokio::join!(control.read_rows(), control.refresh_register());
         control.wake.notify_one();
         if rows.is_ok() && register.is_ok() {
             backoff.reset();
@@ -116,7 +116,8 @@
         let now = control.now();
         let answered = control.store.health().answered;
         let unanswered = answered.is_none_or(|at| at + STORE_TIMEOUT <= now);
-        if unanswered && offered + OFFER_INTERVAL <= now {
+        let lacks_readings = unanswered || control.has_old_register(now);
+        if lacks_readings && offered + OFFER_INTERVAL <= now {
             control.hand_over("the store does not answer here").await;
             offered = control.now();
         }
--- a/src/direct/control/update.rs
+++ b/src/direct/control/update.rs
@@ -222,10 +222,12 @@
         let register = &state.register;
         let asked = register.asked()?;
         let differs = register.digest() != known;
-        differs.then(|| RegisterUpdate {
+        Some(RegisterUpdate {
             age: now.since(asked),
             digest: register.digest(),
-            content: register.content_for(known, whole),
+            content: differs
+                .then(|| register.content_for(known, whole))
+                .flatten(),
         })
     }
 
@@ -316,12 +318,21 @@
         }
     }
 
-    /// Applies an update of the register. If its content is not included, it is to be fetched.
+    /// Applies an update of the register. If its content differs and is not included, it is to be
+    /// fetched.
     fn apply_register(&self, update: RegisterUpdate, asked: Time) {
         let at = asked - update.age;
-        let known = self.state.borrow().register.asked();
-        if known.is_some_and(|known| known > at) {
-            return;
+        {
+            let mut state = self.state.borrow_mut();
+            state.register_told = state.register_told.max(Some(at));
+            let register = &mut state.register;
+            if register.asked().is_some_and(|known| known > at) {
+                return;
+            }
+            if register.asked().is_some() && register.digest() == update.digest {
+                register.confirm(at);
+                return;
+            }
         }
         let content = update.content.map(|content| {
             let state = self.state.borrow();
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -21,6 +21,8 @@
     Heartbeat(Heartbeat),
     /// Asks a VM that reads the store for others for its content, as read a moment ago at most.
     Read(Heartbeat),
+    /// Asks a VM that reads the store for others for the register, as read a moment ago at most.
+    ReadRegister(Heartbeat),
     /// Asks to write the asking VM's row together with others, and for a reading made after that.
     Enroll {
         /// The asking VM's state.
@@ -141,18 +143,18 @@
     pub newest: Version,
     /// The entries of that configuration that the asking VM lacks, if they are few or a part was asked for.
     pub config: Option<Part>,
-    /// The register, if it differs from the one that the asking VM has.
+    /// The register, if the answering VM has one.
     pub register: Option<RegisterUpdate>,
 }
 
-/// The register of databases, or its changes.
+/// The register of databases, its changes, or only its age.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegisterUpdate {
     /// How old the reading was when this answer was made.
     pub age: Span,
     /// Its digest.
     pub digest: u64,
-    /// Its content; `None` if that is long: then the asking VM reads it from the store.
+    /// Its content; `None` if the asking VM has the same, or if it is long: then that VM fetches it.
     pub content: Option<Content>,
 }
 
