Show that odd entries in the register harm nobody

Cause: an operator of a similar system reports that one entry of another writer (very deeply nested, a number too large, a port out of range) ended the machines that read the list again and again, or that they stopped following it.

Result: this can't happen here; no code is changed. Values are parsed one by one, so that one which is refused leaves the others; the parser has a limit of depth, also where the process has a small stack.

--- a/tests/adapter/documents.rs
+++ b/tests/adapter/documents.rs
@@ -216,6 +216,51 @@
     assert_eq!(born, Some(Birth(1_775_322_283_012)));
 }
 
+/// Guards against a process that ends, or stops following the register, as an entry of another
+/// writer is nested very deeply or holds a number or a port out of range.
+#[test]
+fn an_odd_entry_is_rejected() {
+    const DEPTH: usize = 30_000;
+    let list = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    let object = format!("{}1{}", "{\"a\":".repeat(DEPTH), "}".repeat(DEPTH));
+    let mut odd = vec!["[".repeat(DEPTH), list.clone(), object.clone()];
+    for deep in [&list, &object] {
+        for field in ["\"huvo11a\"", "\"10.128.0.9:8080\"", "\"ready\"", "4}"] {
+            let end = if field.ends_with('}') { "}" } else { "" };
+            odd.push(ENTRY.replacen(field, &format!("{deep}{end}"), 1));
+        }
+        odd.push(ENTRY.replacen("3", deep, 1));
+        odd.push(ENTRY.replacen('}', &format!(",\"born\":{deep}}}"), 1));
+    }
+    for number in ["1e400", "18446744073709551616", "-1", "3.5"] {
+        odd.push(ENTRY.replacen("\"slots\":3", &format!("\"slots\":{number}"), 1));
+        odd.push(ENTRY.replacen("\"seq\":4", &format!("\"seq\":{number}"), 1));
+        odd.push(ENTRY.replacen('}', &format!(",\"born\":{number}}}"), 1));
+    }
+    odd.push(ENTRY.replacen("\"slots\":3", "\"slots\":4294967296", 1));
+    odd.push(ENTRY.replacen("\"cold_ms\":0", "\"cold_ms\":1e999", 1));
+    for port in ["65536", "70000", "-1", "99999999999999999999", "0x50", ""] {
+        odd.push(ENTRY.replacen(":8080", &format!(":{port}"), 1));
+    }
+    let deep = ENTRY.replacen('}', &format!(",\"more\":{list}}}"), 1);
+    let read = documents().read_database;
+    // A recursion of this depth would need a larger stack.
+    let small_stack = std::thread::Builder::new().stack_size(256 * 1024);
+    let checked = small_stack.spawn(move || {
+        for entry in &odd {
+            let shown = &entry[..entry.len().min(250)];
+            assert!(read("i-7", entry.as_bytes()).is_err(), "{shown}");
+        }
+        let entry = read("i-7", ENTRY.as_bytes());
+        assert_eq!(
+            read("i-7", deep.as_bytes()),
+            entry,
+            "unknown fields are ignored"
+        );
+    });
+    checked.unwrap().join().unwrap();
+}
+
 quickcheck! {
     fn any_bytes_are_read_or_refused(bytes: Vec<u8>, at: usize, byte: u8) -> bool {
         let documents = documents();
