Offer the duty to VMs that the store answers

Contact with the steward and the readers counted as news, so no other VM polled. The steward offered its duty to readers alone, all of which were cut. VMs that read the store themselves, every 4 s, told nobody that they reach it.

Change: heartbeats say how long ago a VM read the rows itself, and the duty is offered to VMs with newer readings than the steward's and, 0.3 s later, to one more of each failure domain. Only a VM that the store has just answered directly accepts it. A VM that falls back to its own reading of the rows reads the configuration too. Offers to a stronger VM that are in vain are repeated ever more seldom, as no order is sent during one.

Why it works: the duty moves to where the store answers, whichever VMs are cut, and until then whatever any VM reads reaches the steward by a heartbeat.

--- a/src/direct/control/duty.rs
+++ b/src/direct/control/duty.rs
@@ -22,6 +22,13 @@
 /// How long a VM may take to answer an offer of the duty: two calls of the store.
 const OFFER_TIMEOUT: Span = Span::from_millis(700);
 
+/// How many VMs are offered the duty as they have newer readings than the steward.
+const MAX_NEWER: usize = 4;
+
+/// How much later the duty is offered to VMs that do not read for others: two calls of the store by a
+/// reader, which takes it first if it can.
+const LATE_OFFER_DELAY: Span = Span::from_millis(300);
+
 /// At a first start, a VM with less than [`MIN_STRONG_CORES`] leaves the duty to others for
 /// [`WEAK_DELAY`]: VMs start within 0.3 s of each other, and read the rows half a second later at
 /// the latest.
@@ -264,17 +271,43 @@
         }
     }
 
-    /// The VMs that the duty is offered to: those that read the store for others.
+    /// The VMs that the duty is offered to: those that read the store for others, or have read it
+    /// after this VM did, and later one more of each failure domain.
     ///
     /// While the store is away for all, the steward offers the duty every two seconds. Each offer
     /// to all VMs would cause a reading by every VM and by those that it asks for help: by
-    /// calculation up to 780 calls of 195 VMs. Some readers are in each failure domain; where the
-    /// store turns a third of the VMs away, it answers at least one of twelve.
-    fn handover_candidates(&self) -> Vec<(MemberId, SocketAddr)> {
-        let readers = reader::all(self.setup.shared.get().peers.list());
-        let mut others = self.others();
-        others.retain(|(_, address)| readers.contains(address));
-        others
+    /// calculation up to 780 calls of 195 VMs.
+    fn handover_candidates(&self) -> Vec<Candidate> {
+        let newer = self.with_newer_readings();
+        let (readers, more) = {
+            let view = self.setup.shared.get();
+            let peers = view.peers.list();
+            let choose = |len: usize| (self.random() * len as f64) as usize;
+            (reader::all(peers), reader::one_more_each(peers, choose))
+        };
+        let candidates = self.others().into_iter().filter_map(|(id, address)| {
+            let delay = if readers.contains(&address) || newer.contains(&id) {
+                Span::ZERO
+            } else if more.contains(&address) {
+                LATE_OFFER_DELAY
+            } else {
+                return None;
+            };
+            Some(Candidate { id, address, delay })
+        });
+        candidates.collect()
+    }
+
+    /// The VMs that have read the store's rows after this one last did, the latest first, and
+    /// [`MAX_NEWER`] at most.
+    fn with_newer_readings(&self) -> Vec<MemberId> {
+        let state = self.state.borrow();
+        let own = state.reading.as_ref().map(|reading| reading.asked);
+        let read = state.heartbeats.iter().map(|(id, heard)| (heard.read, id));
+        let mut newer: Vec<_> = read.filter(|(read, _)| *read > own).collect();
+        newer.sort_by_key(|(read, _)| Reverse(*read));
+        newer.truncate(MAX_NEWER);
+        newer.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
     /// The other VMs that are registered.
@@ -396,7 +429,11 @@
             });
             let strong = heard.filter(|(_, (member, _))| member.cores >= MIN_STRONG_CORES);
             let strongest = strong.max_by_key(|(_, (member, _))| member.cores);
-            strongest.map(|(id, (member, _))| (id.clone(), member.address))
+            strongest.map(|(id, (member, _))| Candidate {
+                id: id.clone(),
+                address: member.address,
+                delay: Span::ZERO,
+            })
         };
         let Some(stronger) = stronger else {
             return false;
@@ -406,14 +443,14 @@
         true
     }
 
-    /// Offers the duty to VMs that read for others.
+    /// Offers the duty to VMs that read for others, and to some more.
     pub(super) async fn hand_over(self: &Rc<Self>, reason: &str) -> bool {
         self.offer(reason, self.handover_candidates()).await
     }
 
     /// Offers the duty to other VMs. No order is sent meanwhile, so the VM that takes it has no
     /// wait.
-    async fn offer(self: &Rc<Self>, reason: &str, to: Vec<(MemberId, SocketAddr)>) -> bool {
+    async fn offer(self: &Rc<Self>, reason: &str, to: Vec<Candidate>) -> bool {
         let token = self.state.borrow().held.as_ref().map(|held| held.token);
         let Some(token) = token else { return true };
         if let Some(held) = self.state.borrow_mut().held(token) {
@@ -429,11 +466,14 @@
         }
         let version = self.state.borrow_mut().held(token).map(|held| held.version);
         let Some(version) = version else { return true };
-        let calls = to.into_iter().map(|(vm, address)| {
-            let question = Question::HandOver { token, version };
-            let call = (self.setup.call)(address, question, OFFER_TIMEOUT);
-            async move { (vm, address, call.await) }
-        });
+        let calls = to
+            .into_iter()
+            .map(async |Candidate { id, address, delay }| {
+                tokio::time::sleep(delay.into()).await;
+                let question = Question::HandOver { token, version };
+                let answer = (self.setup.call)(address, question, OFFER_TIMEOUT).await;
+                (id, address, answer)
+            });
         // All are asked at once: if the store refuses all of them, asking one after the other would
         // take seconds.
         let mut calls: FuturesUnordered<_> = calls.collect();
@@ -467,6 +507,10 @@
         if refuses || self.read_rows().await.is_err() || !self.is_member() {
             return false;
         }
+        if !self.store.is_reached() {
+            // The rows came by way of another VM: the register and the configuration would not.
+            return false;
+        }
         let Some(found) = self.duty_version(token) else {
             return false;
         };
@@ -496,11 +540,20 @@
     let beaten = LastHeartbeat {
         life: member.life,
         at: followed.contact.since,
+        read: None,
         reports: BTreeMap::new(),
     };
     Some((id.clone(), beaten))
 }
 
+/// A VM that the duty is offered to.
+struct Candidate {
+    id: MemberId,
+    address: SocketAddr,
+    /// How much later than the first ones it is asked.
+    delay: Span,
+}
+
 enum Resolution {
     /// Repeat the renewal: only the expected version was out of date.
     Retry,
--- a/src/direct/control/reader.rs
+++ b/src/direct/control/reader.rs
@@ -78,12 +78,31 @@
     if peers.len() <= MAX_ALL_READ {
         return peers.iter().map(|peer| peer.address).collect();
     }
+    by_domain(peers).flat_map(select_readers).collect()
+}
+
+/// Returns one VM of each failure domain that is not a reader, if there is one; `choose` picks an
+/// index below a length.
+pub fn one_more_each(
+    peers: &[Peer],
+    mut choose: impl FnMut(usize) -> usize,
+) -> BTreeSet<SocketAddr> {
+    let readers = all(peers);
+    let domains = by_domain(peers).filter_map(|domain| {
+        let others = domain.iter().map(|peer| peer.address);
+        let others: Vec<_> = others.filter(|a| !readers.contains(a)).collect();
+        (!others.is_empty()).then(|| others[choose(others.len())])
+    });
+    domains.collect()
+}
+
+fn by_domain(peers: &[Peer]) -> impl Iterator<Item = Vec<&Peer>> {
     let mut domains = BTreeMap::<&Domain, Vec<&Peer>>::new();
     for peer in peers {
         let domain = domains.entry(&peer.domain).or_default();
         domain.push(peer);
     }
-    domains.into_values().flat_map(select_readers).collect()
+    domains.into_values()
 }
 
 fn readers_of_domain(peers: &[Peer], own: SocketAddr) -> Vec<SocketAddr> {
--- a/src/direct/control/refresh.rs
+++ b/src/direct/control/refresh.rs
@@ -63,8 +63,14 @@
         newest.is_some_and(|asked| asked + MAX_READING_AGE < now)
     }
 
+    /// Returns when this VM last read the rows itself, if that is recent.
+    pub(super) fn recent_reading(&self, now: Time) -> Option<Time> {
+        let asked = self.state.borrow().reading.as_ref()?.asked;
+        (now < asked + MAX_READING_AGE).then_some(asked)
+    }
+
     /// Gets the leads and the register from nearby VMs, or reads the rows and, if due, the register
-    /// from the store; then checks whether to take the duty.
+    /// and the configuration from the store; then checks whether to take the duty.
     pub(super) async fn refresh(self: &Rc<Self>) -> Result<Span, Fault> {
         let first = self.state.borrow().refreshed.is_none();
         self.state.borrow_mut().refreshed = Some(self.now());
@@ -79,6 +85,11 @@
         if first || self.steward_is_silent() || self.has_old_register(self.now()) {
             self.read_register().await?;
         }
+        if !first && !self.polls() {
+            // No VM with a recent reading was found: the polls of those that poll may fail too. The
+            // steward learns of a newer configuration by this VM's heartbeats.
+            let _ = self.read_config().await;
+        }
         self.consider_takeover()
     }
 
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -150,6 +150,8 @@
     pub life: Life,
     /// When it was received.
     pub at: Time,
+    /// When the VM last read the store's rows itself, if that was recent.
+    pub read: Option<Time>,
     /// The VM's reports on databases.
     pub reports: BTreeMap<DatabaseId, Report>,
 }
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -205,6 +205,11 @@
         self.route.get().avoids_direct((self.adapter.clock)())
     }
 
+    /// Returns whether the last direct call was answered.
+    pub(super) fn is_reached(&self) -> bool {
+        self.direct_failed.get().is_none()
+    }
+
     fn read_timeout(&self) -> Span {
         let is_down = self.health.borrow().down.is_some();
         let is_odd = self.counts.get().faults % 2 == 1;
--- a/src/direct/control/tasks.rs
+++ b/src/direct/control/tasks.rs
@@ -31,6 +31,10 @@
 /// The minimum interval between two such offers.
 const OFFER_INTERVAL: Span = Span::from_secs(2);
 
+/// The longest interval between two offers to a stronger VM. No order is sent during an offer, and the
+/// strongest VM may be one that the store does not answer for a while.
+const MAX_YIELD_INTERVAL: Span = Span::from_secs(16);
+
 /// The longest delay between the steward's readings while they fail.
 ///
 /// After a store outage of 6 s, an unbounded delay would let the steward read up to a second after
@@ -98,6 +102,7 @@
 async fn read_loop(control: Rc<Control>, token: u64) {
     let mut backoff = Backoff::up_to(MAX_READ_DELAY);
     let mut offered = Time::default();
+    let mut yield_interval = OFFER_INTERVAL;
     while holds(&control, token) {
         let began = control.now();
         let (rows, register) = tokio::join!(control.read_rows(), control.refresh_register());
@@ -106,8 +111,9 @@
             backoff.reset();
             control.keep_links().await;
             control.store.record_quiet().await;
-            if offered + OFFER_INTERVAL <= began && control.yield_to_stronger().await {
+            if offered + yield_interval <= began && control.yield_to_stronger().await {
                 offered = control.now();
+                yield_interval = MAX_YIELD_INTERVAL.min(yield_interval.percent(200));
             }
             let rest = READ_INTERVAL.0.saturating_sub(control.now().since(began).0);
             tokio::time::sleep(Duration::from(Span(rest))).await;
@@ -202,6 +208,7 @@
         let own = LastHeartbeat {
             life: self.setup.life,
             at: now,
+            read: None,
             reports: reports.into_iter().collect(),
         };
         self.state
--- a/src/direct/control/update.rs
+++ b/src/direct/control/update.rs
@@ -95,6 +95,7 @@
             gathered: self.state.borrow().gathering.gathered(),
             accepts_long: whole,
             register: self.state.borrow().register.digest(),
+            reading_age: self.recent_reading(now).map(|asked| now.since(asked)),
             peers: view.peers.digest(),
             leads: view.leases.digest(),
             reports: selected_reports(&view, now),
@@ -255,6 +256,7 @@
             LastHeartbeat {
                 life: beat.life,
                 at: now,
+                read: beat.reading_age.map(|age| now - age),
                 reports: beat.reports.iter().cloned().collect(),
             },
         );
--- a/src/direct/control/watch.rs
+++ b/src/direct/control/watch.rs
@@ -61,7 +61,7 @@
 
 impl Control {
     /// Returns whether this VM polls the store for the configuration.
-    fn polls(&self) -> bool {
+    pub(super) fn polls(&self) -> bool {
         self.is_steward() || self.reads() || !self.receives_updates()
     }
 
--- a/src/direct/mesh.rs
+++ b/src/direct/mesh.rs
@@ -88,6 +88,8 @@
     pub accepts_long: bool,
     /// The digest of the register that it has.
     pub register: u64,
+    /// How long ago it read the store's rows itself, if that is recent.
+    pub reading_age: Option<Span>,
     /// The digest of its list of VMs.
     pub peers: u64,
     /// The digest of the leads that it knows.
--- a/tests/direct_fleet.rs
+++ b/tests/direct_fleet.rs
@@ -225,6 +225,7 @@
                 gathered: None,
                 accepts_long: false,
                 register: 0,
+                reading_age: None,
                 peers: 0,
                 leads: 0,
                 reports: Vec::new(),
--- a/tests/direct_stale.rs
+++ b/tests/direct_stale.rs
@@ -22,6 +22,9 @@
 /// How long a database that announced its leaving takes requests: the smallest `drain_ms`.
 const DRAIN_TIME: u64 = 7_000;
 
+/// How soon a configuration is in force: the `config_ms` of deployments with more than 16 VMs.
+const CONFIG_TIME: u64 = 5_000;
+
 fn fleet() -> Setup {
     Setup {
         vms: VMS,
@@ -58,23 +61,45 @@
     found.map(|(vm, _)| vm).collect()
 }
 
-/// A cut between the store and the steward, and also the readers if `with_readers`.
-fn cut(scene: &Scene, with_readers: bool) -> Fault {
-    let mut cut = vec![scene.steward()];
-    if with_readers {
-        cut.extend(readers(scene));
+/// Which VMs are cut from the store.
+#[derive(Clone, Copy)]
+enum Cut {
+    /// The steward alone.
+    Steward,
+    /// The steward, and the VMs that read for others.
+    Readers,
+    /// All but two that do not read for others.
+    Most,
+}
+
+impl Cut {
+    /// The cut as a fault in a scene.
+    fn fault(self, scene: &Scene) -> Fault {
+        let mut cut = match self {
+            Self::Steward => Vec::new(),
+            Self::Readers => readers(scene),
+            Self::Most => {
+                let (steward, readers) = (scene.steward(), readers(scene));
+                let mut others = scene.world.running();
+                others.retain(|vm| *vm != steward && !readers.contains(vm));
+                others.drain(..2);
+                others.extend(readers);
+                others
+            }
+        };
+        cut.push(scene.steward());
+        cut.sort();
+        cut.dedup();
+        assert!(cut.len() <= VMS - 2, "{cut:?}");
+        Fault::Sever(Node::Store, cut.into_iter().map(Node::Vm).collect())
     }
-    cut.sort();
-    cut.dedup();
-    assert!(cut.len() < VMS / 2, "{cut:?}");
-    Fault::Sever(Node::Store, cut.into_iter().map(Node::Vm).collect())
 }
 
 /// Has a primary announce that it leaves while VMs are cut from the store, and asserts that no
 /// statement reaches it later than it has to serve.
-async fn leaves_while_cut(scene: Scene, with_readers: bool) {
+async fn leaves_while_cut(scene: Scene, cut: Cut) {
     scene.until(3_000).await;
-    let cut = cut(&scene, with_readers);
+    let cut = cut.fault(&scene);
     cut.begin(&scene.world);
     let leaves = 3_500;
     scene.until(leaves).await;
@@ -93,11 +118,53 @@
 /// cut from the store.
 #[test]
 fn leaving_database_is_known_while_the_steward_is_cut_from_the_store() {
-    play(fleet(), |scene| leaves_while_cut(scene, false));
+    play(fleet(), |scene| leaves_while_cut(scene, Cut::Steward));
 }
 
 /// Guards against VMs that rely on a steward and readers whose readings are old.
 #[test]
 fn leaving_database_is_known_while_the_readers_are_cut_from_the_store() {
-    play(fleet(), |scene| leaves_while_cut(scene, true));
+    play(fleet(), |scene| leaves_while_cut(scene, Cut::Readers));
+}
+
+/// Guards against VMs that rely on a few that read the store, where these are cut from it too.
+#[test]
+fn leaving_database_is_known_while_most_vms_are_cut_from_the_store() {
+    play(fleet(), |scene| leaves_while_cut(scene, Cut::Most));
+}
+
+/// Has the configuration change while VMs are cut from the store, and asserts that all VMs have it in
+/// time.
+async fn configuration_changes_while_cut(scene: Scene, cut: Cut) {
+    scene.until(3_000).await;
+    let cut = cut.fault(&scene);
+    cut.begin(&scene.world);
+    for at in [3_500, 8_500] {
+        scene.until(at).await;
+        Fault::Configure.begin(&scene.world);
+        scene.until(at + CONFIG_TIME).await;
+        let version = scene.world.configs.borrow().last().unwrap().1.version;
+        let route = format!("new{version}");
+        for vm in scene.world.running() {
+            assert!(scene.opens(&route, &vm).await, "{vm} lacks {version}");
+        }
+    }
+    cut.end(&scene.world);
+    scene.passes().await;
+}
+
+/// Guards against VMs that rely on a steward and readers whose polls for the configuration fail.
+#[test]
+fn configuration_is_known_while_the_readers_are_cut_from_the_store() {
+    play(fleet(), |scene| {
+        configuration_changes_while_cut(scene, Cut::Readers)
+    });
+}
+
+/// Guards against a duty that is not offered to the few VMs that reach the store.
+#[test]
+fn configuration_is_known_while_most_vms_are_cut_from_the_store() {
+    play(fleet(), |scene| {
+        configuration_changes_while_cut(scene, Cut::Most)
+    });
 }
