Count former lives of replicas in the choice of a primary

Cause: a log was taken as complete if fewer than two databases may have more of it. A replica that started again reported an empty log, and so was known and behind, though its former life may have acknowledged what the old primary alone has now. Births were compared for the old primary only.

Change: the register remembers births and tells which databases started again. Their former lives count as further, up to a position that the primary had after that, which the steward asks for; an empty log beside others counts likewise before the register shows the birth. The old primary's position is the limit once it answers. The register is read once more before a promotion. Former lives are not counted once the old primary has lost its data too, or is gone for 12 s after the intent: nothing can come back then.

Why it works: a commit is on two databases when it is acknowledged; each life that may have held it is counted now, and none that cannot come back.

--- a/src/direct/control/candidates.rs
+++ b/src/direct/control/candidates.rs
@@ -1,10 +1,12 @@
 //! Collects the databases' answers for the choice of the next primary.
 
+use crate::clock::Span;
 use crate::direct::config::Database;
 use crate::direct::control::Control;
 use crate::direct::control::change::{Lost, RETRY_DELAY, Replacement};
 use crate::direct::control::order::Successor;
-use crate::direct::control::promotion::{Choice, Part, Pick};
+use crate::direct::control::promotion::{Choice, Part, Pick, Reply};
+use crate::direct::control::state::State;
 use crate::direct::control::update::list;
 use crate::direct::statement::Standing;
 use crate::types::{DatabaseId, Domain, GroupId, Position};
@@ -14,6 +16,18 @@
 /// How often replicas are asked whether they have caught up before a planned replacement begins.
 const MAX_SUCCESSOR_ROUNDS: u32 = 4;
 
+/// How long after the intent an old primary whose entry is gone may come back with its log, where a
+/// replica lost what it had: it may have been cut off or dark for longer than its entry lasts.
+const OLD_PRIMARY_RETURN: Span = Span::from_secs(12);
+
+/// The databases that take part in a choice.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Members {
+    parts: Vec<(Successor, Part)>,
+    /// Whether the old primary may come back.
+    awaits_old: bool,
+}
+
 impl Control {
     /// The databases that take part in the choice, each with its part. Those in `excluded` are not
     /// promoted.
@@ -103,7 +117,61 @@
             // Its log is lost, and may have commits that a replica lacks.
             named.push((replacement.old.clone(), None, Part::Witness));
         }
-        Choice::new(self.now(), self.domain(replacement), target, durable, named)
+        let domain = self.domain(replacement);
+        let mut choice = Choice::new(self.now(), domain, target, durable, named);
+        if !self.awaits_old(replacement) {
+            choice.give_up_former_lives();
+        }
+        let state = self.state.borrow();
+        for (database, at) in state.register.reborn() {
+            let measured = state.reborn.get(&database.id);
+            let measured = measured.filter(|(of, _)| *of == at);
+            choice.record_rebirth(&database.id, measured.map(|(_, position)| *position));
+        }
+        choice
+    }
+
+    /// Whether the old primary may come back with commits that only it and the former life of a
+    /// replica had.
+    fn awaits_old(&self, replacement: &Replacement) -> bool {
+        match self.registered(&replacement.old) {
+            Some(old) => !replacement.is_reborn(&old),
+            None => self.now() < replacement.intent + OLD_PRIMARY_RETURN,
+        }
+    }
+
+    /// Asks primaries of durable groups for their positions after a replica started again without its
+    /// data: logs that reach it need not wait for what the former life had.
+    pub(super) async fn measure_rebirths(&self) {
+        let unmeasured: Vec<_> = {
+            let state = self.state.borrow();
+            let reborn = state.register.reborn();
+            let unmeasured =
+                reborn.filter(|(d, at)| state.reborn.get(&d.id).is_none_or(|(of, _)| of != at));
+            unmeasured.map(|(d, at)| (d.clone(), at)).collect()
+        };
+        for (database, at) in unmeasured {
+            let primary = {
+                let view = self.setup.shared.get();
+                let known = view.leases.known(&database.group);
+                let lead = known.filter(|(lead, _)| !lead.changing && lead.primary != database.id);
+                lead.and_then(|(lead, _)| view.databases.get(&lead.primary).cloned())
+            };
+            let Some(primary) = primary.filter(|_| self.is_durable(&database.group)) else {
+                continue;
+            };
+            if let Reply::Stands(standing) = self.standing(&primary).await
+                && standing.primary
+            {
+                let mut state = self.state.borrow_mut();
+                state.reborn.insert(database.id, (at, standing.received));
+            }
+        }
+        let mut state = self.state.borrow_mut();
+        let State {
+            reborn, register, ..
+        } = &mut *state;
+        reborn.retain(|id, _| register.reborn().any(|(d, _)| d.id == *id));
     }
 
     /// Whether a planned replacement can succeed: a replica that stays has received all that was
@@ -149,7 +217,7 @@
         target: Option<Position>,
         excluded: &[DatabaseId],
     ) -> Result<(Successor, Standing), Lost> {
-        let mut asked: Vec<(Successor, Part)> = Vec::new();
+        let mut asked = Members::default();
         let mut choice = self.start_choice(replacement, target, &[]);
         let mut reported = None;
         loop {
@@ -158,21 +226,15 @@
             }
             let candidates = self.candidates(replacement, excluded);
             // A database that restarted in the meantime has to report its state again.
-            let incarnations = candidates.iter().map(|(database, part)| {
-                let successor = Successor {
-                    id: database.id.clone(),
-                    born: database.born,
-                };
-                (successor, *part)
-            });
-            let incarnations: Vec<_> = incarnations.collect();
-            if incarnations != asked || choice.pick(self.now()) == Pick::Nobody {
+            let members = self.members(replacement, &candidates);
+            if members != asked || choice.pick(self.now()) == Pick::Nobody {
                 choice = self.start_choice(replacement, target, &candidates);
-                asked = incarnations;
+                asked = members;
             }
             if let Some(id) = self.ask_round(&candidates, &mut choice).await
                 && let Some(standing) = choice.standing(&id)
-                && let Some((chosen, _)) = asked.iter().find(|(chosen, _)| chosen.id == id)
+                && let Some((chosen, _)) = asked.parts.iter().find(|(chosen, _)| chosen.id == id)
+                && self.is_unchanged(replacement, excluded, &asked).await
             {
                 return Ok((chosen.clone(), standing));
             }
@@ -181,6 +243,35 @@
         }
     }
 
+    fn members(&self, replacement: &Replacement, candidates: &[(Database, Part)]) -> Members {
+        let parts = candidates.iter().map(|(database, part)| {
+            let successor = Successor {
+                id: database.id.clone(),
+                born: database.born,
+            };
+            (successor, *part)
+        });
+        Members {
+            parts: parts.collect(),
+            awaits_old: self.awaits_old(replacement),
+        }
+    }
+
+    /// Whether a reading of the register that begins now shows the same databases as were asked. In a
+    /// durable group, one that has started again without its data is no proof of what it had.
+    async fn is_unchanged(
+        &self,
+        replacement: &Replacement,
+        excluded: &[DatabaseId],
+        asked: &Members,
+    ) -> bool {
+        if !self.is_durable(&replacement.group) {
+            return true;
+        }
+        self.refresh_register().await.is_ok()
+            && self.members(replacement, &self.candidates(replacement, excluded)) == *asked
+    }
+
     /// Logs that a choice waits for the answers of databases that may have acknowledged commits,
     /// and again if these are others than those `reported`.
     fn report_incomplete(
--- a/src/direct/control/era.rs
+++ b/src/direct/control/era.rs
@@ -7,7 +7,7 @@
 //! conditional on that version.
 
 use crate::clock::Time;
-use crate::direct::control::promotion::lapsed_at;
+use crate::direct::control::revocation::lapsed_at;
 use crate::direct::control::rows::{era_row, named_era, quiet_row};
 use crate::direct::table::{Change, Era, Row, Version};
 
--- a/src/direct/control/mod.rs
+++ b/src/direct/control/mod.rs
@@ -7,7 +7,7 @@
 //! newer readings elsewhere while the steward does not answer or what it sends is old (`refresh`,
 //! `own`); meanwhile a quorum of peers extends its leases (`extension`). One VM at a time is the steward: it takes and renews the duty in the
 //! store (`duty`, [`takeover`]), reads for the others and decides what has to be done (`tasks`,
-//! [`steward`], [`evidence`]), and replaces primaries (`change`, `order`, [`promotion`],
+//! [`steward`], [`evidence`]), and replaces primaries (`change`, [`revocation`], `candidates`, [`promotion`], `order`,
 //! [`probe`]). [`rows`] defines what is kept in the store.
 
 pub mod backoff;
@@ -33,6 +33,7 @@
 pub mod register;
 pub mod release;
 pub mod resume;
+pub mod revocation;
 pub mod rows;
 mod state;
 pub mod steward;
--- a/src/direct/control/promotion.rs
+++ b/src/direct/control/promotion.rs
@@ -1,16 +1,10 @@
-//! Decisions in the replacement of a primary: which VMs to wait for, which database to choose, and
-//! until when an order may be sent.
+//! Decisions in the replacement of a primary: which database to choose, and until when an order may
+//! be sent.
 
 use crate::clock::{Span, Time};
-use crate::direct::control::rows::MemberId;
 use crate::direct::control::takeover::ORDER_TIMEOUT;
-use crate::direct::lead::{LEASE, MAX_SILENT, TERM};
 use crate::direct::statement::Standing;
-use crate::types::{DatabaseId, Domain, Position, Term};
-use std::collections::BTreeMap;
-
-/// Allows for clocks that run at different rates.
-const MARGIN: Span = Span::from_millis(250);
+use crate::types::{DatabaseId, Domain, Offset, Position, Term};
 
 /// The time an order needs to arrive and be answered. With less time left, the duty is renewed
 /// first.
@@ -39,75 +33,6 @@
 /// replica.
 const COPIES: usize = 2;
 
-/// Tracks the VMs that may still hold a lease of the old epoch, and until when to wait for them.
-///
-/// A VM that is frozen or cut off would otherwise go on acting on the old primary and acknowledge
-/// writes that the new primary lacks. Every reading that shows the old lead was requested before
-/// the intent was written, so its lease expires within [`LEASE`] of the intent. For an evicted VM
-/// the same holds from its eviction on, because later readings grant it no lease. The wait ends
-/// sooner if the VM releases the epoch or has ended.
-///
-/// Once no more than [`MAX_SILENT`] VMs are left, [`TERM`] from then on is enough. More than [`TERM`]
-/// after the intent, a lease is only extended if a VM outside that set confirms it. Such a VM has
-/// released the epoch, has ended, or has no recent reading, so the confirmation was requested
-/// before. A VM that was not registered any more when the rows were read had stopped confirming by
-/// then.
-#[derive(Debug, Default)]
-pub struct Revocation {
-    pending: BTreeMap<MemberId, Time>,
-    /// When few enough VMs were left.
-    few_since: Option<Time>,
-}
-
-impl Revocation {
-    /// Waits for the given VMs. Each comes with the time at which the intent was written, or of its
-    /// eviction if that was earlier. The reading that listed them was requested after the intent
-    /// and was complete at `read`.
-    pub fn new(members: impl IntoIterator<Item = (MemberId, Time)>, read: Time) -> Self {
-        let members = members.into_iter();
-        let mut revocation = Self {
-            pending: members.map(|(id, since)| (id, lapsed_at(since))).collect(),
-            few_since: None,
-        };
-        revocation.count(read);
-        revocation
-    }
-
-    /// Records at `now` that a VM released the epoch, has ended, or that its lease has expired.
-    pub fn done(&mut self, member: &MemberId, now: Time) {
-        self.pending.remove(member);
-        self.count(now);
-    }
-
-    /// Until when to wait for a VM if the others do not answer either.
-    pub fn until(&self, member: &MemberId) -> Option<Time> {
-        self.pending.get(member).copied()
-    }
-
-    /// Until when to wait for any VM.
-    pub fn end(&self) -> Option<Time> {
-        let last = self.pending.values().max().copied()?;
-        let short = self.few_since.map(|few_since| few_since + TERM + MARGIN);
-        Some(short.map_or(last, |short| short.min(last)))
-    }
-
-    /// The VMs that have not answered yet.
-    pub fn pending(&self) -> impl Iterator<Item = &MemberId> {
-        self.pending.keys()
-    }
-
-    fn count(&mut self, now: Time) {
-        if self.pending.len() <= MAX_SILENT {
-            self.few_since.get_or_insert(now);
-        }
-    }
-}
-
-/// When a VM that a reading complete at `seen` showed as evicted no longer holds a lease.
-pub fn lapsed_at(seen: Time) -> Time {
-    seen + LEASE + MARGIN
-}
-
 /// Permission to send an order, which a renewal of the duty gives for a limited time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Permit {
@@ -171,6 +96,9 @@
     pub reply: Reply,
     /// Its part in the choice.
     pub part: Part,
+    /// If it started again without its data: a position up to which its former life may have had
+    /// more than another log.
+    pub former: Option<Position>,
 }
 
 impl Candidate {
@@ -192,6 +120,8 @@
     target: Option<Position>,
     /// Whether the group's commits wait until a replica has received them.
     durable: bool,
+    /// Whether to wait for the old primary if a replica that started again may have had commits.
+    awaits_old: bool,
     candidates: Vec<Candidate>,
 }
 
@@ -221,16 +151,33 @@
             domain,
             reply: Reply::Pending,
             part,
+            former: None,
         };
         Self {
             began: now,
             near,
             target,
             durable,
+            awaits_old: true,
             candidates: candidates.into_iter().map(candidate).collect(),
         }
     }
 
+    /// Records that a database started again without its data. Its former life had received no more
+    /// than `position`; `None` if nothing is known.
+    pub fn record_rebirth(&mut self, id: &DatabaseId, position: Option<Position>) {
+        let mut candidates = self.candidates.iter_mut();
+        if let Some(candidate) = candidates.find(|c| c.id == *id) {
+            candidate.former = Some(position.unwrap_or(Position::MAX));
+        }
+    }
+
+    /// No longer waits for commits that only the old primary and the former life of a replica may
+    /// have had.
+    pub fn give_up_former_lives(&mut self) {
+        self.awaits_old = false;
+    }
+
     /// The candidates and their answers.
     pub fn candidates(&self) -> &[Candidate] {
         &self.candidates
@@ -320,12 +267,30 @@
     /// Whether a log up to this position has every acknowledged commit.
     ///
     /// In a durable group an acknowledged commit is on [`COPIES`] databases. One that this log
-    /// lacks can only be on databases that are further, or whose position is not known.
+    /// lacks can only be on databases that are further, or whose position is not known, or on
+    /// former lives of databases that started again without their data.
     fn is_complete(&self, position: Position) -> bool {
-        let may_have_more = |c: &&Candidate| c.standing().is_none_or(|s| s.received > position);
+        let has_more = |c: &Candidate| c.standing().is_none_or(|s| s.received > position);
+        let had_more = |c: &Candidate| self.former(c).is_some_and(|former| position < former);
+        let may_have_more = |c: &&Candidate| has_more(c) || had_more(c);
         !self.durable || self.candidates.iter().filter(may_have_more).count() < COPIES
     }
 
+    /// The position up to which a former life of a database may have had commits, if it is to be
+    /// counted. An empty log beside others that are not shows a new life before the register does.
+    fn former(&self, candidate: &Candidate) -> Option<Position> {
+        let is_empty = |c: &Candidate| c.standing().map(|s| s.received.offset == Offset(0));
+        let is_new = is_empty(candidate) == Some(true)
+            && self.candidates.iter().any(|c| is_empty(c) == Some(false));
+        let former = candidate.former.or(is_new.then_some(Position::MAX));
+        // All that a replica ever received came from the old primary.
+        let is_old = |c: &&Candidate| matches!(c.part, Part::Lost | Part::Running);
+        let old = self.candidates.iter().find(is_old);
+        let sent = old.and_then(Candidate::standing).map(|s| s.received);
+        let former = former.filter(|_| self.awaits_old)?;
+        Some(sent.map_or(former, |sent| former.min(sent)))
+    }
+
     /// Whether a replica that stays has every acknowledged commit.
     pub fn has_successor(&self) -> bool {
         let mut candidates = self.candidates.iter().filter(|c| c.part == Part::Replica);
--- a/src/direct/control/register.rs
+++ b/src/direct/control/register.rs
@@ -11,7 +11,7 @@
 use crate::direct::config::Database;
 use crate::direct::history::History;
 use crate::direct::mesh::Content;
-use crate::types::{DatabaseId, GroupId};
+use crate::types::{Birth, DatabaseId, GroupId};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,6 +26,9 @@
 /// longer one reads it from the store, whose link is far wider than that of a VM.
 const MAX_SHORT: usize = 128;
 
+/// How many databases that are gone are remembered by their births.
+const MAX_FORMER: usize = 1_024;
+
 /// The register of databases as this VM has it.
 #[derive(Debug, Default)]
 pub struct Register {
@@ -35,6 +38,11 @@
     /// Databases that left, whose log no other one has taken over yet, and when the first reading
     /// without them was requested.
     departed: BTreeMap<DatabaseId, (Database, Time)>,
+    /// The last known birth of each database, also of some that are gone.
+    births: BTreeMap<DatabaseId, Birth>,
+    /// Databases that started again without their data, and when the first reading that showed it
+    /// was requested.
+    reborn: BTreeMap<DatabaseId, Time>,
     began: Option<Time>,
     asked: Option<Time>,
     digest: u64,
@@ -71,6 +79,13 @@
         departed.filter(move |d| d.group == *group)
     }
 
+    /// Returns the registered databases that started again without their data while this VM had the
+    /// register, each with the time of the first reading that showed it.
+    pub fn reborn(&self) -> impl Iterator<Item = (&Database, Time)> {
+        let reborn = self.reborn.iter();
+        reborn.filter_map(|(id, at)| Some((self.databases.get(id)?, *at)))
+    }
+
     /// Returns when the first reading known here was requested. A VM that starts while entries are
     /// missing never had them, and can't keep them.
     pub fn began(&self) -> Option<Time> {
@@ -170,6 +185,7 @@
             let changed = differing(&self.databases, &found);
             self.history.note(self.digest, changed);
         }
+        self.record_births(&found, asked);
         // The digest of an empty list is computed too, so that two VMs with empty registers compare
         // as equal.
         if changes.any || first {
@@ -180,6 +196,24 @@
     }
 }
 
+impl Register {
+    /// Records the births of the databases `found`. An entry that was missing for a while may come
+    /// back with another birth.
+    fn record_births(&mut self, found: &BTreeMap<DatabaseId, Database>, asked: Time) {
+        if self.births.len() > found.len() + MAX_FORMER {
+            self.births.retain(|id, _| found.contains_key(id));
+            self.reborn.retain(|id, _| found.contains_key(id));
+        }
+        for (id, database) in found {
+            let Some(born) = database.born else { continue };
+            let known = self.births.insert(id.clone(), born);
+            if known.is_some_and(|known| known != born) {
+                self.reborn.insert(id.clone(), asked);
+            }
+        }
+    }
+}
+
 /// Returns the databases that differ between two registers.
 fn differing(
     before: &BTreeMap<DatabaseId, Database>,
--- a/src/direct/control/state.rs
+++ b/src/direct/control/state.rs
@@ -13,7 +13,7 @@
 use crate::direct::table::{RowId, Version};
 use crate::direct::tenure::HEARTBEAT_AGE;
 use crate::direct::view::Report;
-use crate::types::{DatabaseId, GroupId, Life, Version as ConfigVersion};
+use crate::types::{DatabaseId, GroupId, Life, Position, Version as ConfigVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -58,6 +58,10 @@
     pub read_at: Option<Time>,
     /// The registered databases.
     pub register: Register,
+    /// For databases that started again without their data: when the register first showed it, and
+    /// a position that their group's primary had after that. What a former life had received is
+    /// in each log that reaches this position.
+    pub reborn: BTreeMap<DatabaseId, (Time, Position)>,
     /// Entries of the register that failed to parse, and why.
     pub unparsed: BTreeMap<RowId, Box<str>>,
     /// Since when the duty's row has had its version.
--- a/src/direct/control/steward.rs
+++ b/src/direct/control/steward.rs
@@ -4,7 +4,7 @@
 use crate::core::detect::Damper;
 use crate::direct::config::{Config, Database};
 use crate::direct::control::evidence::{Attempt, Observation, Probe, Verdict, Votes, count, judge};
-use crate::direct::control::promotion::lapsed_at;
+use crate::direct::control::revocation::lapsed_at;
 use crate::direct::control::rows::{MemberId, Reading};
 use crate::direct::control::state::Topic;
 use crate::direct::lead::{LEASE, Lead};
--- a/src/direct/control/tasks.rs
+++ b/src/direct/control/tasks.rs
@@ -110,6 +110,7 @@
         if rows.is_ok() && register.is_ok() {
             backoff.reset();
             control.keep_links().await;
+            control.measure_rebirths().await;
             control.store.record_quiet().await;
             if offered + yield_interval <= began && control.yield_to_stronger().await {
                 offered = control.now();
--- a/src/model/vouch/steward.rs
+++ b/src/model/vouch/steward.rs
@@ -6,7 +6,7 @@
     Event, LEASE_TICKS, NOW, Safeguard, Spec, State, TERM_TICKS, TICK, VMS, abandon, with_vm,
 };
 use crate::clock::{Span, Time};
-use crate::direct::control::promotion::{Revocation, lapsed_at};
+use crate::direct::control::revocation::{Revocation, lapsed_at};
 use crate::direct::control::rows::MemberId;
 use crate::direct::lead::{self, MAX_SILENT};
 use std::net::{IpAddr, Ipv4Addr};
--- a/src/types.rs
+++ b/src/types.rs
@@ -202,6 +202,12 @@
 }
 
 impl Position {
+    /// A position that no log reaches.
+    pub const MAX: Self = Self {
+        term: Term(u64::MAX),
+        offset: Offset(u64::MAX),
+    };
+
     /// The position of entry `offset` written in `term`.
     pub fn new(term: Term, offset: Offset) -> Self {
         Self { term, offset }
--- a/tests/direct_durable.rs
+++ b/tests/direct_durable.rs
@@ -86,6 +86,41 @@
     });
 }
 
+/// Guards against a replica that lost the log and counts as behind, although its former life had
+/// commits that only the old primary has now.
+#[test]
+fn replica_without_its_log_proves_nothing() {
+    play(durable(), |scene| async move {
+        scene.until(4_000).await;
+        Fault::Deaf(db("db0c")).begin(&scene.world);
+        scene.until(5_500).await;
+        dark("db0a").begin(&scene.world);
+        scene.fault(Fault::Reborn(db("db0b")), 5_500, 5_600).await;
+        scene.until(10_500).await;
+        Fault::Deaf(db("db0c")).end(&scene.world);
+        scene.until(12_500).await;
+        dark("db0a").end(&scene.world);
+        scene.passes().await;
+        assert!(
+            scene.gap(12_500) < MAX_CHANGE_TIME,
+            "{:?}",
+            scene.gap(12_500)
+        );
+    });
+}
+
+/// Guards against a replica that lost the log long ago and holds up each later choice.
+#[test]
+fn replica_that_has_the_log_again_is_promoted_soon() {
+    play(durable(), |scene| async move {
+        scene.fault(Fault::Reborn(db("db0b")), 3_000, 3_300).await;
+        scene.until(8_000).await;
+        scene.fault(Fault::Crash(db("db0a")), 8_000, 20_000).await;
+        scene.passes().await;
+        assert!(scene.gap(8_000) < MAX_CHANGE_TIME, "{:?}", scene.gap(8_000));
+    });
+}
+
 /// Guards against a choice that waits for ever for a database that is lost for good.
 #[test]
 fn lost_databases_are_waited_for_until_they_are_unregistered() {
@@ -166,6 +201,63 @@
     QuickCheck::new().tests(20_000).quickcheck(property);
 }
 
+/// A replica that started again without its data: how many commits its former life had received, how
+/// many it has now, and a later position of the primary, if that was asked.
+type Reborn = (u8, u8, Option<u8>);
+
+/// Guards against a choice that takes a replica which lost its data for one that never had it.
+#[test]
+fn chosen_database_has_what_former_lives_acknowledged() {
+    fn property(written: u8, answers: bool, replicas: Vec<(u8, Option<Reborn>)>) -> bool {
+        let replicas: Vec<_> = replicas.into_iter().take(4).collect();
+        let named = ["old", "a", "b", "c", "d"].into_iter().enumerate();
+        let named = named.take(replicas.len() + 1).map(|(index, name)| {
+            let part = if index == 0 {
+                Part::Lost
+            } else {
+                Part::Replica
+            };
+            (db(name), None, part)
+        });
+        let mut choice = Choice::new(Time::default(), None, None, true, named);
+        let position = |offset: u8| Position::new(Term(1), Offset(offset.into()));
+        let standing = |primary, offset| {
+            Reply::Stands(Standing {
+                primary,
+                term: Term(1),
+                received: position(offset),
+            })
+        };
+        if answers {
+            choice.record(&db("old"), standing(true, written));
+        }
+        let mut had = vec![written];
+        for ((received, reborn), name) in replicas.into_iter().zip(["a", "b", "c", "d"]) {
+            let received = received.min(written);
+            let Some((former, now, asked)) = reborn else {
+                choice.record(&db(name), standing(false, received));
+                had.push(received);
+                continue;
+            };
+            let former = former.min(written);
+            let now = now.min(written);
+            let asked = asked.map(|asked| position(asked.clamp(former, written)));
+            choice.record_rebirth(&db(name), asked);
+            choice.record(&db(name), standing(false, now));
+            had.push(former.max(now));
+        }
+        had.sort_unstable();
+        let acknowledged = had.iter().rev().nth(1).copied().unwrap_or(0);
+        match choice.pick(Time::default() + Span::from_secs(10)) {
+            Pick::Take(_, position) => position.offset.0 >= acknowledged.into(),
+            Pick::Wait(_) => !answers,
+            Pick::Nobody => false,
+        }
+    }
+    let property = property as fn(u8, bool, Vec<(u8, Option<Reborn>)>) -> bool;
+    QuickCheck::new().tests(20_000).quickcheck(property);
+}
+
 /// Guards against a wait although no acknowledged commit can be missing: with all positions but one
 /// known the furthest replica is promoted, and a replica that stays before one that leaves.
 #[test]
--- a/tests/direct_lease.rs
+++ b/tests/direct_lease.rs
@@ -1,7 +1,7 @@
 //! Leases that peers extend, against the wait of a replacement for them to expire.
 
 use lentilspoke::clock::{Span, Time};
-use lentilspoke::direct::control::promotion::Revocation;
+use lentilspoke::direct::control::revocation::Revocation;
 use lentilspoke::direct::control::rows::MemberId;
 use lentilspoke::direct::lead::{Lead, Leases, MAX_SILENT, QUORUM, TERM};
 use lentilspoke::types::GroupId;
--- a/tests/direct_random.rs
+++ b/tests/direct_random.rs
@@ -96,6 +96,20 @@
     }
 }
 
+/// Guards against replicas that lost the log and count as behind, or hold up each later choice, in groups
+/// whose commits wait for a replica.
+#[test]
+fn databases_lose_their_data_in_durable_groups() {
+    let variant = Variant {
+        durable: true,
+        reborn: true,
+        ..Variant::default()
+    };
+    for seed in (1..=4).chain([60, 201, 284, 91_035]) {
+        assert_passes(&direct::play(seed, variant).unwrap());
+    }
+}
+
 /// Guards against a promotion that loses acknowledged commits of groups whose commits wait for a
 /// replica, while replicas fall behind, leave and crash.
 #[test]
