--- a/tests/direct_random.rs
+++ b/tests/direct_random.rs
@@ -110,6 +110,19 @@
     }
 }
 
+/// Guards against stale reads that were in flight as a newer position of a primary without its log
+/// became known, here with an update at the end of a partition.
+#[test]
+fn an_update_arrives_as_a_primary_loses_its_log() {
+    let variant = Variant {
+        durable: true,
+        reborn: true,
+        resets: true,
+        ..Variant::default()
+    };
+    assert_passes(&direct::play(92_236, variant).unwrap());
+}
+
 /// Guards against a promotion that loses acknowledged commits of groups whose commits wait for a
 /// replica, while replicas fall behind, leave and crash.
 #[test]
--- a/tests/direct_reborn.rs
+++ b/tests/direct_reborn.rs
@@ -56,3 +56,25 @@
     assert!(!lost(3, "2/40", 300), "nothing was committed since");
     assert!(!lost(4, "2/10", 300), "another primary");
 }
+
+/// Guards against a newer position that hides a lost log from the statements in flight when it became
+/// known.
+#[test]
+fn a_newer_position_does_not_hide_a_lost_log() {
+    let group: GroupId = "g".parse().unwrap();
+    let position = |text: &str| -> Position { text.parse().unwrap() };
+    let at = |millis: u64| Time(millis * 1_000);
+    let mut watermarks = Watermarks::default();
+    watermarks.note(&group, 3, position("2/20"), at(100));
+    watermarks.note(&group, 3, position("2/40"), at(200));
+    let lost = |text, asked| watermarks.is_lost(&group, 3, position(text), at(asked));
+    assert!(lost("0/0", 150), "a read in flight");
+    assert!(
+        !lost("2/30", 150),
+        "asked before the newer position was known"
+    );
+    assert!(lost("2/30", 200));
+    assert!(!lost("0/0", 99), "asked before any position was known");
+    watermarks.note(&group, 4, position("3/5"), at(300));
+    assert!(!watermarks.is_lost(&group, 4, position("3/0"), at(250)));
+}
